--- /dev/null
+++ b/adapter/src/door.rs
@@ -0,0 +1,41 @@
+//! Maps the names of a protocol to small indices and back, at the door.
+
+use std::collections::HashMap;
+
+/// Names and their indices. A forgotten index is given out again, so that it stays as small as what is held.
+#[derive(Default)]
+pub struct Door {
+    indices: HashMap<String, usize>,
+    names: Vec<String>,
+    free: Vec<usize>,
+}
+
+impl Door {
+    /// The index of a name, a new one if it has none yet.
+    pub fn admit(&mut self, name: &str) -> usize {
+        if let Some(&index) = self.indices.get(name) {
+            return index;
+        }
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.names.push(String::new());
+            self.names.len() - 1
+        });
+        self.names[index] = name.to_owned();
+        self.indices.insert(name.to_owned(), index);
+        index
+    }
+
+    pub fn find(&self, name: &str) -> Option<usize> {
+        self.indices.get(name).copied()
+    }
+
+    pub fn name(&self, index: usize) -> &str {
+        &self.names[index]
+    }
+
+    pub fn forget(&mut self, index: usize) {
+        if self.indices.remove(&self.names[index]).is_some() {
+            self.free.push(index);
+        }
+    }
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,1035 @@
+//! Every decision of woadhook. A host builds one [`Router`] from the parts below, each made from the few
+//! settings that it needs, tells it what happens (`job_arrived`, `dispatch_ended`, `reported`, ...) and then
+//! pulls [`Router::next_decision`] until it gives none. The words of both sides are in `interface.rs`.
+//!
+//! The ordinary path is Index/Load: a job goes to the allowed engine of smallest estimated wait plus run,
+//! engines that lately got its table group costed optimistically ([`Router::wait_and_run`]).
+//! Beside it stand six mechanisms, and one legality check that every dispatch passes ([`Router::legal`]):
+//!
+//! 1. a limit on the threads in flight at each engine; work beyond it waits here ([`Limit`]),
+//! 2. engines set aside on silence, resets and failed connects, back after answered probes ([`Health`]),
+//! 3. a budget of work for cold engines ([`ColdStart`]),
+//! 4. the order of held jobs, and throttling at once of what can't be done in time ([`Answers`]),
+//! 5. time-outs and further dispatches ([`Further`]),
+//! 6. memory grants and priorities from learned estimate bias ([`Terms`], [`Estimates`]).
+
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+
+use crate::interface::*;
+use crate::time::{Moment, Span};
+
+/// A mean that forgets: recent samples count for at least one part in `MEMORY`.
+const MEMORY: f64 = 128.0;
+/// Part of the SLA time that a good dispatch may take; the rest is for waiting here.
+const GOOD_PART: f64 = 0.5;
+/// Share of an in-flight limit that a bad outcome leaves.
+const CUT: f64 = 0.8;
+/// Note periods, or else longest SLA times, without a word from an engine with work out that mean silence.
+const SILENT_PERIODS: f64 = 2.5;
+/// Answered probes in a row that bring an engine back.
+const ANSWERS_TO_RETURN: u32 = 2;
+/// Part of the cold-start budget that is used: true work and speeds are not known.
+const COLD_MARGIN: f64 = 0.5;
+/// Own dispatches for each probe that only asks for a report.
+const DISPATCHES_PER_PROBE: u32 = 8;
+/// A dispatch is lost when what remains of it exceeds so many fresh runs.
+const LOST_RUNS: f64 = 2.0;
+
+#[derive(Clone, Copy, Debug)]
+struct Mean {
+    value: f64,
+    samples: f64,
+}
+
+impl Mean {
+    fn new(value: f64, samples: f64) -> Self {
+        Self { value, samples }
+    }
+
+    fn add(&mut self, sample: f64) {
+        self.samples = (self.samples + 1.0).min(MEMORY);
+        self.value += (sample - self.value) / self.samples;
+    }
+}
+
+/// What jobs cost, learned from estimates, answers and notes. Its tables hold a line for each type.
+struct Estimates {
+    /// Work of a job in seconds of one thread, by type; it starts from the SLA time on all threads.
+    work: Vec<Mean>,
+    all_work: Mean,
+    /// True work over told work.
+    work_bias: Vec<Mean>,
+    /// Grant over told memory that about one dispatch in five finds short.
+    memory_bias: Vec<f64>,
+    /// Time of a dispatch over its work on its threads.
+    stretch: Vec<Mean>,
+    cold_stretch: Vec<Mean>,
+    warm_ratio: Mean,
+}
+
+impl Estimates {
+    fn new(types: &[ReservationType]) -> Self {
+        let each = |value, samples| vec![Mean::new(value, samples); types.len()];
+        Self {
+            work: types.iter().map(|t| Mean::new(t.sla.secs() * t.threads, 4.0)).collect(),
+            all_work: Mean::new(0.0, 0.0),
+            work_bias: each(1.0, 4.0),
+            memory_bias: vec![1.25; types.len()],
+            stretch: each(1.0, 0.0),
+            cold_stretch: each(1.0, 0.0),
+            warm_ratio: Mean::new(0.5, 16.0),
+        }
+    }
+
+    fn work_of(&self, kind: TypeId, told: Option<Span>) -> f64 {
+        told.map_or(self.work[kind.0].value, |span| span.secs() * self.work_bias[kind.0].value)
+    }
+}
+
+/// The machines and this router's place among them.
+pub struct Fleet {
+    zone: ZoneId,
+    share: f64,
+    cores: Vec<f64>,
+    memory: Vec<f64>,
+    crossing_price: f64,
+}
+
+impl Fleet {
+    pub fn new(zone: ZoneId, replicas: usize, cores: Vec<f64>, memory: Vec<f64>, crossing: f64) -> Self {
+        Self { zone, share: 1.0 / replicas.max(1) as f64, cores, memory, crossing_price: crossing }
+    }
+
+    fn cores(&self, kind: KindId) -> f64 {
+        self.cores.get(kind.0).copied().unwrap_or(1.0).max(1.0)
+    }
+}
+
+/// Rule 4: what this router may send to a cold engine.
+pub struct ColdStart {
+    factor: f64,
+    fall: Span,
+    start_capacity: f64,
+    cold_for: Span,
+}
+
+impl ColdStart {
+    pub fn new(factor: f64, fall: Span, start_capacity: f64, cold_for: Span) -> Self {
+        Self { factor, fall, start_capacity, cold_for }
+    }
+}
+
+/// Rules 2, 5 and 7: limits on a job's dispatches past the first.
+pub struct Further {
+    try_limit: usize,
+    copies: bool,
+    cancelling: bool,
+    turn_gap: Span,
+    ration: Option<Ration>,
+}
+
+/// A few dispatches plus a share of the jobs taken, in any window.
+pub struct Ration {
+    free: f64,
+    share: f64,
+    window: Span,
+    /// Both emptied of what has left the window.
+    made: VecDeque<Moment>,
+    taken: VecDeque<Moment>,
+}
+
+impl Ration {
+    pub fn new(free: f64, share: f64, window: Span) -> Self {
+        Self { free, share, window, made: VecDeque::new(), taken: VecDeque::new() }
+    }
+
+    fn slide(&mut self, now: Moment) {
+        let window = self.window;
+        while self.made.front().is_some_and(|&at| now.since(at) > window) {
+            self.made.pop_front();
+        }
+        while self.taken.front().is_some_and(|&at| now.since(at) >= window) {
+            self.taken.pop_front();
+        }
+    }
+
+    fn allows_one(&self) -> bool {
+        self.made.len() as f64 + 1.0 <= self.free + self.share * self.taken.len() as f64
+    }
+}
+
+impl Further {
+    pub fn new(
+        try_limit: usize, copies: bool, cancelling: bool, turn_gap: Span, ration: Option<Ration>,
+    ) -> Self {
+        Self { try_limit, copies, cancelling, turn_gap, ration }
+    }
+}
+
+/// How engines are watched and the list is followed.
+pub struct Health {
+    may_probe: bool,
+    reports_by_probe: bool,
+    connect_timeout: Span,
+    note_period: Span,
+    /// Where the list must be asked for: how old an answer may grow.
+    ask_within: Option<Span>,
+    asked: Option<Moment>,
+    subscribed: bool,
+}
+
+impl Health {
+    pub fn new(
+        may_probe: bool, reports_by_probe: bool, connect_timeout: Span, note_period: Span,
+        ask_within: Option<Span>,
+    ) -> Self {
+        let subscribed = ask_within.is_none();
+        Self {
+            may_probe,
+            reports_by_probe,
+            connect_timeout,
+            note_period,
+            ask_within,
+            asked: None,
+            subscribed,
+        }
+    }
+}
+
+impl Health {
+    /// Whether what the list says is recent enough for rule 3.
+    fn list_known(&self, now: Moment) -> bool {
+        self.subscribed || self.asked.zip(self.ask_within).is_some_and(|(at, within)| now.since(at) < within)
+    }
+}
+
+/// Final answers, and what a job is worth by tenant.
+pub struct Answers {
+    slack: Span,
+    come_back: Option<Span>,
+    by_work: bool,
+    over_share: f64,
+    /// Jobs a second within a tenant's share at all routers; what is left of this router's part; since when.
+    tenants: Vec<(f64, f64, Moment)>,
+}
+
+impl Answers {
+    pub fn new(
+        slack: Span, come_back: Option<Span>, by_work: bool, over_share: f64, allowances: Vec<f64>,
+    ) -> Self {
+        let tenants = allowances.into_iter().map(|rate| (rate, rate, Moment::default())).collect();
+        Self { slack, come_back, by_work, over_share, tenants }
+    }
+
+    /// The share of the billed value that a job of this tenant earns, taking it from the tenant's part.
+    fn share_earned(&mut self, tenant: Option<TenantId>, share: f64, now: Moment) -> f64 {
+        let Some((rate, left, since)) = tenant.and_then(|id| self.tenants.get_mut(id.0)) else { return 1.0 };
+        let part = *rate * share;
+        *left = (*left + part * now.since(*since).secs()).min(part.max(1.0));
+        *since = now;
+        if *left < 1.0 {
+            return self.over_share;
+        }
+        *left -= 1.0;
+        1.0
+    }
+}
+
+/// Memory grants and priorities.
+pub struct Terms {
+    grants: bool,
+    priorities: bool,
+    most_grant: f64,
+}
+
+impl Terms {
+    pub fn new(grants: bool, priorities: bool, most_grant: f64) -> Self {
+        Self { grants, priorities, most_grant }
+    }
+}
+
+struct Dispatch {
+    engine: EngineId,
+    zone: ZoneId,
+    cell: CellId,
+    sent: Moment,
+    warm: bool,
+    grant: f64,
+    short: bool,
+    stood: bool,
+    /// When a note last told the share done, and that share.
+    share: Option<(Moment, f64)>,
+    outcome: Option<Outcome>,
+    cancelled: bool,
+}
+
+struct Job {
+    kind: TypeId,
+    group: GroupId,
+    key: Option<KeyId>,
+    told: Option<Span>,
+    work: f64,
+    memory: f64,
+    turn: u64,
+    sla_due: Moment,
+    deadline: Moment,
+    billed: f64,
+    over: bool,
+    dispatches: Vec<Dispatch>,
+}
+
+impl Job {
+    fn out(&self) -> usize {
+        self.dispatches.iter().filter(|d| d.outcome.is_none()).count()
+    }
+
+    /// The dispatches that may have run or may yet.
+    fn maybe_ran(&self) -> impl Iterator<Item = &Dispatch> {
+        self.dispatches.iter().filter(|d| d.outcome.is_none_or(|o| !o.never_ran()))
+    }
+}
+
+/// The jobs of one key in the order taken; dropped when none is left and the rest is over.
+#[derive(Default)]
+struct Turns {
+    jobs: VecDeque<JobId>,
+    rest_until: Moment,
+}
+
+struct Limit {
+    threads: f64,
+    cut_at: Moment,
+}
+
+#[derive(Clone, Copy)]
+struct Report {
+    at: Moment,
+    active: Option<f64>,
+    waiting: f64,
+    cpu: f64,
+}
+
+struct Sent {
+    at: Moment,
+    kind: TypeId,
+    group: GroupId,
+    work: f64,
+    threads: f64,
+}
+
+/// One engine of the list; dropped when gone and nothing is out there.
+struct Engine {
+    zone: ZoneId,
+    kind: KindId,
+    cell: CellId,
+    listed: Listed,
+    came_up: Option<Moment>,
+    cold_since: Option<Moment>,
+    report: Option<Report>,
+    /// When each table group was last sent there; emptied of those past the warm lifetime.
+    groups: BTreeMap<GroupId, Moment>,
+    /// Own dispatches that are out; emptied by their outcomes.
+    out: BTreeMap<(JobId, usize), Sent>,
+    limit: Limit,
+    /// Usual work sent lately; emptied of what has left the cold-start window.
+    sent: VecDeque<(Moment, f64)>,
+    heard: Moment,
+    probe_out: bool,
+    probed: Option<Moment>,
+    /// While set aside: probes answered in a row, and whether it may have restarted.
+    aside: Option<(u32, bool)>,
+}
+
+impl Engine {
+    fn threads_out(&self) -> f64 {
+        self.out.values().map(|sent| sent.threads).sum()
+    }
+
+    fn quiet_since(&self) -> Option<Moment> {
+        self.out.values().map(|sent| sent.at).min().map(|first| first.max(self.heard))
+    }
+}
+
+/// The decisions of one router.
+pub struct Router {
+    chance: Pcg32,
+    started: Moment,
+    types: Vec<ReservationType>,
+    estimates: Estimates,
+    fleet: Fleet,
+    cold: ColdStart,
+    further: Further,
+    health: Health,
+    answers: Answers,
+    terms: Terms,
+    /// Emptied of jobs that are over and have nothing out.
+    jobs: BTreeMap<JobId, Job>,
+    keys: BTreeMap<KeyId, Turns>,
+    engines: BTreeMap<EngineId, Engine>,
+    turns_given: u64,
+    since_probe: u32,
+    wake_at: Option<Moment>,
+    /// Both emptied as the host pulls.
+    forgotten: Vec<Forgotten>,
+    lines: VecDeque<String>,
+}
+
+impl Router {
+    pub fn new(
+        now: Moment, seed: u64, types: Vec<ReservationType>, fleet: Fleet, cold: ColdStart, further: Further,
+        health: Health, answers: Answers, terms: Terms,
+    ) -> Self {
+        Self {
+            chance: Pcg32::seed_from_u64(seed),
+            started: now,
+            estimates: Estimates::new(&types),
+            types,
+            fleet,
+            cold,
+            further,
+            health,
+            answers,
+            terms,
+            jobs: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            engines: BTreeMap::new(),
+            turns_given: 0,
+            since_probe: 0,
+            wake_at: None,
+            forgotten: Vec::new(),
+            lines: VecDeque::new(),
+        }
+    }
+
+    // ---- What the host tells: bookkeeping only.
+
+    pub fn job_arrived(
+        &mut self, now: Moment, job: JobId, kind: TypeId, tenant: Option<TenantId>, group: GroupId,
+        key: Option<KeyId>, told: Option<Span>, memory: f64, expires: Span,
+    ) {
+        let t = &self.types[kind.0];
+        let work = self.estimates.work_of(kind, told);
+        let earned = self.answers.share_earned(tenant, self.fleet.share, now);
+        let worth = if self.answers.by_work { work } else { 1.0 };
+        let key = key.filter(|_| t.ordered);
+        if let Some(key) = key {
+            self.keys.entry(key).or_default().jobs.push_back(job);
+        }
+        if let Some(ration) = &mut self.further.ration {
+            ration.taken.push_back(now);
+        }
+        self.turns_given += 1;
+        self.estimates.all_work.add(work);
+        if told.is_some() {
+            self.estimates.work[kind.0].add(work);
+        }
+        let record = Job {
+            kind,
+            group,
+            key,
+            told,
+            work,
+            memory,
+            turn: self.turns_given,
+            sla_due: now + t.sla + Span::from_secs(t.sla_stretch * work / t.threads),
+            deadline: now + expires,
+            billed: t.billed * earned * worth,
+            over: false,
+            dispatches: Vec::new(),
+        };
+        self.jobs.insert(job, record);
+    }
+
+    /// The client left, or the job ended by other means.
+    pub fn job_withdrawn(&mut self, job: JobId) {
+        self.close(job);
+    }
+
+    /// `told` is the true work and memory, where the answer tells them; `over` holds when the job has its
+    /// final answer.
+    pub fn dispatch_ended(
+        &mut self, now: Moment, job: JobId, number: usize, outcome: Outcome, took: Span,
+        told: Option<(Span, f64)>, over: bool,
+    ) {
+        let Some(record) = self.jobs.get_mut(&job) else { return };
+        let Some(dispatch) = record.dispatches.get_mut(number) else { return };
+        dispatch.outcome = Some(outcome);
+        let t = &self.types[record.kind.0];
+        if let (Some(key), true) = (record.key, outcome.may_still_run()) {
+            let turns = self.keys.entry(key).or_default();
+            turns.rest_until = turns.rest_until.max(now + self.further.turn_gap);
+        }
+        if outcome == Outcome::Done {
+            let work = told.map_or(record.work, |(work, _)| work.secs());
+            if let Some((_, memory)) = told {
+                dispatch.short = dispatch.grant > 0.0 && memory > dispatch.grant;
+                if let Some(guess) = record.told.filter(|guess| *guess > Span::ZERO) {
+                    self.estimates.work_bias[record.kind.0].add(work / guess.secs());
+                }
+                self.estimates.work[record.kind.0].add(work);
+            }
+            let bias = &mut self.estimates.memory_bias[record.kind.0];
+            *bias = (*bias * if dispatch.short { 1.04 } else { 0.99 }).clamp(0.25, 4.0);
+            let stretch = took.secs() * t.threads / work.max(1e-3);
+            self.estimates.stretch[record.kind.0].add(stretch);
+            let cold = &mut self.estimates.cold_stretch[record.kind.0];
+            if !dispatch.warm {
+                cold.add(stretch);
+            } else if cold.samples > 8.0 {
+                let ratio = (stretch / cold.value).min(2.0);
+                self.estimates.warm_ratio.add(ratio);
+            }
+        }
+        let good = outcome == Outcome::Done && took <= (t.sla + t_stretch(t, record.work)).times(GOOD_PART);
+        let stood = dispatch.stood;
+        let id = dispatch.engine;
+        if let Some(engine) = self.engines.get_mut(&id) {
+            let used = engine.threads_out();
+            let sent = engine.out.remove(&(job, number));
+            let limit = &mut engine.limit;
+            if good && used * 2.0 > limit.threads {
+                limit.threads += 1.0;
+            } else if !good
+                && !stood
+                && !matches!(outcome, Outcome::Cancelled | Outcome::NotIssued)
+                && sent.is_some_and(|sent| sent.at >= limit.cut_at)
+            {
+                limit.threads = (limit.threads * CUT).max(1.0);
+                limit.cut_at = now;
+            }
+            match outcome {
+                Outcome::Done | Outcome::Error | Outcome::TurnedAway => engine.heard = now,
+                Outcome::Reset | Outcome::NotConnected if engine.aside.is_none() => {
+                    engine.aside = Some((0, true));
+                    self.lines.push_back(format!("engine {} set aside: {outcome:?}", id.0));
+                }
+                _ => {}
+            }
+        }
+        if over {
+            self.close(job);
+        } else {
+            self.drop_if_spent(job);
+        }
+    }
+
+    pub fn progressed(&mut self, now: Moment, job: JobId, number: usize, progress: Progress) {
+        let Some(dispatch) = self.jobs.get_mut(&job).and_then(|j| j.dispatches.get_mut(number)) else {
+            return;
+        };
+        match progress {
+            Progress::Share(share) => dispatch.share = Some((now, share)),
+            Progress::Spills(_) => dispatch.short = true,
+            Progress::WaitsForLoad => dispatch.stood = true,
+            Progress::WaitsForMemory => {}
+        }
+        if let Some(engine) = self.engines.get_mut(&dispatch.engine) {
+            engine.heard = now;
+        }
+    }
+
+    /// A load report, used on arrival; what it lacks is `None`.
+    pub fn reported(
+        &mut self, now: Moment, engine: EngineId, active: Option<f64>, waiting: Option<f64>,
+        cpu: Option<f64>, disks: Option<f64>,
+    ) {
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            let cpu = cpu.unwrap_or(0.0).max(disks.unwrap_or(0.0));
+            engine.report = Some(Report { at: now, active, waiting: waiting.unwrap_or(0.0), cpu });
+        }
+    }
+
+    pub fn probe_ended(&mut self, now: Moment, id: EngineId, outcome: Outcome) {
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        engine.probe_out = false;
+        if matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
+            engine.heard = now;
+            if let Some((answered, restarted)) = &mut engine.aside {
+                *answered += 1;
+                if *answered >= ANSWERS_TO_RETURN {
+                    if *restarted {
+                        engine.cold_since = Some(now);
+                    }
+                    engine.aside = None;
+                    engine.limit.threads = self.fleet.cores(engine.kind) * self.fleet.share;
+                    self.lines.push_back(format!("engine {} is back", id.0));
+                }
+            }
+        } else if engine.aside.is_none() {
+            engine.aside = Some((0, true));
+            self.lines.push_back(format!("engine {} set aside: probe {outcome:?}", id.0));
+        } else if let Some((answered, _)) = &mut engine.aside {
+            *answered = 0;
+        }
+    }
+
+    /// One line of the engine list.
+    pub fn engine_listed(
+        &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, listed: Listed,
+        came_up: Option<Moment>,
+    ) {
+        let threads = (self.fleet.cores(kind) * self.fleet.share).max(1.0);
+        let engine = self.engines.entry(id).or_insert_with(|| Engine {
+            zone,
+            kind,
+            cell,
+            listed,
+            came_up,
+            cold_since: came_up,
+            report: None,
+            groups: BTreeMap::new(),
+            out: BTreeMap::new(),
+            limit: Limit { threads, cut_at: now },
+            sent: VecDeque::new(),
+            heard: now,
+            probe_out: false,
+            probed: None,
+            aside: None,
+        });
+        (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
+        if came_up > engine.came_up {
+            (engine.came_up, engine.cold_since) = (came_up, engine.cold_since.max(came_up));
+            engine.groups.clear();
+            engine.report = None;
+        }
+    }
+
+    /// The list just told was complete: engines that it did not name are gone.
+    pub fn list_complete(&mut self, named: &[EngineId]) {
+        self.list_changed();
+        self.list_restored(named);
+    }
+
+    /// The list as this router last saw it before it started, perhaps stale.
+    pub fn list_restored(&mut self, named: &[EngineId]) {
+        for (id, engine) in &mut self.engines {
+            if !named.contains(id) {
+                engine.listed = Listed::Gone;
+            }
+        }
+    }
+
+    pub fn list_changed(&mut self) {
+        self.health.subscribed |= self.health.asked.is_some();
+    }
+
+    pub fn list_unavailable(&mut self) {
+        self.health.subscribed = self.health.ask_within.is_none();
+    }
+
+    fn close(&mut self, job: JobId) {
+        if let Some(record) = self.jobs.get_mut(&job) {
+            record.over = true;
+            self.drop_if_spent(job);
+        }
+    }
+
+    fn drop_if_spent(&mut self, job: JobId) {
+        if self.jobs.get(&job).is_some_and(|record| record.over && record.out() == 0) {
+            let record = self.jobs.remove(&job);
+            if let Some(turns) = record.and_then(|r| r.key).and_then(|key| self.keys.get_mut(&key)) {
+                turns.jobs.retain(|other| *other != job);
+            }
+            self.forgotten.push(Forgotten::Job(job));
+        }
+    }
+
+    // ---- What the host pulls.
+
+    pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
+        self.let_go(now);
+        self.watch(now);
+        self.follow_list(now)
+            .or_else(|| self.give_up(now))
+            .or_else(|| self.cancel_lost(now))
+            .or_else(|| self.dispatch(now))
+            .or_else(|| self.probe(now))
+            .or_else(|| self.lines.pop_front().map(Decision::Log))
+            .or_else(|| self.forgotten.pop().map(Decision::Forget))
+            .or_else(|| self.wake(now))
+    }
+
+    /// Empties what time alone empties.
+    fn let_go(&mut self, now: Moment) {
+        let (fall, lifetime) = (self.cold.fall, self.warm_lifetime());
+        for engine in self.engines.values_mut() {
+            while engine.sent.front().is_some_and(|(at, _)| now.since(*at) > fall) {
+                engine.sent.pop_front();
+            }
+            engine.groups.retain(|_, at| now.since(*at) <= lifetime);
+        }
+        if let Some(ration) = &mut self.further.ration {
+            ration.slide(now);
+        }
+        let forgotten = &mut self.forgotten;
+        self.keys.retain(|key, turns| {
+            let keep = !turns.jobs.is_empty() || now < turns.rest_until;
+            if !keep {
+                forgotten.push(Forgotten::Key(*key));
+            }
+            keep
+        });
+        self.engines.retain(|id, engine| {
+            let keep = engine.listed != Listed::Gone || !engine.out.is_empty() || engine.probe_out;
+            if !keep {
+                forgotten.push(Forgotten::Engine(*id));
+            }
+            keep
+        });
+    }
+
+    /// Sets silent engines aside. Threat: a machine that hangs without a reset. It also catches a cut link
+    /// and lost notes; it hurts where notes merely come late, so at most half of the live engines go.
+    fn watch(&mut self, now: Moment) {
+        let patience = self.patience();
+        let live = self.engines.values().filter(|e| e.listed == Listed::Live).count();
+        let mut aside = self.engines.values().filter(|e| e.aside.is_some()).count();
+        for (id, engine) in &mut self.engines {
+            let silent = engine.quiet_since().is_some_and(|since| now.since(since) > patience);
+            if silent && engine.aside.is_none() && (aside + 1) * 2 <= live {
+                engine.aside = Some((0, true));
+                aside += 1;
+                self.lines.push_back(format!("engine {} set aside: silent", id.0));
+            }
+        }
+    }
+
+    fn patience(&self) -> Span {
+        let sla = self.types.iter().map(|t| t.sla).max().unwrap_or_default();
+        let period = if self.health.note_period > Span::ZERO { self.health.note_period } else { sla };
+        period.times(SILENT_PERIODS)
+    }
+
+    fn warm_lifetime(&self) -> Span {
+        self.types.iter().map(|t| t.timeout).min().unwrap_or_default()
+    }
+
+    fn follow_list(&mut self, now: Moment) -> Option<Decision> {
+        let ask_again = self.health.ask_within?.times(0.25);
+        if self.health.subscribed || self.health.asked.is_some_and(|at| now.since(at) < ask_again) {
+            return None;
+        }
+        self.health.asked = Some(now);
+        Some(Decision::Subscribe)
+    }
+
+    /// Final answers for jobs that can't go on or can't be done in time, at once.
+    fn give_up(&mut self, now: Moment) -> Option<Decision> {
+        let (id, harmless) = self.jobs.iter().find_map(|(id, job)| {
+            let t = &self.types[job.kind.0];
+            let stuck = job.out() == 0
+                && (job.dispatches.len() >= self.further.try_limit
+                    || !self.repeat_safe(job, None, now)
+                    || now + t_run(t, job.work) > job.sla_due);
+            let over_time = now >= job.deadline;
+            (!job.over && (stuck || over_time)).then(|| (*id, self.may_throttle(job)))
+        })?;
+        self.close(id);
+        if harmless {
+            Some(Decision::Throttle { job: id, come_back: self.answers.come_back })
+        } else {
+            Some(Decision::CancelForGood { job: id })
+        }
+    }
+
+    /// Rule 2 for throttling replies.
+    fn may_throttle(&self, job: &Job) -> bool {
+        match self.types[job.kind.0].effect {
+            Effect::Restartable | Effect::Keyed { scope: Scope::All, .. } => true,
+            Effect::Keyed { .. } | Effect::RunOnce => job.maybe_ran().next().is_none(),
+        }
+    }
+
+    /// Rule 2 for dispatches: to `engine`, or to some engine at all.
+    fn repeat_safe(&self, job: &Job, engine: Option<&Engine>, now: Moment) -> bool {
+        match self.types[job.kind.0].effect {
+            Effect::Restartable => true,
+            Effect::RunOnce => job.maybe_ran().next().is_none(),
+            Effect::Keyed { scope, window } => job.maybe_ran().all(|d| {
+                let same = engine.is_none_or(|e| match scope {
+                    Scope::All => true,
+                    Scope::Zone => e.zone == d.zone,
+                    Scope::Cell => e.cell == d.cell,
+                });
+                same && now.since(d.sent) < window
+            }),
+        }
+    }
+
+    /// The one check that every dispatch passes: rules 1 to 7 in this order. In doubt it says no.
+    fn legal(&self, id: JobId, job: &Job, engine: &Engine, now: Moment) -> bool {
+        let t = &self.types[job.kind.0];
+        let turn = job.key.and_then(|key| self.keys.get(&key)).is_none_or(|turns| {
+            turns.jobs.front() == Some(&id) && (now >= turns.rest_until || !job.dispatches.is_empty())
+        });
+        !job.over
+            && now < job.deadline
+            && self.repeat_safe(job, Some(engine), now)
+            && (self.further.copies || job.out() == 0)
+            && engine.listed == Listed::Live
+            && self.health.list_known(now)
+            && self.warm_enough(engine, job.kind, now)
+            && turn
+            && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
+            && t.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
+            && job.dispatches.len() < self.further.try_limit
+            && (job.dispatches.is_empty() || self.further.ration.as_ref().is_none_or(Ration::allows_one))
+    }
+
+    /// Rule 4: this router's part of the budget for any window. After its own start, a whole window passes
+    /// first: what it sent there before is not known.
+    fn warm_enough(&self, engine: &Engine, kind: TypeId, now: Moment) -> bool {
+        let cold = &self.cold;
+        if engine.cold_since.is_none_or(|since| now.since(since) >= cold.cold_for) {
+            return true;
+        }
+        let capacity = cold.start_capacity * self.fleet.cores(engine.kind);
+        let part = cold.factor * capacity * cold.fall.secs() * self.fleet.share * COLD_MARGIN;
+        let sent: f64 = engine.sent.iter().map(|(_, work)| work).sum();
+        now.since(self.started) > cold.fall && sent + self.estimates.work[kind.0].value <= part
+    }
+
+    /// Queued work that the engine's last report tells, in seconds of one thread; none if unheard. Where a
+    /// report has no count of held queries, own ones stand in, and busy cores beyond their threads count too.
+    fn reported_work(&self, engine: &Engine) -> Option<f64> {
+        let report = engine.report?;
+        let mean = self.estimates.all_work.value;
+        let held = report.active.unwrap_or_else(|| {
+            let own = engine.out.values().filter(|sent| sent.at <= report.at);
+            let (count, threads) = own.fold((0.0, 0.0), |(n, t), sent| (n + 1.0, t + sent.threads));
+            let busy = report.cpu * self.fleet.cores(engine.kind);
+            count + (busy - threads).max(0.0)
+        });
+        Some((held + report.waiting) * mean)
+    }
+
+    /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
+    fn wait_and_run(&self, job: &Job, engine: &Engine, average: f64, now: Moment) -> (f64, bool) {
+        let t = &self.types[job.kind.0];
+        let cores = self.fleet.cores(engine.kind);
+        let seen = engine.report.map(|report| report.at);
+        let since: f64 =
+            engine.out.values().filter(|s| seen.is_none_or(|at| s.at > at)).map(|s| s.work).sum();
+        let queued = self.reported_work(engine).unwrap_or(average) + since;
+        let known = engine.groups.contains_key(&job.group);
+        let warm = known && engine.threads_out() <= cores * self.fleet.share;
+        let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
+        let mut total = (queued / cores + job.work / t.threads) * discount;
+        if t.waits_for_loads || t.is_load {
+            total += self.load_hold(engine, job.group, now);
+        }
+        if engine.zone != self.fleet.zone {
+            total += self.fleet.crossing_price * t.sla.secs();
+        }
+        (total, known)
+    }
+
+    /// Exception to the design: what is left of own loads that hold the table group there.
+    fn load_hold(&self, engine: &Engine, group: GroupId, now: Moment) -> f64 {
+        let loads = engine.out.values().filter(|s| s.group == group && self.types[s.kind.0].is_load);
+        loads
+            .map(|s| {
+                let run = s.work / s.threads * self.estimates.stretch[s.kind.0].value;
+                (run - now.since(s.at).secs()).max(run * 0.25)
+            })
+            .fold(0.0, f64::max)
+    }
+
+    /// Billed value per second of work.
+    fn density(&self, job: &Job) -> f64 {
+        job.billed / job.work.max(1e-3)
+    }
+
+    fn dispatch(&mut self, now: Moment) -> Option<Decision> {
+        let all_aside = self.engines.values().all(|e| e.listed != Listed::Live || e.aside.is_some());
+        let open = |e: &Engine| {
+            (e.aside.is_none() || all_aside) && e.listed == Listed::Live && e.threads_out() < e.limit.threads
+        };
+        let mut engines: Vec<EngineId> =
+            self.engines.iter().filter(|(_, e)| open(e)).map(|(id, _)| *id).collect();
+        if engines.is_empty() {
+            return None;
+        }
+        let mut waiting: Vec<(f64, u64, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.over && (job.out() == 0 || self.wants_copy(job, now)))
+            .map(|(id, job)| (self.density(job), job.turn, *id))
+            .collect();
+        if waiting.is_empty() {
+            return None;
+        }
+        waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let start = self.chance.random_range(0..engines.len());
+        engines.rotate_left(start);
+        let heard: Vec<f64> = self.engines.values().filter_map(|e| self.reported_work(e)).collect();
+        let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
+        let (job, engine, warm) = waiting.iter().find_map(|(_, _, id)| {
+            let job = &self.jobs[id];
+            engines
+                .iter()
+                .map(|e| (e, &self.engines[e]))
+                .filter(|(e, engine)| {
+                    self.legal(*id, job, engine, now)
+                        && job.dispatches.iter().all(|d| d.outcome.is_some() || d.engine != **e)
+                })
+                .map(|(e, engine)| (*e, self.wait_and_run(job, engine, average, now)))
+                .min_by(|a, b| a.1.0.partial_cmp(&b.1.0).unwrap_or(Ordering::Equal))
+                .map(|(e, (_, warm))| (*id, e, warm))
+        })?;
+        Some(self.send(now, job, engine, warm))
+    }
+
+    fn send(&mut self, now: Moment, id: JobId, to: EngineId, warm: bool) -> Decision {
+        let fair = self.estimates.all_work.value.max(1e-3);
+        let billed: f64 = self.types.iter().map(|t| t.billed).sum::<f64>() / self.types.len() as f64;
+        let density = self.density(&self.jobs[&id]) / (billed / fair);
+        let retry = !self.further.cancelling && !self.further.copies;
+        let (Some(job), Some(engine)) = (self.jobs.get_mut(&id), self.engines.get_mut(&to)) else {
+            unreachable!("a dispatch names a job and an engine that are held")
+        };
+        let t = &self.types[job.kind.0];
+        let most = self.terms.most_grant * self.fleet.memory.get(engine.kind.0).copied().unwrap_or(0.0);
+        let grant = (job.memory * self.estimates.memory_bias[job.kind.0]).min(most);
+        let grant = if self.terms.grants { grant } else { 0.0 };
+        let priority = if density >= 2.0 {
+            3
+        } else if density >= 1.0 {
+            2
+        } else if density >= 0.25 {
+            1
+        } else {
+            0
+        };
+        let left = job.deadline.since(now);
+        let timeout = if retry && t.effect != Effect::RunOnce {
+            left.min(t.sla + t_stretch(t, job.work))
+        } else {
+            left
+        };
+        let number = job.dispatches.len();
+        if number > 0
+            && let Some(ration) = &mut self.further.ration
+        {
+            ration.made.push_back(now);
+        }
+        engine.sent.push_back((now, self.estimates.work[job.kind.0].value));
+        engine.groups.insert(job.group, now);
+        let sent = Sent { at: now, kind: job.kind, group: job.group, work: job.work, threads: t.threads };
+        engine.out.insert((id, number), sent);
+        job.dispatches.push(Dispatch {
+            engine: to,
+            zone: engine.zone,
+            cell: engine.cell,
+            sent: now,
+            warm,
+            grant,
+            short: false,
+            stood: false,
+            share: None,
+            outcome: None,
+            cancelled: false,
+        });
+        self.since_probe += 1;
+        Decision::Dispatch { job: id, engine: to, timeout, memory: grant, priority }
+    }
+
+    /// Whether a dispatch that is out should be replaced: its engine was set aside, or the rest of it at its
+    /// pace exceeds fresh runs. Threat: hung engines and bad plans; it catches slow engines too. It may hurt
+    /// where shares told are far off.
+    fn lost(&self, job: &Job, dispatch: &Dispatch, now: Moment) -> bool {
+        if dispatch.outcome.is_some() || dispatch.cancelled {
+            return false;
+        }
+        let t = &self.types[job.kind.0];
+        let gone = self.engines.get(&dispatch.engine).is_none_or(|e| e.aside.is_some());
+        let fresh = t_run(t, job.work).times(self.estimates.stretch[job.kind.0].value.max(1.0));
+        let slow = dispatch.share.is_some_and(|(at, share)| {
+            let ran = at.since(dispatch.sent);
+            let total = ran.times(1.0 / share.max(1e-3));
+            total.less(now.since(dispatch.sent)) > fresh.times(LOST_RUNS) && ran > fresh
+        });
+        (gone || (slow && !dispatch.stood)) && now + fresh < job.deadline
+    }
+
+    fn wants_copy(&self, job: &Job, now: Moment) -> bool {
+        self.further.copies
+            && t_restartable(&self.types[job.kind.0])
+            && job.out() == 1
+            && job.dispatches.iter().any(|d| self.lost(job, d, now))
+    }
+
+    fn cancel_lost(&mut self, now: Moment) -> Option<Decision> {
+        if !self.further.cancelling {
+            return None;
+        }
+        let (id, number) = self.jobs.iter().find_map(|(id, job)| {
+            let again = job.dispatches.len() < self.further.try_limit
+                && self.types[job.kind.0].effect != Effect::RunOnce
+                && self.repeat_safe(job, None, now)
+                && self.further.ration.as_ref().is_none_or(Ration::allows_one);
+            let lost = job.dispatches.iter().position(|d| self.lost(job, d, now));
+            lost.filter(|_| !job.over && again).map(|number| (*id, number))
+        })?;
+        self.jobs.get_mut(&id)?.dispatches[number].cancelled = true;
+        Some(Decision::CancelDispatch { job: id, number })
+    }
+
+    /// Probes engines that are set aside or quiet with work out, and, where only probes carry reports, the
+    /// one with the oldest report, thriftily.
+    fn probe(&mut self, now: Moment) -> Option<Decision> {
+        if !self.health.may_probe {
+            return None;
+        }
+        let (every, quiet) = (self.health.connect_timeout.times(2.0), self.patience().times(0.5));
+        let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
+        let doubtful = |e: &Engine| {
+            e.listed != Listed::Gone
+                && (e.aside.is_some() || e.quiet_since().is_some_and(|since| now.since(since) > quiet))
+        };
+        let mut pick = self.engines.iter().find(|(_, e)| due(e) && doubtful(e)).map(|(id, _)| *id);
+        if pick.is_none() && self.health.reports_by_probe && self.since_probe >= DISPATCHES_PER_PROBE {
+            let live = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live && due(e));
+            pick = live.min_by_key(|(_, e)| e.probed).map(|(id, _)| *id);
+            self.since_probe = 0;
+        }
+        let engine = self.engines.get_mut(&pick?)?;
+        (engine.probe_out, engine.probed) = (true, Some(now));
+        Some(Decision::Probe { engine: pick? })
+    }
+
+    /// One coalesced timer: soon while jobs are held, rarely while dispatches are out.
+    fn wake(&mut self, now: Moment) -> Option<Decision> {
+        let held = self.jobs.values().any(|job| !job.over && job.out() == 0);
+        let idle = self.jobs.is_empty()
+            && self.keys.is_empty()
+            && self.health.subscribed
+            && self.engines.values().all(|e| e.aside.is_none());
+        if idle {
+            return None;
+        }
+        let after = if held { self.answers.slack } else { self.health.connect_timeout };
+        let after = after.max(Span::from_micros(1));
+        if self.wake_at.is_some_and(|at| at > now && at <= now + after) {
+            return None;
+        }
+        self.wake_at = Some(now + after);
+        Some(Decision::Wake { after })
+    }
+}
+
+fn t_run(t: &ReservationType, work: f64) -> Span {
+    Span::from_secs(work / t.threads)
+}
+
+fn t_stretch(t: &ReservationType, work: f64) -> Span {
+    t_run(t, work).times(t.sla_stretch)
+}
+
+fn t_restartable(t: &ReservationType) -> bool {
+    t.effect == Effect::Restartable
+}
