--- a/adapter/src/flint.rs
+++ b/adapter/src/flint.rs
@@ -5,7 +5,6 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
 use serde_json::{Value, json};
-use woadhook::logic::{Answers, ColdStart, Fleet, Further, Health, Ration, Terms};
 use woadhook::*;
 
 use crate::door::Door;
@@ -130,55 +129,54 @@
             tenants.iter().map(|tenant| number(tenant, "allowancePerS")).collect::<Result<Vec<_>>>()?;
         let ration = match (number(rules, "freeResends"), number(rules, "extraRatio")) {
             (Err(_), Err(_)) => None,
-            (free, share) => {
-                Some(Ration::new(free.unwrap_or(0.0), share.unwrap_or(0.0), span(rules, "countedOverUs")?))
-            }
+            (free, share) => Some(Ration {
+                free: free.unwrap_or(0.0),
+                share: share.unwrap_or(0.0),
+                window: span(rules, "countedOverUs")?,
+            }),
         };
         let how = text(feedback, "how")?;
-        let router = Router::new(
-            now,
-            seed,
-            types,
-            Fleet::new(
-                ZoneId(place(&zones, text(info, "zone")?, "zone")?),
-                whole(info, "replicasOfMe")? as usize,
-                numbers(family, "coresByKind")?,
-                numbers(family, "ramOfKindMb")?,
-                number(prices, "crossZone").unwrap_or(0.0),
-            ),
-            ColdStart::new(
-                number(rules, "overloadFactor")?,
-                span(rules, "fallUs")?,
-                number(rules, "startCapacity")?,
-                span(rules, "coldUs")?,
-            ),
-            Further::new(
-                whole(limits, "tryLimit")? as usize,
-                mark(limits, "secondCopies"),
-                mark(limits, "cancelling"),
-                span(rules, "turnGapUs").unwrap_or_default(),
-                ration,
-            ),
-            Health::new(
-                mark(limits, "mayProbe"),
-                how == "probe",
-                span(limits, "connectTimeoutUs")?,
-                span(family, "notePeriodUs").unwrap_or_default(),
-                (text(info, "discovery")? == "on_request").then(|| span(rules, "askWithinUs")).transpose()?,
-            ),
-            Answers::new(
-                span(rules, "answerSlackUs")?,
-                mark(limits, "retryAfter").then(|| span(limits, "maxRetryAfterUs")).transpose()?,
-                text(info, "worthBy").is_ok_and(|by| by == "work"),
-                number(info, "overShareWorth").unwrap_or(1.0),
-                allowances,
-            ),
-            Terms::new(
-                mark(family, "takesGrants"),
-                mark(family, "takesPriority"),
-                number(family, "maxGrantShare").unwrap_or(1.0),
-            ),
-        );
+        let fleet = Fleet {
+            zone: ZoneId(place(&zones, text(info, "zone")?, "zone")?),
+            replicas: whole(info, "replicasOfMe")? as usize,
+            cores: numbers(family, "coresByKind")?,
+            memory: numbers(family, "ramOfKindMb")?,
+            crossing_price: number(prices, "crossZone").unwrap_or(0.0),
+        };
+        let cold = ColdStart {
+            factor: number(rules, "overloadFactor")?,
+            fall: span(rules, "fallUs")?,
+            start_capacity: number(rules, "startCapacity")?,
+            cold_for: span(rules, "coldUs")?,
+        };
+        let further = Further {
+            try_limit: whole(limits, "tryLimit")? as usize,
+            copies: mark(limits, "secondCopies"),
+            cancelling: mark(limits, "cancelling"),
+            turn_gap: span(rules, "turnGapUs").unwrap_or_default(),
+            ration,
+        };
+        let asked = text(info, "discovery")? == "on_request";
+        let watching = Watching {
+            may_probe: mark(limits, "mayProbe"),
+            reports_by_probe: how == "probe",
+            connect_timeout: span(limits, "connectTimeoutUs")?,
+            note_period: span(family, "notePeriodUs").unwrap_or_default(),
+            ask_within: asked.then(|| span(rules, "askWithinUs")).transpose()?,
+        };
+        let answers = Answers {
+            slack: span(rules, "answerSlackUs")?,
+            come_back: mark(limits, "retryAfter").then(|| span(limits, "maxRetryAfterUs")).transpose()?,
+            by_work: text(info, "worthBy").is_ok_and(|by| by == "work"),
+            over_share: number(info, "overShareWorth").unwrap_or(1.0),
+            allowances,
+        };
+        let terms = Terms {
+            grants: mark(family, "takesGrants"),
+            priorities: mark(family, "takesPriority"),
+            most_grant: number(family, "maxGrantShare").unwrap_or(1.0),
+        };
+        let router = Router::new(now, seed, types, fleet, cold, further, watching, answers, terms);
         Ok(Self {
             router,
             jobs: Door::default(),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,7 +7,7 @@
 macro_rules! index {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub usize);
     )*};
 }
@@ -76,8 +76,9 @@
 }
 
 /// What the engine list says of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Listed {
+    #[default]
     Live,
     Draining,
     Gone,
@@ -166,3 +167,80 @@
     Forget(Forgotten),
     Log(String),
 }
+
+/// The machines, and this router's place among the routers.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    pub zone: ZoneId,
+    pub replicas: usize,
+    /// Both by kind of machine.
+    pub cores: Vec<f64>,
+    pub memory: Vec<f64>,
+    /// Part of the result that is lost when every dispatch crosses zones.
+    pub crossing_price: f64,
+}
+
+/// How much work makes a cold engine fall over.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    pub factor: f64,
+    pub fall: Span,
+    pub start_capacity: f64,
+    pub cold_for: Span,
+}
+
+/// Limits on a job's dispatches past the first.
+#[derive(Clone, Debug)]
+pub struct Further {
+    pub try_limit: usize,
+    /// Whether two dispatches of one job may be out at once.
+    pub copies: bool,
+    pub cancelling: bool,
+    /// How long a key rests after a dispatch that may still run.
+    pub turn_gap: Span,
+    pub ration: Option<Ration>,
+}
+
+/// A few dispatches plus a share of the jobs taken, in any window.
+#[derive(Clone, Copy, Debug)]
+pub struct Ration {
+    pub free: f64,
+    pub share: f64,
+    pub window: Span,
+}
+
+/// How engines are watched and the list is followed.
+#[derive(Clone, Debug)]
+pub struct Watching {
+    pub may_probe: bool,
+    /// Load reports come with probes alone.
+    pub reports_by_probe: bool,
+    pub connect_timeout: Span,
+    /// Zero where no notes of progress come.
+    pub note_period: Span,
+    /// Where the list must be asked for: how old an answer may grow.
+    pub ask_within: Option<Span>,
+}
+
+/// How final answers count.
+#[derive(Clone, Debug)]
+pub struct Answers {
+    pub slack: Span,
+    /// The longest come-back time that clients heed, where they are told one.
+    pub come_back: Option<Span>,
+    /// Whether the billed value counts by work instead of by job.
+    pub by_work: bool,
+    /// Part of the billed value that a job beyond its tenant's share earns.
+    pub over_share: f64,
+    /// Jobs a second within each tenant's share, at all routers together.
+    pub allowances: Vec<f64>,
+}
+
+/// Whether engines heed memory grants and priorities.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    pub grants: bool,
+    pub priorities: bool,
+    /// Part of an engine's memory that one job gets at most.
+    pub most_grant: f64,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod interface;
 pub mod logic;
+mod records;
 pub mod time;
 
 pub use interface::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,15 +3,15 @@
 //! pulls [`Router::next_decision`] until it gives none. The words of both sides are in `interface.rs`.
 //!
 //! The ordinary path is Index/Load: a job goes to the allowed engine of smallest estimated wait plus run,
-//! engines that lately got its table group costed optimistically ([`Router::wait_and_run`]).
-//! Beside it stand six mechanisms, and one legality check that every dispatch passes ([`Router::legal`]):
+//! engines that lately got its table group costed optimistically (`wait_and_run`).
+//! Beside it stand six mechanisms, and one legality check that every dispatch passes (`legal`):
 //!
-//! 1. a limit on the threads in flight at each engine; work beyond it waits here ([`Limit`]),
-//! 2. engines set aside on silence, resets and failed connects, back after answered probes ([`Health`]),
-//! 3. a budget of work for cold engines ([`ColdStart`]),
-//! 4. the order of held jobs, and throttling at once of what can't be done in time ([`Answers`]),
-//! 5. time-outs and further dispatches ([`Further`]),
-//! 6. memory grants and priorities from learned estimate bias ([`Terms`], [`Estimates`]).
+//! 1. a limit on the threads in flight at each engine; work beyond it waits here (`limit`),
+//! 2. engines set aside on silence, resets and failed connects, back after answered probes (`watch`),
+//! 3. a budget of work for cold engines (`warm_enough`),
+//! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
+//! 5. time-outs and further dispatches (`cancel_lost`, `wants_copy`),
+//! 6. memory grants and priorities from learned estimate bias (`send`, `Estimates`).
 
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
@@ -20,6 +20,7 @@
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
+use crate::records::{Dispatch, Job, Part, Report, Sent};
 use crate::time::{Moment, Span};
 
 /// A mean that forgets: recent samples count for at least one part in `MEMORY`.
@@ -90,206 +91,10 @@
     }
 }
 
-/// The machines and this router's place among them.
-pub struct Fleet {
-    zone: ZoneId,
-    share: f64,
-    cores: Vec<f64>,
-    memory: Vec<f64>,
-    crossing_price: f64,
-}
-
-impl Fleet {
-    pub fn new(zone: ZoneId, replicas: usize, cores: Vec<f64>, memory: Vec<f64>, crossing: f64) -> Self {
-        Self { zone, share: 1.0 / replicas.max(1) as f64, cores, memory, crossing_price: crossing }
-    }
-
-    fn cores(&self, kind: KindId) -> f64 {
-        self.cores.get(kind.0).copied().unwrap_or(1.0).max(1.0)
-    }
-}
-
-/// Rule 4: what this router may send to a cold engine.
-pub struct ColdStart {
-    factor: f64,
-    fall: Span,
-    start_capacity: f64,
-    cold_for: Span,
-}
-
-impl ColdStart {
-    pub fn new(factor: f64, fall: Span, start_capacity: f64, cold_for: Span) -> Self {
-        Self { factor, fall, start_capacity, cold_for }
-    }
-}
-
-/// Rules 2, 5 and 7: limits on a job's dispatches past the first.
-pub struct Further {
-    try_limit: usize,
-    copies: bool,
-    cancelling: bool,
-    turn_gap: Span,
-    ration: Option<Ration>,
-}
-
-/// A few dispatches plus a share of the jobs taken, in any window.
-pub struct Ration {
-    free: f64,
-    share: f64,
-    window: Span,
-    /// Both emptied of what has left the window.
-    made: VecDeque<Moment>,
-    taken: VecDeque<Moment>,
-}
-
-impl Ration {
-    pub fn new(free: f64, share: f64, window: Span) -> Self {
-        Self { free, share, window, made: VecDeque::new(), taken: VecDeque::new() }
-    }
-
-    fn slide(&mut self, now: Moment) {
-        let window = self.window;
-        while self.made.front().is_some_and(|&at| now.since(at) > window) {
-            self.made.pop_front();
-        }
-        while self.taken.front().is_some_and(|&at| now.since(at) >= window) {
-            self.taken.pop_front();
-        }
-    }
-
-    fn allows_one(&self) -> bool {
-        self.made.len() as f64 + 1.0 <= self.free + self.share * self.taken.len() as f64
-    }
-}
-
-impl Further {
-    pub fn new(
-        try_limit: usize, copies: bool, cancelling: bool, turn_gap: Span, ration: Option<Ration>,
-    ) -> Self {
-        Self { try_limit, copies, cancelling, turn_gap, ration }
-    }
-}
-
-/// How engines are watched and the list is followed.
-pub struct Health {
-    may_probe: bool,
-    reports_by_probe: bool,
-    connect_timeout: Span,
-    note_period: Span,
-    /// Where the list must be asked for: how old an answer may grow.
-    ask_within: Option<Span>,
-    asked: Option<Moment>,
-    subscribed: bool,
-}
-
-impl Health {
-    pub fn new(
-        may_probe: bool, reports_by_probe: bool, connect_timeout: Span, note_period: Span,
-        ask_within: Option<Span>,
-    ) -> Self {
-        let subscribed = ask_within.is_none();
-        Self {
-            may_probe,
-            reports_by_probe,
-            connect_timeout,
-            note_period,
-            ask_within,
-            asked: None,
-            subscribed,
-        }
-    }
-}
-
-impl Health {
-    /// Whether what the list says is recent enough for rule 3.
-    fn list_known(&self, now: Moment) -> bool {
-        self.subscribed || self.asked.zip(self.ask_within).is_some_and(|(at, within)| now.since(at) < within)
-    }
-}
-
-/// Final answers, and what a job is worth by tenant.
-pub struct Answers {
-    slack: Span,
-    come_back: Option<Span>,
-    by_work: bool,
-    over_share: f64,
-    /// Jobs a second within a tenant's share at all routers; what is left of this router's part; since when.
-    tenants: Vec<(f64, f64, Moment)>,
-}
-
-impl Answers {
-    pub fn new(
-        slack: Span, come_back: Option<Span>, by_work: bool, over_share: f64, allowances: Vec<f64>,
-    ) -> Self {
-        let tenants = allowances.into_iter().map(|rate| (rate, rate, Moment::default())).collect();
-        Self { slack, come_back, by_work, over_share, tenants }
-    }
-
-    /// The share of the billed value that a job of this tenant earns, taking it from the tenant's part.
-    fn share_earned(&mut self, tenant: Option<TenantId>, share: f64, now: Moment) -> f64 {
-        let Some((rate, left, since)) = tenant.and_then(|id| self.tenants.get_mut(id.0)) else { return 1.0 };
-        let part = *rate * share;
-        *left = (*left + part * now.since(*since).secs()).min(part.max(1.0));
-        *since = now;
-        if *left < 1.0 {
-            return self.over_share;
-        }
-        *left -= 1.0;
-        1.0
-    }
-}
-
-/// Memory grants and priorities.
-pub struct Terms {
-    grants: bool,
-    priorities: bool,
-    most_grant: f64,
-}
-
-impl Terms {
-    pub fn new(grants: bool, priorities: bool, most_grant: f64) -> Self {
-        Self { grants, priorities, most_grant }
-    }
-}
-
-struct Dispatch {
-    engine: EngineId,
-    zone: ZoneId,
-    cell: CellId,
-    sent: Moment,
-    warm: bool,
-    grant: f64,
-    short: bool,
-    stood: bool,
-    /// When a note last told the share done, and that share.
-    share: Option<(Moment, f64)>,
-    outcome: Option<Outcome>,
-    cancelled: bool,
-}
-
-struct Job {
-    kind: TypeId,
-    group: GroupId,
-    key: Option<KeyId>,
-    told: Option<Span>,
-    work: f64,
-    memory: f64,
-    turn: u64,
-    sla_due: Moment,
-    deadline: Moment,
-    billed: f64,
-    over: bool,
-    dispatches: Vec<Dispatch>,
-}
-
-impl Job {
-    fn out(&self) -> usize {
-        self.dispatches.iter().filter(|d| d.outcome.is_none()).count()
-    }
-
-    /// The dispatches that may have run or may yet.
-    fn maybe_ran(&self) -> impl Iterator<Item = &Dispatch> {
-        self.dispatches.iter().filter(|d| d.outcome.is_none_or(|o| !o.never_ran()))
+/// Drops what lies a whole window back.
+fn slide(times: &mut VecDeque<Moment>, now: Moment, window: Span) {
+    while times.front().is_some_and(|&at| now.since(at) >= window) {
+        times.pop_front();
     }
 }
 
@@ -300,28 +105,8 @@
     rest_until: Moment,
 }
 
-struct Limit {
-    threads: f64,
-    cut_at: Moment,
-}
-
-#[derive(Clone, Copy)]
-struct Report {
-    at: Moment,
-    active: Option<f64>,
-    waiting: f64,
-    cpu: f64,
-}
-
-struct Sent {
-    at: Moment,
-    kind: TypeId,
-    group: GroupId,
-    work: f64,
-    threads: f64,
-}
-
 /// One engine of the list; dropped when gone and nothing is out there.
+#[derive(Default)]
 struct Engine {
     zone: ZoneId,
     kind: KindId,
@@ -334,7 +119,8 @@
     groups: BTreeMap<GroupId, Moment>,
     /// Own dispatches that are out; emptied by their outcomes.
     out: BTreeMap<(JobId, usize), Sent>,
-    limit: Limit,
+    limit: f64,
+    cut_at: Moment,
     /// Usual work sent lately; emptied of what has left the cold-start window.
     sent: VecDeque<(Moment, f64)>,
     heard: Moment,
@@ -363,9 +149,15 @@
     fleet: Fleet,
     cold: ColdStart,
     further: Further,
-    health: Health,
+    watching: Watching,
     answers: Answers,
     terms: Terms,
+    parts: Vec<Part>,
+    /// What rule 7 counts; both emptied of what has left its window.
+    taken: VecDeque<Moment>,
+    resent: VecDeque<Moment>,
+    asked: Option<Moment>,
+    subscribed: bool,
     /// Emptied of jobs that are over and have nothing out.
     jobs: BTreeMap<JobId, Job>,
     keys: BTreeMap<KeyId, Turns>,
@@ -381,8 +173,10 @@
 impl Router {
     pub fn new(
         now: Moment, seed: u64, types: Vec<ReservationType>, fleet: Fleet, cold: ColdStart, further: Further,
-        health: Health, answers: Answers, terms: Terms,
+        watching: Watching, answers: Answers, terms: Terms,
     ) -> Self {
+        let parts = vec![Part { left: 1.0, since: now }; answers.allowances.len()];
+        let subscribed = watching.ask_within.is_none();
         Self {
             chance: Pcg32::seed_from_u64(seed),
             started: now,
@@ -391,9 +185,14 @@
             fleet,
             cold,
             further,
-            health,
+            watching,
             answers,
             terms,
+            parts,
+            taken: VecDeque::new(),
+            resent: VecDeque::new(),
+            asked: None,
+            subscribed,
             jobs: BTreeMap::new(),
             keys: BTreeMap::new(),
             engines: BTreeMap::new(),
@@ -411,22 +210,25 @@
         &mut self, now: Moment, job: JobId, kind: TypeId, tenant: Option<TenantId>, group: GroupId,
         key: Option<KeyId>, told: Option<Span>, memory: f64, expires: Span,
     ) {
+        let earned = self.share_earned(tenant, now);
         let t = &self.types[kind.0];
         let work = self.estimates.work_of(kind, told);
-        let earned = self.answers.share_earned(tenant, self.fleet.share, now);
         let worth = if self.answers.by_work { work } else { 1.0 };
         let key = key.filter(|_| t.ordered);
         if let Some(key) = key {
             self.keys.entry(key).or_default().jobs.push_back(job);
         }
-        if let Some(ration) = &mut self.further.ration {
-            ration.taken.push_back(now);
+        if self.further.ration.is_some() {
+            self.taken.push_back(now);
         }
         self.turns_given += 1;
         self.estimates.all_work.add(work);
         if told.is_some() {
             self.estimates.work[kind.0].add(work);
         }
+        let sla_due = now + t.sla + t_stretch(t, work);
+        let (billed, deadline) = (t.billed * earned * worth, now + expires);
+        let (turn, dispatches) = (self.turns_given, Vec::new());
         let record = Job {
             kind,
             group,
@@ -434,12 +236,12 @@
             told,
             work,
             memory,
-            turn: self.turns_given,
-            sla_due: now + t.sla + Span::from_secs(t.sla_stretch * work / t.threads),
-            deadline: now + expires,
-            billed: t.billed * earned * worth,
+            turn,
+            sla_due,
+            deadline,
+            billed,
             over: false,
-            dispatches: Vec::new(),
+            dispatches,
         };
         self.jobs.insert(job, record);
     }
@@ -490,16 +292,15 @@
         if let Some(engine) = self.engines.get_mut(&id) {
             let used = engine.threads_out();
             let sent = engine.out.remove(&(job, number));
-            let limit = &mut engine.limit;
-            if good && used * 2.0 > limit.threads {
-                limit.threads += 1.0;
+            if good && used * 2.0 > engine.limit {
+                engine.limit += t.threads / engine.limit;
             } else if !good
                 && !stood
                 && !matches!(outcome, Outcome::Cancelled | Outcome::NotIssued)
-                && sent.is_some_and(|sent| sent.at >= limit.cut_at)
+                && sent.is_some_and(|sent| sent.at >= engine.cut_at)
             {
-                limit.threads = (limit.threads * CUT).max(1.0);
-                limit.cut_at = now;
+                engine.limit = (engine.limit * CUT).max(1.0);
+                engine.cut_at = now;
             }
             match outcome {
                 Outcome::Done | Outcome::Error | Outcome::TurnedAway => engine.heard = now,
@@ -544,6 +345,7 @@
     }
 
     pub fn probe_ended(&mut self, now: Moment, id: EngineId, outcome: Outcome) {
+        let share = self.share();
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.probe_out = false;
         if matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
@@ -555,7 +357,7 @@
                         engine.cold_since = Some(now);
                     }
                     engine.aside = None;
-                    engine.limit.threads = self.fleet.cores(engine.kind) * self.fleet.share;
+                    engine.limit = (self.fleet.cores[engine.kind.0] * share).max(1.0);
                     self.lines.push_back(format!("engine {} is back", id.0));
                 }
             }
@@ -572,23 +374,14 @@
         &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, listed: Listed,
         came_up: Option<Moment>,
     ) {
-        let threads = (self.fleet.cores(kind) * self.fleet.share).max(1.0);
+        let threads = (self.cores(kind) * self.share()).max(1.0);
         let engine = self.engines.entry(id).or_insert_with(|| Engine {
-            zone,
-            kind,
-            cell,
-            listed,
             came_up,
             cold_since: came_up,
-            report: None,
-            groups: BTreeMap::new(),
-            out: BTreeMap::new(),
-            limit: Limit { threads, cut_at: now },
-            sent: VecDeque::new(),
             heard: now,
-            probe_out: false,
-            probed: None,
-            aside: None,
+            limit: threads,
+            cut_at: now,
+            ..Engine::default()
         });
         (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
         if came_up > engine.came_up {
@@ -614,11 +407,36 @@
     }
 
     pub fn list_changed(&mut self) {
-        self.health.subscribed |= self.health.asked.is_some();
+        self.subscribed |= self.asked.is_some();
     }
 
     pub fn list_unavailable(&mut self) {
-        self.health.subscribed = self.health.ask_within.is_none();
+        self.subscribed = self.watching.ask_within.is_none();
+    }
+
+    /// The share of the billed value that a job of this tenant earns, taking it from the tenant's part.
+    fn share_earned(&mut self, tenant: Option<TenantId>, now: Moment) -> f64 {
+        let share = self.share();
+        let Some((id, part)) = tenant.and_then(|id| Some((id, self.parts.get_mut(id.0)?))) else {
+            return 1.0;
+        };
+        let rate = self.answers.allowances[id.0] * share;
+        part.left = (part.left + rate * now.since(part.since).secs()).min(rate.max(1.0));
+        part.since = now;
+        if part.left < 1.0 {
+            return self.answers.over_share;
+        }
+        part.left -= 1.0;
+        1.0
+    }
+
+    /// This router's part of the fleet.
+    fn share(&self) -> f64 {
+        1.0 / self.fleet.replicas.max(1) as f64
+    }
+
+    fn cores(&self, kind: KindId) -> f64 {
+        self.fleet.cores.get(kind.0).copied().unwrap_or(1.0).max(1.0)
     }
 
     fn close(&mut self, job: JobId) {
@@ -662,8 +480,9 @@
             }
             engine.groups.retain(|_, at| now.since(*at) <= lifetime);
         }
-        if let Some(ration) = &mut self.further.ration {
-            ration.slide(now);
+        if let Some(ration) = &self.further.ration {
+            slide(&mut self.taken, now, ration.window);
+            slide(&mut self.resent, now, ration.window + Span::from_micros(1));
         }
         let forgotten = &mut self.forgotten;
         self.keys.retain(|key, turns| {
@@ -700,7 +519,7 @@
 
     fn patience(&self) -> Span {
         let sla = self.types.iter().map(|t| t.sla).max().unwrap_or_default();
-        let period = if self.health.note_period > Span::ZERO { self.health.note_period } else { sla };
+        let period = if self.watching.note_period > Span::ZERO { self.watching.note_period } else { sla };
         period.times(SILENT_PERIODS)
     }
 
@@ -709,11 +528,11 @@
     }
 
     fn follow_list(&mut self, now: Moment) -> Option<Decision> {
-        let ask_again = self.health.ask_within?.times(0.25);
-        if self.health.subscribed || self.health.asked.is_some_and(|at| now.since(at) < ask_again) {
+        let ask_again = self.watching.ask_within?.times(0.25);
+        if self.subscribed || self.asked.is_some_and(|at| now.since(at) < ask_again) {
             return None;
         }
-        self.health.asked = Some(now);
+        self.asked = Some(now);
         Some(Decision::Subscribe)
     }
 
@@ -771,13 +590,25 @@
             && self.repeat_safe(job, Some(engine), now)
             && (self.further.copies || job.out() == 0)
             && engine.listed == Listed::Live
-            && self.health.list_known(now)
+            && self.list_known(now)
             && self.warm_enough(engine, job.kind, now)
             && turn
             && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
             && t.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
             && job.dispatches.len() < self.further.try_limit
-            && (job.dispatches.is_empty() || self.further.ration.as_ref().is_none_or(Ration::allows_one))
+            && (job.dispatches.is_empty() || self.ration_left())
+    }
+
+    /// Rule 7.
+    fn ration_left(&self) -> bool {
+        let left = |r: &Ration| r.free + r.share * self.taken.len() as f64 - self.resent.len() as f64;
+        self.further.ration.as_ref().is_none_or(|ration| left(ration) >= 1.0)
+    }
+
+    /// Whether what the list says is recent enough for rule 3.
+    fn list_known(&self, now: Moment) -> bool {
+        let recent = self.asked.zip(self.watching.ask_within).is_some_and(|(at, w)| now.since(at) < w);
+        self.subscribed || recent
     }
 
     /// Rule 4: this router's part of the budget for any window. After its own start, a whole window passes
@@ -787,8 +618,8 @@
         if engine.cold_since.is_none_or(|since| now.since(since) >= cold.cold_for) {
             return true;
         }
-        let capacity = cold.start_capacity * self.fleet.cores(engine.kind);
-        let part = cold.factor * capacity * cold.fall.secs() * self.fleet.share * COLD_MARGIN;
+        let capacity = cold.start_capacity * self.cores(engine.kind);
+        let part = cold.factor * capacity * cold.fall.secs() * self.share() * COLD_MARGIN;
         let sent: f64 = engine.sent.iter().map(|(_, work)| work).sum();
         now.since(self.started) > cold.fall && sent + self.estimates.work[kind.0].value <= part
     }
@@ -801,7 +632,7 @@
         let held = report.active.unwrap_or_else(|| {
             let own = engine.out.values().filter(|sent| sent.at <= report.at);
             let (count, threads) = own.fold((0.0, 0.0), |(n, t), sent| (n + 1.0, t + sent.threads));
-            let busy = report.cpu * self.fleet.cores(engine.kind);
+            let busy = report.cpu * self.cores(engine.kind);
             count + (busy - threads).max(0.0)
         });
         Some((held + report.waiting) * mean)
@@ -810,13 +641,13 @@
     /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
     fn wait_and_run(&self, job: &Job, engine: &Engine, average: f64, now: Moment) -> (f64, bool) {
         let t = &self.types[job.kind.0];
-        let cores = self.fleet.cores(engine.kind);
+        let cores = self.cores(engine.kind);
         let seen = engine.report.map(|report| report.at);
         let since: f64 =
             engine.out.values().filter(|s| seen.is_none_or(|at| s.at > at)).map(|s| s.work).sum();
         let queued = self.reported_work(engine).unwrap_or(average) + since;
         let known = engine.groups.contains_key(&job.group);
-        let warm = known && engine.threads_out() <= cores * self.fleet.share;
+        let warm = known && engine.threads_out() <= cores * self.share();
         let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
         let mut total = (queued / cores + job.work / t.threads) * discount;
         if t.waits_for_loads || t.is_load {
@@ -847,7 +678,7 @@
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
         let all_aside = self.engines.values().all(|e| e.listed != Listed::Live || e.aside.is_some());
         let open = |e: &Engine| {
-            (e.aside.is_none() || all_aside) && e.listed == Listed::Live && e.threads_out() < e.limit.threads
+            (e.aside.is_none() || all_aside) && e.listed == Listed::Live && e.threads_out() < e.limit
         };
         let mut engines: Vec<EngineId> =
             self.engines.iter().filter(|(_, e)| open(e)).map(|(id, _)| *id).collect();
@@ -912,27 +743,22 @@
             left
         };
         let number = job.dispatches.len();
-        if number > 0
-            && let Some(ration) = &mut self.further.ration
-        {
-            ration.made.push_back(now);
+        if number > 0 && self.further.ration.is_some() {
+            self.resent.push_back(now);
         }
         engine.sent.push_back((now, self.estimates.work[job.kind.0].value));
         engine.groups.insert(job.group, now);
         let sent = Sent { at: now, kind: job.kind, group: job.group, work: job.work, threads: t.threads };
         engine.out.insert((id, number), sent);
+        let (zone, cell) = (engine.zone, engine.cell);
         job.dispatches.push(Dispatch {
             engine: to,
-            zone: engine.zone,
-            cell: engine.cell,
+            zone,
+            cell,
             sent: now,
             warm,
             grant,
-            short: false,
-            stood: false,
-            share: None,
-            outcome: None,
-            cancelled: false,
+            ..Dispatch::default()
         });
         self.since_probe += 1;
         Decision::Dispatch { job: id, engine: to, timeout, memory: grant, priority }
@@ -971,7 +797,7 @@
             let again = job.dispatches.len() < self.further.try_limit
                 && self.types[job.kind.0].effect != Effect::RunOnce
                 && self.repeat_safe(job, None, now)
-                && self.further.ration.as_ref().is_none_or(Ration::allows_one);
+                && self.ration_left();
             let lost = job.dispatches.iter().position(|d| self.lost(job, d, now));
             lost.filter(|_| !job.over && again).map(|number| (*id, number))
         })?;
@@ -982,17 +808,17 @@
     /// Probes engines that are set aside or quiet with work out, and, where only probes carry reports, the
     /// one with the oldest report, thriftily.
     fn probe(&mut self, now: Moment) -> Option<Decision> {
-        if !self.health.may_probe {
+        if !self.watching.may_probe {
             return None;
         }
-        let (every, quiet) = (self.health.connect_timeout.times(2.0), self.patience().times(0.5));
+        let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.patience().times(0.5));
         let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
         let doubtful = |e: &Engine| {
             e.listed != Listed::Gone
                 && (e.aside.is_some() || e.quiet_since().is_some_and(|since| now.since(since) > quiet))
         };
         let mut pick = self.engines.iter().find(|(_, e)| due(e) && doubtful(e)).map(|(id, _)| *id);
-        if pick.is_none() && self.health.reports_by_probe && self.since_probe >= DISPATCHES_PER_PROBE {
+        if pick.is_none() && self.watching.reports_by_probe && self.since_probe >= DISPATCHES_PER_PROBE {
             let live = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live && due(e));
             pick = live.min_by_key(|(_, e)| e.probed).map(|(id, _)| *id);
             self.since_probe = 0;
@@ -1007,12 +833,12 @@
         let held = self.jobs.values().any(|job| !job.over && job.out() == 0);
         let idle = self.jobs.is_empty()
             && self.keys.is_empty()
-            && self.health.subscribed
+            && self.subscribed
             && self.engines.values().all(|e| e.aside.is_none());
         if idle {
             return None;
         }
-        let after = if held { self.answers.slack } else { self.health.connect_timeout };
+        let after = if held { self.answers.slack } else { self.watching.connect_timeout };
         let after = after.max(Span::from_micros(1));
         if self.wake_at.is_some_and(|at| at > now && at <= now + after) {
             return None;
--- /dev/null
+++ b/src/records.rs
@@ -0,0 +1,69 @@
+//! What the decision module notes down of jobs and dispatches: plain records, which decide nothing.
+
+use crate::interface::*;
+use crate::time::{Moment, Span};
+
+/// What is left of this router's part of a tenant's share, and since when.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Part {
+    pub(crate) left: f64,
+    pub(crate) since: Moment,
+}
+
+#[derive(Default)]
+pub(crate) struct Dispatch {
+    pub(crate) engine: EngineId,
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: CellId,
+    pub(crate) sent: Moment,
+    pub(crate) warm: bool,
+    pub(crate) grant: f64,
+    pub(crate) short: bool,
+    pub(crate) stood: bool,
+    /// When a note last told the share done, and that share.
+    pub(crate) share: Option<(Moment, f64)>,
+    pub(crate) outcome: Option<Outcome>,
+    pub(crate) cancelled: bool,
+}
+
+pub(crate) struct Job {
+    pub(crate) kind: TypeId,
+    pub(crate) group: GroupId,
+    pub(crate) key: Option<KeyId>,
+    pub(crate) told: Option<Span>,
+    pub(crate) work: f64,
+    pub(crate) memory: f64,
+    pub(crate) turn: u64,
+    pub(crate) sla_due: Moment,
+    pub(crate) deadline: Moment,
+    pub(crate) billed: f64,
+    pub(crate) over: bool,
+    pub(crate) dispatches: Vec<Dispatch>,
+}
+
+impl Job {
+    pub(crate) fn out(&self) -> usize {
+        self.dispatches.iter().filter(|d| d.outcome.is_none()).count()
+    }
+
+    /// The dispatches that may have run or may yet.
+    pub(crate) fn maybe_ran(&self) -> impl Iterator<Item = &Dispatch> {
+        self.dispatches.iter().filter(|d| d.outcome.is_none_or(|o| !o.never_ran()))
+    }
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Report {
+    pub(crate) at: Moment,
+    pub(crate) active: Option<f64>,
+    pub(crate) waiting: f64,
+    pub(crate) cpu: f64,
+}
+
+pub(crate) struct Sent {
+    pub(crate) at: Moment,
+    pub(crate) kind: TypeId,
+    pub(crate) group: GroupId,
+    pub(crate) work: f64,
+    pub(crate) threads: f64,
+}
