Hold a job until it fits the in-flight limit, unless it would be alone

Cause: with 11 routers a four-thread report overshot a limit of one thread at each, and engines of 8 cores were overfull.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -705,7 +705,8 @@
                 .iter()
                 .map(|e| (e, &self.engines[e]))
                 .filter(|(e, engine)| {
-                    self.legal(*id, job, engine, now)
+                    self.fits(job, engine)
+                        && self.legal(*id, job, engine, now)
                         && job.dispatches.iter().all(|d| d.outcome.is_some() || d.engine != **e)
                 })
                 .map(|(e, engine)| (*e, self.wait_and_run(job, engine, average, now)))
@@ -715,6 +716,12 @@
         Some(self.send(now, job, engine, warm))
     }
 
+    /// Whether a job keeps an engine within its in-flight limit; one alone always does.
+    fn fits(&self, job: &Job, engine: &Engine) -> bool {
+        let out = engine.threads_out();
+        out == 0.0 || out + self.types[job.kind.0].threads <= engine.limit
+    }
+
     fn send(&mut self, now: Moment, id: JobId, to: EngineId, warm: bool) -> Decision {
         let fair = self.estimates.all_work.value.max(1e-3);
         let billed: f64 = self.types.iter().map(|t| t.billed).sum::<f64>() / self.types.len() as f64;
