Cut the in-flight limit on notes that foretell a miss of the SLA time

Cause: answers of long jobs tell of an overfull engine only when the harm is done; notes tell at their first period.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -328,8 +328,18 @@
             Progress::WaitsForLoad => dispatch.stood = true,
             Progress::WaitsForMemory => {}
         }
+        let record = &self.jobs[&job];
+        let t = &self.types[record.kind.0];
+        let dispatch = &record.dispatches[number];
+        let allowed = (t.sla + t_stretch(t, record.work)).times(GOOD_PART);
+        let slow = matches!(progress, Progress::Share(s) if s > 0.0
+            && now.since(dispatch.sent).times(1.0 / s) > allowed.times(2.0));
         if let Some(engine) = self.engines.get_mut(&dispatch.engine) {
             engine.heard = now;
+            if slow && !dispatch.stood && dispatch.sent >= engine.cut_at {
+                engine.limit = (engine.limit * CUT).max(1.0);
+                engine.cut_at = now;
+            }
         }
     }
 
