Dispatch again elsewhere what is overdue without word

One defence for dispatches lost, behind a load's hold, on a hung engine, or with a bad plan: without word for four usual runs it is cancelled, or copied, elsewhere.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,10 @@
 const DISPATCHES_PER_PROBE: u32 = 8;
 /// A dispatch is lost when what remains of it exceeds so many fresh runs.
 const LOST_RUNS: f64 = 2.0;
+/// A dispatch without word is lost after so many fresh runs, or a good part of the SLA time if that is more.
+const OVERDUE_RUNS: f64 = 4.0;
+/// Note periods for which a word on a dispatch holds.
+const OVERDUE_PERIODS: f64 = 1.5;
 
 #[derive(Clone, Copy, Debug)]
 struct Mean {
@@ -649,7 +653,9 @@
     }
 
     /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
-    fn wait_and_run(&self, job: &Job, engine: &Engine, average: f64, now: Moment) -> (f64, bool) {
+    fn wait_and_run(
+        &self, job: &Job, id: EngineId, engine: &Engine, average: f64, now: Moment,
+    ) -> (f64, bool) {
         let t = &self.types[job.kind.0];
         let cores = self.cores(engine.kind);
         let seen = engine.report.map(|report| report.at);
@@ -663,6 +669,9 @@
         if t.waits_for_loads || t.is_load {
             total += self.load_hold(engine, job.group, now);
         }
+        if job.dispatches.iter().any(|d| d.engine == id) {
+            total += t.sla.secs();
+        }
         if engine.zone != self.fleet.zone {
             total += self.fleet.crossing_price * t.sla.secs();
         }
@@ -719,7 +728,7 @@
                         && self.legal(*id, job, engine, now)
                         && job.dispatches.iter().all(|d| d.outcome.is_some() || d.engine != **e)
                 })
-                .map(|(e, engine)| (*e, self.wait_and_run(job, engine, average, now)))
+                .map(|(e, engine)| (*e, self.wait_and_run(job, *e, engine, average, now)))
                 .min_by(|a, b| a.1.0.partial_cmp(&b.1.0).unwrap_or(Ordering::Equal))
                 .map(|(e, (_, warm))| (*id, e, warm))
         })?;
@@ -790,13 +799,25 @@
         }
         let t = &self.types[job.kind.0];
         let gone = self.engines.get(&dispatch.engine).is_none_or(|e| e.aside.is_some());
-        let fresh = t_run(t, job.work).times(self.estimates.stretch[job.kind.0].value.max(1.0));
-        let slow = dispatch.share.is_some_and(|(at, share)| {
-            let ran = at.since(dispatch.sent);
-            let total = ran.times(1.0 / share.max(1e-3));
-            total.less(now.since(dispatch.sent)) > fresh.times(LOST_RUNS) && ran > fresh
-        });
-        (gone || (slow && !dispatch.stood)) && now + fresh < job.deadline
+        let fresh = self.fresh_run(job);
+        let ran = now.since(dispatch.sent);
+        let word = dispatch
+            .share
+            .filter(|(at, _)| now.since(*at) <= self.watching.note_period.times(OVERDUE_PERIODS));
+        let slow = match word {
+            Some((at, share)) => {
+                let total = at.since(dispatch.sent).times(1.0 / share.max(1e-3));
+                total.less(ran) > fresh.times(LOST_RUNS) && ran > fresh
+            }
+            None => ran > fresh.times(OVERDUE_RUNS).max(t.sla.times(GOOD_PART)),
+        };
+        (gone || slow) && now + fresh < job.deadline
+    }
+
+    /// How long a new dispatch of a job would take, as its type goes these days.
+    fn fresh_run(&self, job: &Job) -> Span {
+        let stretch = self.estimates.stretch[job.kind.0].value.max(1.0);
+        t_run(&self.types[job.kind.0], job.work).times(stretch)
     }
 
     fn wants_copy(&self, job: &Job, now: Moment) -> bool {
@@ -855,7 +876,8 @@
         if idle {
             return None;
         }
-        let after = if held { self.answers.slack } else { self.watching.connect_timeout };
+        let after =
+            if held || !self.jobs.is_empty() { self.answers.slack } else { self.watching.connect_timeout };
         let after = after.max(Span::from_micros(1));
         if self.wake_at.is_some_and(|at| at > now && at <= now + after) {
             return None;
