--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,8 +41,6 @@
 const LOST_RUNS: f64 = 2.0;
 /// A dispatch without word is lost after so many fresh runs, or a good part of the SLA time if that is more.
 const OVERDUE_RUNS: f64 = 4.0;
-/// Times its price, as a part of the SLA time, that a crossing of zones must save.
-const CROSSING_WEIGHT: f64 = 4.0;
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
 
@@ -675,7 +673,7 @@
             total += t.sla.secs();
         }
         if engine.zone != self.fleet.zone {
-            total += CROSSING_WEIGHT * self.fleet.crossing_price * t.sla.secs();
+            total += self.fleet.crossing_price * t.sla.secs();
         }
         (total, known)
     }
