--- a/src/logic.rs
+++ b/src/logic.rs
@@ -753,7 +753,7 @@
         let most = self.terms.most_grant * self.fleet.memory.get(engine.kind.0).copied().unwrap_or(0.0);
         let grant = (job.memory * self.estimates.memory_bias[job.kind.0]).min(most);
         let grant = if self.terms.grants { grant } else { 0.0 };
-        let priority = if density >= 2.0 {
+        let priority = if t.is_load || density >= 2.0 {
             3
         } else if density >= 1.0 {
             2
