Remember table groups that seem held by loads of other routers

Cause as before: a router knows its own loads alone. A note that a dispatch stands behind a load, or an overdue dispatch of a type that waits, marks the group at that engine for a load's usual run; it catches other stalls of one group too, and may shun an engine for nothing.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -121,6 +121,8 @@
     report: Option<Report>,
     /// When each table group was last sent there; emptied of those past the warm lifetime.
     groups: BTreeMap<GroupId, Moment>,
+    /// Until when a table group seems held by a load of another router; emptied of what is past.
+    holds: BTreeMap<GroupId, Moment>,
     /// Own dispatches that are out; emptied by their outcomes.
     out: BTreeMap<(JobId, usize), Sent>,
     limit: f64,
@@ -332,6 +334,7 @@
             Progress::WaitsForLoad => dispatch.stood = true,
             Progress::WaitsForMemory => {}
         }
+        let hold = self.load_run();
         let record = &self.jobs[&job];
         let t = &self.types[record.kind.0];
         let dispatch = &record.dispatches[number];
@@ -340,6 +343,9 @@
             && now.since(dispatch.sent).times(1.0 / s) > allowed.times(2.0));
         if let Some(engine) = self.engines.get_mut(&dispatch.engine) {
             engine.heard = now;
+            if progress == Progress::WaitsForLoad {
+                engine.holds.insert(record.group, now + hold);
+            }
             if slow && !dispatch.stood && dispatch.sent >= engine.cut_at {
                 engine.limit = (engine.limit * CUT).max(1.0);
                 engine.cut_at = now;
@@ -453,6 +459,15 @@
         self.fleet.cores.get(kind.0).copied().unwrap_or(1.0).max(1.0)
     }
 
+    /// How long a load usually runs.
+    fn load_run(&self) -> Span {
+        let loads = self.types.iter().enumerate().filter(|(_, t)| t.is_load);
+        let run = |(i, t): (usize, &ReservationType)| {
+            t_run(t, self.estimates.work[i].value).times(self.estimates.stretch[i].value)
+        };
+        loads.map(run).max().unwrap_or_default()
+    }
+
     fn close(&mut self, job: JobId) {
         if let Some(record) = self.jobs.get_mut(&job) {
             record.over = true;
@@ -493,6 +508,7 @@
                 engine.sent.pop_front();
             }
             engine.groups.retain(|_, at| now.since(*at) <= lifetime);
+            engine.holds.retain(|_, until| now < *until);
         }
         if let Some(ration) = &self.further.ration {
             slide(&mut self.taken, now, ration.window);
@@ -686,7 +702,7 @@
                 let run = s.work / s.threads * self.estimates.stretch[s.kind.0].value;
                 (run - now.since(s.at).secs()).max(run * 0.25)
             })
-            .fold(0.0, f64::max)
+            .fold(engine.holds.get(&group).map_or(0.0, |until| until.since(now).secs()), f64::max)
     }
 
     /// Billed value per second of work.
@@ -839,7 +855,13 @@
             let lost = job.dispatches.iter().position(|d| self.lost(job, d, now));
             lost.filter(|_| !job.over && again).map(|number| (*id, number))
         })?;
-        self.jobs.get_mut(&id)?.dispatches[number].cancelled = true;
+        let hold = now + self.load_run();
+        let job = self.jobs.get_mut(&id)?;
+        job.dispatches[number].cancelled = true;
+        let engine = self.engines.get_mut(&job.dispatches[number].engine);
+        if let Some(engine) = engine.filter(|_| self.types[job.kind.0].waits_for_loads) {
+            engine.holds.insert(job.group, hold);
+        }
         Some(Decision::CancelDispatch { job: id, number })
     }
 
