--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,6 +25,8 @@
 
 /// A mean that forgets: recent samples count for at least one part in `MEMORY`.
 const MEMORY: f64 = 128.0;
+/// By how much a sample moves a running median.
+const MEDIAN_STEP: f64 = 1.03;
 /// Part of the SLA time that a good dispatch may take; the rest is for waiting here.
 const GOOD_PART: f64 = 0.5;
 /// Share of an in-flight limit that a bad outcome leaves.
@@ -70,8 +72,8 @@
     work_bias: Vec<Mean>,
     /// Grant over told memory that about one dispatch in five finds short.
     memory_bias: Vec<f64>,
-    /// Time of a dispatch over its work on its threads.
-    stretch: Vec<Mean>,
+    /// Time of a dispatch over its work on its threads: about the median, which stalls don't move far.
+    stretch: Vec<f64>,
     cold_stretch: Vec<Mean>,
     warm_ratio: Mean,
 }
@@ -84,7 +86,7 @@
             all_work: Mean::new(0.0, 0.0),
             work_bias: each(1.0, 4.0),
             memory_bias: vec![1.25; types.len()],
-            stretch: each(1.0, 0.0),
+            stretch: vec![1.0; types.len()],
             cold_stretch: each(1.0, 0.0),
             warm_ratio: Mean::new(0.5, 16.0),
         }
@@ -283,7 +285,8 @@
             let bias = &mut self.estimates.memory_bias[record.kind.0];
             *bias = (*bias * if dispatch.short { 1.04 } else { 0.99 }).clamp(0.25, 4.0);
             let stretch = took.secs() * t.threads / work.max(1e-3);
-            self.estimates.stretch[record.kind.0].add(stretch);
+            let usual = &mut self.estimates.stretch[record.kind.0];
+            *usual *= if stretch > *usual { MEDIAN_STEP } else { 1.0 / MEDIAN_STEP };
             let cold = &mut self.estimates.cold_stretch[record.kind.0];
             if !dispatch.warm {
                 cold.add(stretch);
@@ -463,7 +466,7 @@
     fn load_run(&self) -> Span {
         let loads = self.types.iter().enumerate().filter(|(_, t)| t.is_load);
         let run = |(i, t): (usize, &ReservationType)| {
-            t_run(t, self.estimates.work[i].value).times(self.estimates.stretch[i].value)
+            t_run(t, self.estimates.work[i].value).times(self.estimates.stretch[i])
         };
         loads.map(run).max().unwrap_or_default()
     }
@@ -699,7 +702,7 @@
         let loads = engine.out.values().filter(|s| s.group == group && self.types[s.kind.0].is_load);
         loads
             .map(|s| {
-                let run = s.work / s.threads * self.estimates.stretch[s.kind.0].value;
+                let run = s.work / s.threads * self.estimates.stretch[s.kind.0];
                 (run - now.since(s.at).secs()).max(run * 0.25)
             })
             .fold(engine.holds.get(&group).map_or(0.0, |until| until.since(now).secs()), f64::max)
@@ -720,10 +723,11 @@
         if engines.is_empty() {
             return None;
         }
+        let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let mut waiting: Vec<(f64, u64, JobId)> = self
             .jobs
             .iter()
-            .filter(|(_, job)| !job.over && (job.out() == 0 || self.wants_copy(job, now)))
+            .filter(|(_, job)| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now))))
             .map(|(id, job)| (self.density(job), job.turn, *id))
             .collect();
         if waiting.is_empty() {
@@ -832,7 +836,7 @@
 
     /// How long a new dispatch of a job would take, as its type goes these days.
     fn fresh_run(&self, job: &Job) -> Span {
-        let stretch = self.estimates.stretch[job.kind.0].value.max(1.0);
+        let stretch = self.estimates.stretch[job.kind.0].max(1.0);
         t_run(&self.types[job.kind.0], job.work).times(stretch)
     }
 
