--- a/adapter/src/flint.rs
+++ b/adapter/src/flint.rs
@@ -295,8 +295,7 @@
         }
         match mode {
             "update" => self.router.list_changed(),
-            "restored" => self.router.list_restored(&named),
-            "replace" => self.router.list_complete(&named),
+            "restored" | "replace" => self.router.list_complete(&named),
             other => return Err(format!("mode: unknown {other}")),
         }
         Ok(())
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,14 +13,13 @@
 //! 5. time-outs and further dispatches (`cancel_lost`, `wants_copy`),
 //! 6. memory grants and priorities from learned estimate bias (`send`, `Estimates`).
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
-use crate::records::{Dispatch, Job, Part, Report, Sent};
+use crate::records::{Dispatch, Job, Report, Sent};
 use crate::time::{Moment, Span};
 
 /// A mean that forgets: recent samples count for at least one part in `MEMORY`.
@@ -43,6 +42,8 @@
 const LOST_RUNS: f64 = 2.0;
 /// A dispatch without word is lost after so many fresh runs, or a good part of the SLA time if that is more.
 const OVERDUE_RUNS: f64 = 4.0;
+/// Billed value per work, over its mean, from which each next priority is given.
+const PRIORITY_STEPS: [f64; 3] = [0.25, 1.0, 2.0];
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
 
@@ -91,17 +92,6 @@
             warm_ratio: Mean::new(0.5, 16.0),
         }
     }
-
-    fn work_of(&self, kind: TypeId, told: Option<Span>) -> f64 {
-        told.map_or(self.work[kind.0].value, |span| span.secs() * self.work_bias[kind.0].value)
-    }
-}
-
-/// Drops what lies a whole window back.
-fn slide(times: &mut VecDeque<Moment>, now: Moment, window: Span) {
-    while times.front().is_some_and(|&at| now.since(at) >= window) {
-        times.pop_front();
-    }
 }
 
 /// The jobs of one key in the order taken; dropped when none is left and the rest is over.
@@ -130,12 +120,12 @@
     limit: f64,
     cut_at: Moment,
     /// Usual work sent lately; emptied of what has left the cold-start window.
-    sent: VecDeque<(Moment, f64)>,
+    sent: Vec<(Moment, f64)>,
     heard: Moment,
     probe_out: bool,
     probed: Option<Moment>,
-    /// While set aside: probes answered in a row, and whether it may have restarted.
-    aside: Option<(u32, bool)>,
+    /// While set aside: probes answered in a row.
+    aside: Option<u32>,
 }
 
 impl Engine {
@@ -143,6 +133,17 @@
         self.out.values().map(|sent| sent.threads).sum()
     }
 
+    /// Grows the in-flight limit by one for each round of good answers, if it was in use, or cuts it by a
+    /// share, once for what was sent since the last cut.
+    fn judge(&mut self, now: Moment, sent: Moment, good: bool, threads: f64) {
+        if good && self.threads_out() * 2.0 > self.limit {
+            self.limit += threads / self.limit;
+        } else if !good && sent >= self.cut_at {
+            self.limit = (self.limit * CUT).max(1.0);
+            self.cut_at = now;
+        }
+    }
+
     fn quiet_since(&self) -> Option<Moment> {
         self.out.values().map(|sent| sent.at).min().map(|first| first.max(self.heard))
     }
@@ -160,10 +161,11 @@
     watching: Watching,
     answers: Answers,
     terms: Terms,
-    parts: Vec<Part>,
+    /// What is left of this router's part of each tenant's share, and since when.
+    parts: Vec<(f64, Moment)>,
     /// What rule 7 counts; both emptied of what has left its window.
-    taken: VecDeque<Moment>,
-    resent: VecDeque<Moment>,
+    taken: Vec<Moment>,
+    resent: Vec<Moment>,
     asked: Option<Moment>,
     subscribed: bool,
     /// Emptied of jobs that are over and have nothing out.
@@ -183,7 +185,7 @@
         now: Moment, seed: u64, types: Vec<ReservationType>, fleet: Fleet, cold: ColdStart, further: Further,
         watching: Watching, answers: Answers, terms: Terms,
     ) -> Self {
-        let parts = vec![Part { left: 1.0, since: now }; answers.allowances.len()];
+        let parts = vec![(1.0, now); answers.allowances.len()];
         let subscribed = watching.ask_within.is_none();
         Self {
             chance: Pcg32::seed_from_u64(seed),
@@ -197,8 +199,8 @@
             answers,
             terms,
             parts,
-            taken: VecDeque::new(),
-            resent: VecDeque::new(),
+            taken: Vec::new(),
+            resent: Vec::new(),
             asked: None,
             subscribed,
             jobs: BTreeMap::new(),
@@ -220,38 +222,27 @@
     ) {
         let earned = self.share_earned(tenant, now);
         let t = &self.types[kind.0];
-        let work = self.estimates.work_of(kind, told);
+        let learned = (self.estimates.work[kind.0].value, self.estimates.work_bias[kind.0].value);
+        let work = told.map_or(learned.0, |span| span.secs() * learned.1);
         let worth = if self.answers.by_work { work } else { 1.0 };
         let key = key.filter(|_| t.ordered);
         if let Some(key) = key {
             self.keys.entry(key).or_default().jobs.push_back(job);
         }
         if self.further.ration.is_some() {
-            self.taken.push_back(now);
+            self.taken.push(now);
         }
         self.turns_given += 1;
         self.estimates.all_work.add(work);
         if told.is_some() {
             self.estimates.work[kind.0].add(work);
         }
-        let sla_due = now + t.sla + t_stretch(t, work);
+        let sla_due = now + sla_of(t, work);
         let (billed, deadline) = (t.billed * earned * worth, now + expires);
-        let (turn, dispatches) = (self.turns_given, Vec::new());
-        let record = Job {
-            kind,
-            group,
-            key,
-            told,
-            work,
-            memory,
-            turn,
-            sla_due,
-            deadline,
-            billed,
-            over: false,
-            dispatches,
-        };
-        self.jobs.insert(job, record);
+        let turn = self.turns_given;
+        let new =
+            Job { kind, group, key, told, work, memory, turn, sla_due, deadline, billed, ..Job::default() };
+        self.jobs.insert(job, new);
     }
 
     /// The client left, or the job ended by other means.
@@ -295,63 +286,47 @@
                 self.estimates.warm_ratio.add(ratio);
             }
         }
-        let good = outcome == Outcome::Done && took <= (t.sla + t_stretch(t, record.work)).times(GOOD_PART);
-        let stood = dispatch.stood;
-        let id = dispatch.engine;
+        let good = outcome == Outcome::Done && took <= sla_of(t, record.work).times(GOOD_PART);
+        let telling = good || !(dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued));
+        let (id, sent) = (dispatch.engine, dispatch.sent);
         if let Some(engine) = self.engines.get_mut(&id) {
-            let used = engine.threads_out();
-            let sent = engine.out.remove(&(job, number));
-            if good && used * 2.0 > engine.limit {
-                engine.limit += t.threads / engine.limit;
-            } else if !good
-                && !stood
-                && !matches!(outcome, Outcome::Cancelled | Outcome::NotIssued)
-                && sent.is_some_and(|sent| sent.at >= engine.cut_at)
-            {
-                engine.limit = (engine.limit * CUT).max(1.0);
-                engine.cut_at = now;
+            if telling {
+                engine.judge(now, sent, good, t.threads);
             }
-            match outcome {
-                Outcome::Done | Outcome::Error | Outcome::TurnedAway => engine.heard = now,
-                Outcome::Reset | Outcome::NotConnected if engine.aside.is_none() => {
-                    engine.aside = Some((0, true));
-                    self.lines.push_back(format!("engine {} set aside: {outcome:?}", id.0));
-                }
-                _ => {}
+            engine.out.remove(&(job, number));
+            if matches!(outcome, Outcome::Done | Outcome::Error | Outcome::TurnedAway) {
+                engine.heard = now;
             }
         }
-        if over {
-            self.close(job);
-        } else {
-            self.drop_if_spent(job);
+        if matches!(outcome, Outcome::Reset | Outcome::NotConnected) {
+            self.set_aside(id, outcome);
+        }
+        if let Some(record) = self.jobs.get_mut(&job) {
+            record.over |= over;
         }
+        self.drop_if_spent(job);
     }
 
     pub fn progressed(&mut self, now: Moment, job: JobId, number: usize, progress: Progress) {
-        let Some(dispatch) = self.jobs.get_mut(&job).and_then(|j| j.dispatches.get_mut(number)) else {
-            return;
-        };
+        let hold = now + self.load_run();
+        let Some(record) = self.jobs.get_mut(&job) else { return };
+        let Some(dispatch) = record.dispatches.get_mut(number) else { return };
+        let Some(engine) = self.engines.get_mut(&dispatch.engine) else { return };
+        engine.heard = now;
         match progress {
-            Progress::Share(share) => dispatch.share = Some((now, share)),
+            Progress::Share(share) => {
+                dispatch.share = Some((now, share));
+                let t = &self.types[record.kind.0];
+                let foretold = now.since(dispatch.sent).times(1.0 / share.max(1e-3));
+                if foretold > sla_of(t, record.work) && !dispatch.stood {
+                    engine.judge(now, dispatch.sent, false, t.threads);
+                }
+            }
             Progress::Spills(_) => dispatch.short = true,
-            Progress::WaitsForLoad => dispatch.stood = true,
             Progress::WaitsForMemory => {}
-        }
-        let hold = self.load_run();
-        let record = &self.jobs[&job];
-        let t = &self.types[record.kind.0];
-        let dispatch = &record.dispatches[number];
-        let allowed = (t.sla + t_stretch(t, record.work)).times(GOOD_PART);
-        let slow = matches!(progress, Progress::Share(s) if s > 0.0
-            && now.since(dispatch.sent).times(1.0 / s) > allowed.times(2.0));
-        if let Some(engine) = self.engines.get_mut(&dispatch.engine) {
-            engine.heard = now;
-            if progress == Progress::WaitsForLoad {
-                engine.holds.insert(record.group, now + hold);
-            }
-            if slow && !dispatch.stood && dispatch.sent >= engine.cut_at {
-                engine.limit = (engine.limit * CUT).max(1.0);
-                engine.cut_at = now;
+            Progress::WaitsForLoad => {
+                dispatch.stood = true;
+                engine.holds.insert(record.group, hold);
             }
         }
     }
@@ -368,44 +343,41 @@
     }
 
     pub fn probe_ended(&mut self, now: Moment, id: EngineId, outcome: Outcome) {
-        let share = self.share();
+        let start = self.start_limit(id);
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.probe_out = false;
-        if matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
-            engine.heard = now;
-            if let Some((answered, restarted)) = &mut engine.aside {
-                *answered += 1;
-                if *answered >= ANSWERS_TO_RETURN {
-                    if *restarted {
-                        engine.cold_since = Some(now);
-                    }
-                    engine.aside = None;
-                    engine.limit = (self.fleet.cores[engine.kind.0] * share).max(1.0);
-                    self.lines.push_back(format!("engine {} is back", id.0));
-                }
-            }
-        } else if engine.aside.is_none() {
-            engine.aside = Some((0, true));
-            self.lines.push_back(format!("engine {} set aside: probe {outcome:?}", id.0));
-        } else if let Some((answered, _)) = &mut engine.aside {
-            *answered = 0;
+        if !matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
+            engine.aside = engine.aside.map(|_| 0);
+            return self.set_aside(id, outcome);
+        }
+        engine.heard = now;
+        engine.aside = engine.aside.map(|answered| answered + 1);
+        if engine.aside.is_some_and(|answered| answered >= ANSWERS_TO_RETURN) {
+            (engine.aside, engine.cold_since, engine.limit) = (None, Some(now), start);
+            self.lines.push_back(format!("engine {} is back", id.0));
         }
     }
 
+    fn set_aside(&mut self, id: EngineId, why: Outcome) {
+        if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.aside.is_none()) {
+            engine.aside = Some(0);
+            self.lines.push_back(format!("engine {} set aside: {why:?}", id.0));
+        }
+    }
+
+    /// An in-flight limit of this router's part of the cores.
+    fn start_limit(&self, id: EngineId) -> f64 {
+        self.engines.get(&id).map_or(1.0, |e| self.cores(e.kind) * self.share()).max(1.0)
+    }
+
     /// One line of the engine list.
     pub fn engine_listed(
         &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, listed: Listed,
         came_up: Option<Moment>,
     ) {
-        let threads = (self.cores(kind) * self.share()).max(1.0);
-        let engine = self.engines.entry(id).or_insert_with(|| Engine {
-            came_up,
-            cold_since: came_up,
-            heard: now,
-            limit: threads,
-            cut_at: now,
-            ..Engine::default()
-        });
+        let (cold_since, limit) = (came_up, (self.cores(kind) * self.share()).max(1.0));
+        let fresh = Engine { came_up, cold_since, heard: now, limit, cut_at: now, ..Engine::default() };
+        let engine = self.engines.entry(id).or_insert(fresh);
         (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
         if came_up > engine.came_up {
             (engine.came_up, engine.cold_since) = (came_up, engine.cold_since.max(came_up));
@@ -417,11 +389,6 @@
     /// The list just told was complete: engines that it did not name are gone.
     pub fn list_complete(&mut self, named: &[EngineId]) {
         self.list_changed();
-        self.list_restored(named);
-    }
-
-    /// The list as this router last saw it before it started, perhaps stale.
-    pub fn list_restored(&mut self, named: &[EngineId]) {
         for (id, engine) in &mut self.engines {
             if !named.contains(id) {
                 engine.listed = Listed::Gone;
@@ -439,18 +406,13 @@
 
     /// The share of the billed value that a job of this tenant earns, taking it from the tenant's part.
     fn share_earned(&mut self, tenant: Option<TenantId>, now: Moment) -> f64 {
-        let share = self.share();
-        let Some((id, part)) = tenant.and_then(|id| Some((id, self.parts.get_mut(id.0)?))) else {
-            return 1.0;
-        };
-        let rate = self.answers.allowances[id.0] * share;
-        part.left = (part.left + rate * now.since(part.since).secs()).min(rate.max(1.0));
-        part.since = now;
-        if part.left < 1.0 {
-            return self.answers.over_share;
-        }
-        part.left -= 1.0;
-        1.0
+        let Some(id) = tenant.filter(|id| id.0 < self.parts.len()) else { return 1.0 };
+        let rate = self.answers.allowances[id.0] * self.share();
+        let (left, since) = self.parts[id.0];
+        let left = (left + rate * now.since(since).secs()).min(rate.max(1.0));
+        let within = left >= 1.0;
+        self.parts[id.0] = (if within { left - 1.0 } else { left }, now);
+        if within { 1.0 } else { self.answers.over_share }
     }
 
     /// This router's part of the fleet.
@@ -505,33 +467,22 @@
 
     /// Empties what time alone empties.
     fn let_go(&mut self, now: Moment) {
-        let (fall, lifetime) = (self.cold.fall, self.warm_lifetime());
+        let fall = self.cold.fall;
+        let lifetime = self.types.iter().map(|t| t.timeout).min().unwrap_or_default();
         for engine in self.engines.values_mut() {
-            while engine.sent.front().is_some_and(|(at, _)| now.since(*at) > fall) {
-                engine.sent.pop_front();
-            }
+            engine.sent.retain(|(at, _)| now.since(*at) <= fall);
             engine.groups.retain(|_, at| now.since(*at) <= lifetime);
             engine.holds.retain(|_, until| now < *until);
         }
         if let Some(ration) = &self.further.ration {
-            slide(&mut self.taken, now, ration.window);
-            slide(&mut self.resent, now, ration.window + Span::from_micros(1));
-        }
-        let forgotten = &mut self.forgotten;
-        self.keys.retain(|key, turns| {
-            let keep = !turns.jobs.is_empty() || now < turns.rest_until;
-            if !keep {
-                forgotten.push(Forgotten::Key(*key));
-            }
-            keep
-        });
-        self.engines.retain(|id, engine| {
-            let keep = engine.listed != Listed::Gone || !engine.out.is_empty() || engine.probe_out;
-            if !keep {
-                forgotten.push(Forgotten::Engine(*id));
-            }
-            keep
-        });
+            self.taken.retain(|&at| now.since(at) < ration.window);
+            self.resent.retain(|&at| now.since(at) <= ration.window);
+        }
+        let rested = self.keys.extract_if(.., |_, turns| turns.jobs.is_empty() && now >= turns.rest_until);
+        self.forgotten.extend(rested.map(|(key, _)| Forgotten::Key(key)));
+        let idle = |e: &mut Engine| e.out.is_empty() && !e.probe_out;
+        let gone = self.engines.extract_if(.., |_, e| e.listed == Listed::Gone && idle(e));
+        self.forgotten.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
     }
 
     /// Sets silent engines aside. Threat: a machine that hangs without a reset. It also catches a cut link
@@ -540,12 +491,13 @@
         let patience = self.patience();
         let live = self.engines.values().filter(|e| e.listed == Listed::Live).count();
         let mut aside = self.engines.values().filter(|e| e.aside.is_some()).count();
-        for (id, engine) in &mut self.engines {
-            let silent = engine.quiet_since().is_some_and(|since| now.since(since) > patience);
-            if silent && engine.aside.is_none() && (aside + 1) * 2 <= live {
-                engine.aside = Some((0, true));
-                aside += 1;
-                self.lines.push_back(format!("engine {} set aside: silent", id.0));
+        let silent = |e: &Engine| e.quiet_since().is_some_and(|since| now.since(since) > patience);
+        let silent: Vec<EngineId> =
+            self.engines.iter().filter(|(_, e)| e.aside.is_none() && silent(e)).map(|(id, _)| *id).collect();
+        for id in silent {
+            aside += 1;
+            if aside * 2 <= live {
+                self.set_aside(id, Outcome::TimedOut);
             }
         }
     }
@@ -556,10 +508,6 @@
         period.times(SILENT_PERIODS)
     }
 
-    fn warm_lifetime(&self) -> Span {
-        self.types.iter().map(|t| t.timeout).min().unwrap_or_default()
-    }
-
     fn follow_list(&mut self, now: Moment) -> Option<Decision> {
         let ask_again = self.watching.ask_within?.times(0.25);
         if self.subscribed || self.asked.is_some_and(|at| now.since(at) < ask_again) {
@@ -672,17 +620,14 @@
     }
 
     /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
-    fn wait_and_run(
-        &self, job: &Job, id: EngineId, engine: &Engine, average: f64, now: Moment,
-    ) -> (f64, bool) {
+    fn wait_and_run(&self, job: &Job, id: EngineId, engine: &Engine, average: f64, now: Moment) -> f64 {
         let t = &self.types[job.kind.0];
         let cores = self.cores(engine.kind);
         let seen = engine.report.map(|report| report.at);
         let since: f64 =
             engine.out.values().filter(|s| seen.is_none_or(|at| s.at > at)).map(|s| s.work).sum();
         let queued = self.reported_work(engine).unwrap_or(average) + since;
-        let known = engine.groups.contains_key(&job.group);
-        let warm = known && engine.threads_out() <= cores * self.share();
+        let warm = engine.groups.contains_key(&job.group) && engine.threads_out() <= cores * self.share();
         let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
         let mut total = (queued / cores + job.work / t.threads) * discount;
         if t.waits_for_loads || t.is_load {
@@ -694,7 +639,7 @@
         if engine.zone != self.fleet.zone {
             total += self.fleet.crossing_price * t.sla.secs();
         }
-        (total, known)
+        total
     }
 
     /// Exception to the design: what is left of own loads that hold the table group there.
@@ -714,45 +659,32 @@
     }
 
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
-        let all_aside = self.engines.values().all(|e| e.listed != Listed::Live || e.aside.is_some());
-        let open = |e: &Engine| {
-            (e.aside.is_none() || all_aside) && e.listed == Listed::Live && e.threads_out() < e.limit
-        };
-        let mut engines: Vec<EngineId> =
-            self.engines.iter().filter(|(_, e)| open(e)).map(|(id, _)| *id).collect();
-        if engines.is_empty() {
-            return None;
-        }
+        let start = self.chance.random_range(0..self.engines.len().max(1));
+        let live = |e: &Engine| e.listed == Listed::Live;
+        let all_aside = !self.engines.values().any(|e| live(e) && e.aside.is_none());
+        let open = |e: &Engine| live(e) && (all_aside || e.aside.is_none()) && e.threads_out() < e.limit;
+        let mut engines: Vec<_> = self.engines.iter().filter(|(_, e)| open(e)).collect();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
-        let mut waiting: Vec<(f64, u64, JobId)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now))))
-            .map(|(id, job)| (self.density(job), job.turn, *id))
-            .collect();
-        if waiting.is_empty() {
+        let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now)));
+        let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
+        let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.density(job), job.turn, *id)).collect();
+        if engines.is_empty() || waiting.is_empty() {
             return None;
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let start = self.chance.random_range(0..engines.len());
-        engines.rotate_left(start);
+        let tie = start % engines.len();
+        engines.rotate_left(tie);
         let heard: Vec<f64> = self.engines.values().filter_map(|e| self.reported_work(e)).collect();
         let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let (job, engine, warm) = waiting.iter().find_map(|(_, _, id)| {
+        let (job, engine) = waiting.iter().find_map(|(_, _, id)| {
             let job = &self.jobs[id];
-            engines
-                .iter()
-                .map(|e| (e, &self.engines[e]))
-                .filter(|(e, engine)| {
-                    self.fits(job, engine)
-                        && self.legal(*id, job, engine, now)
-                        && job.dispatches.iter().all(|d| d.outcome.is_some() || d.engine != **e)
-                })
-                .map(|(e, engine)| (*e, self.wait_and_run(job, *e, engine, average, now)))
-                .min_by(|a, b| a.1.0.partial_cmp(&b.1.0).unwrap_or(Ordering::Equal))
-                .map(|(e, (_, warm))| (*id, e, warm))
+            let here = |e: EngineId| job.dispatches.iter().any(|d| d.outcome.is_none() && d.engine == e);
+            let may = |e: &Engine| self.fits(job, e) && self.legal(*id, job, e, now);
+            let allowed = engines.iter().filter(|(id, e)| may(e) && !here(**id));
+            let costs = allowed.map(|(id, e)| (self.wait_and_run(job, **id, e, average, now), **id));
+            costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
         })?;
-        Some(self.send(now, job, engine, warm))
+        Some(self.send(now, job, engine))
     }
 
     /// Whether a job keeps an engine within its in-flight limit; one alone always does.
@@ -761,7 +693,7 @@
         out == 0.0 || out + self.types[job.kind.0].threads <= engine.limit
     }
 
-    fn send(&mut self, now: Moment, id: JobId, to: EngineId, warm: bool) -> Decision {
+    fn send(&mut self, now: Moment, id: JobId, to: EngineId) -> Decision {
         let fair = self.estimates.all_work.value.max(1e-3);
         let billed: f64 = self.types.iter().map(|t| t.billed).sum::<f64>() / self.types.len() as f64;
         let density = self.density(&self.jobs[&id]) / (billed / fair);
@@ -773,39 +705,22 @@
         let most = self.terms.most_grant * self.fleet.memory.get(engine.kind.0).copied().unwrap_or(0.0);
         let grant = (job.memory * self.estimates.memory_bias[job.kind.0]).min(most);
         let grant = if self.terms.grants { grant } else { 0.0 };
-        let priority = if t.is_load || density >= 2.0 {
-            3
-        } else if density >= 1.0 {
-            2
-        } else if density >= 0.25 {
-            1
-        } else {
-            0
-        };
+        let step = PRIORITY_STEPS.iter().filter(|step| density >= **step).count() as u8;
+        let priority = if t.is_load { PRIORITY_STEPS.len() as u8 } else { step };
         let left = job.deadline.since(now);
-        let timeout = if retry && t.effect != Effect::RunOnce {
-            left.min(t.sla + t_stretch(t, job.work))
-        } else {
-            left
-        };
+        let short = retry && t.effect != Effect::RunOnce;
+        let timeout = if short { left.min(sla_of(t, job.work)) } else { left };
         let number = job.dispatches.len();
         if number > 0 && self.further.ration.is_some() {
-            self.resent.push_back(now);
+            self.resent.push(now);
         }
-        engine.sent.push_back((now, self.estimates.work[job.kind.0].value));
-        engine.groups.insert(job.group, now);
+        engine.sent.push((now, self.estimates.work[job.kind.0].value));
+        let warm = engine.groups.insert(job.group, now).is_some();
         let sent = Sent { at: now, kind: job.kind, group: job.group, work: job.work, threads: t.threads };
         engine.out.insert((id, number), sent);
         let (zone, cell) = (engine.zone, engine.cell);
-        job.dispatches.push(Dispatch {
-            engine: to,
-            zone,
-            cell,
-            sent: now,
-            warm,
-            grant,
-            ..Dispatch::default()
-        });
+        let sent = Dispatch { engine: to, zone, cell, sent: now, warm, grant, ..Dispatch::default() };
+        job.dispatches.push(sent);
         self.since_probe += 1;
         Decision::Dispatch { job: id, engine: to, timeout, memory: grant, priority }
     }
@@ -842,7 +757,7 @@
 
     fn wants_copy(&self, job: &Job, now: Moment) -> bool {
         self.further.copies
-            && t_restartable(&self.types[job.kind.0])
+            && self.types[job.kind.0].effect == Effect::Restartable
             && job.out() == 1
             && job.dispatches.iter().any(|d| self.lost(job, d, now))
     }
@@ -892,18 +807,14 @@
         Some(Decision::Probe { engine: pick? })
     }
 
-    /// One coalesced timer: soon while jobs are held, rarely while dispatches are out.
+    /// One coalesced timer: soon while there are jobs, rarely while engines are set aside.
     fn wake(&mut self, now: Moment) -> Option<Decision> {
-        let held = self.jobs.values().any(|job| !job.over && job.out() == 0);
-        let idle = self.jobs.is_empty()
-            && self.keys.is_empty()
-            && self.subscribed
-            && self.engines.values().all(|e| e.aside.is_none());
+        let idle =
+            self.jobs.is_empty() && self.subscribed && self.engines.values().all(|e| e.aside.is_none());
         if idle {
             return None;
         }
-        let after =
-            if held || !self.jobs.is_empty() { self.answers.slack } else { self.watching.connect_timeout };
+        let after = if self.jobs.is_empty() { self.watching.connect_timeout } else { self.answers.slack };
         let after = after.max(Span::from_micros(1));
         if self.wake_at.is_some_and(|at| at > now && at <= now + after) {
             return None;
@@ -917,10 +828,6 @@
     Span::from_secs(work / t.threads)
 }
 
-fn t_stretch(t: &ReservationType, work: f64) -> Span {
-    t_run(t, work).times(t.sla_stretch)
-}
-
-fn t_restartable(t: &ReservationType) -> bool {
-    t.effect == Effect::Restartable
+fn sla_of(t: &ReservationType, work: f64) -> Span {
+    t.sla + t_run(t, work).times(t.sla_stretch)
 }
--- a/src/records.rs
+++ b/src/records.rs
@@ -3,13 +3,6 @@
 use crate::interface::*;
 use crate::time::{Moment, Span};
 
-/// What is left of this router's part of a tenant's share, and since when.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Part {
-    pub(crate) left: f64,
-    pub(crate) since: Moment,
-}
-
 #[derive(Default)]
 pub(crate) struct Dispatch {
     pub(crate) engine: EngineId,
@@ -26,6 +19,7 @@
     pub(crate) cancelled: bool,
 }
 
+#[derive(Default)]
 pub(crate) struct Job {
     pub(crate) kind: TypeId,
     pub(crate) group: GroupId,
