--- a/adapter/src/flint.rs
+++ b/adapter/src/flint.rs
@@ -255,7 +255,7 @@
             }
             "WITHDRAWN" => {
                 if let Some(job) = self.jobs.find(text(event, "txn")?) {
-                    self.router.job_withdrawn(JobId(job));
+                    self.router.job_over(JobId(job));
                 }
             }
             // Timers only wake the module; messages of neighbours, streams and what is unknown have no use.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -214,8 +214,6 @@
         }
     }
 
-    // ---- What the host tells: bookkeeping only.
-
     pub fn job_arrived(
         &mut self, now: Moment, job: JobId, kind: TypeId, tenant: Option<TenantId>, group: GroupId,
         key: Option<KeyId>, told: Option<Span>, memory: f64, expires: Span,
@@ -246,8 +244,11 @@
     }
 
     /// The client left, or the job ended by other means.
-    pub fn job_withdrawn(&mut self, job: JobId) {
-        self.close(job);
+    pub fn job_over(&mut self, job: JobId) {
+        if let Some(record) = self.jobs.get_mut(&job) {
+            record.over = true;
+        }
+        self.drop_if_spent(job);
     }
 
     /// `told` is the true work and memory, where the answer tells them; `over` holds when the job has its
@@ -433,13 +434,6 @@
         loads.map(run).max().unwrap_or_default()
     }
 
-    fn close(&mut self, job: JobId) {
-        if let Some(record) = self.jobs.get_mut(&job) {
-            record.over = true;
-            self.drop_if_spent(job);
-        }
-    }
-
     fn drop_if_spent(&mut self, job: JobId) {
         if self.jobs.get(&job).is_some_and(|record| record.over && record.out() == 0) {
             let record = self.jobs.remove(&job);
@@ -450,8 +444,6 @@
         }
     }
 
-    // ---- What the host pulls.
-
     pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
         self.let_go(now);
         self.watch(now);
@@ -508,6 +500,7 @@
         period.times(SILENT_PERIODS)
     }
 
+    /// Where the list must be asked for, asks long before rule 3 would hold a change as told.
     fn follow_list(&mut self, now: Moment) -> Option<Decision> {
         let ask_again = self.watching.ask_within?.times(0.25);
         if self.subscribed || self.asked.is_some_and(|at| now.since(at) < ask_again) {
@@ -528,7 +521,7 @@
             let over_time = now >= job.deadline;
             (!job.over && (stuck || over_time)).then(|| (*id, self.may_throttle(job)))
         })?;
-        self.close(id);
+        self.job_over(id);
         if harmless {
             Some(Decision::Throttle { job: id, come_back: self.answers.come_back })
         } else {
@@ -538,10 +531,9 @@
 
     /// Rule 2 for throttling replies.
     fn may_throttle(&self, job: &Job) -> bool {
-        match self.types[job.kind.0].effect {
-            Effect::Restartable | Effect::Keyed { scope: Scope::All, .. } => true,
-            Effect::Keyed { .. } | Effect::RunOnce => job.maybe_ran().next().is_none(),
-        }
+        let effect = self.types[job.kind.0].effect;
+        matches!(effect, Effect::Restartable | Effect::Keyed { scope: Scope::All, .. })
+            || job.maybe_ran().next().is_none()
     }
 
     /// Rule 2 for dispatches: to `engine`, or to some engine at all.
@@ -571,7 +563,6 @@
             && self.repeat_safe(job, Some(engine), now)
             && (self.further.copies || job.out() == 0)
             && engine.listed == Listed::Live
-            && self.list_known(now)
             && self.warm_enough(engine, job.kind, now)
             && turn
             && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
@@ -586,12 +577,6 @@
         self.further.ration.as_ref().is_none_or(|ration| left(ration) >= 1.0)
     }
 
-    /// Whether what the list says is recent enough for rule 3.
-    fn list_known(&self, now: Moment) -> bool {
-        let recent = self.asked.zip(self.watching.ask_within).is_some_and(|(at, w)| now.since(at) < w);
-        self.subscribed || recent
-    }
-
     /// Rule 4: this router's part of the budget for any window. After its own start, a whole window passes
     /// first: what it sent there before is not known.
     fn warm_enough(&self, engine: &Engine, kind: TypeId, now: Moment) -> bool {
@@ -611,7 +596,7 @@
         let report = engine.report?;
         let mean = self.estimates.all_work.value;
         let held = report.active.unwrap_or_else(|| {
-            let own = engine.out.values().filter(|sent| sent.at <= report.at);
+            let own = engine.out.values().filter(|sent| sent.at < report.at);
             let (count, threads) = own.fold((0.0, 0.0), |(n, t), sent| (n + 1.0, t + sent.threads));
             let busy = report.cpu * self.cores(engine.kind);
             count + (busy - threads).max(0.0)
@@ -625,7 +610,7 @@
         let cores = self.cores(engine.kind);
         let seen = engine.report.map(|report| report.at);
         let since: f64 =
-            engine.out.values().filter(|s| seen.is_none_or(|at| s.at > at)).map(|s| s.work).sum();
+            engine.out.values().filter(|s| seen.is_none_or(|at| s.at >= at)).map(|s| s.work).sum();
         let queued = self.reported_work(engine).unwrap_or(average) + since;
         let warm = engine.groups.contains_key(&job.group) && engine.threads_out() <= cores * self.share();
         let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
@@ -662,7 +647,7 @@
         let start = self.chance.random_range(0..self.engines.len().max(1));
         let live = |e: &Engine| e.listed == Listed::Live;
         let all_aside = !self.engines.values().any(|e| live(e) && e.aside.is_none());
-        let open = |e: &Engine| live(e) && (all_aside || e.aside.is_none()) && e.threads_out() < e.limit;
+        let open = |e: &Engine| (all_aside || e.aside.is_none()) && e.threads_out() < e.limit;
         let mut engines: Vec<_> = self.engines.iter().filter(|(_, e)| open(e)).collect();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now)));
@@ -756,10 +741,8 @@
     }
 
     fn wants_copy(&self, job: &Job, now: Moment) -> bool {
-        self.further.copies
-            && self.types[job.kind.0].effect == Effect::Restartable
-            && job.out() == 1
-            && job.dispatches.iter().any(|d| self.lost(job, d, now))
+        let again = self.types[job.kind.0].effect == Effect::Restartable && job.out() == 1;
+        again && job.dispatches.iter().any(|d| self.lost(job, d, now))
     }
 
     fn cancel_lost(&mut self, now: Moment) -> Option<Decision> {
--- /dev/null
+++ b/tests/stories/host.rs
@@ -0,0 +1,176 @@
+//! A tiny fake host: a clock, a router, and what it decided.
+
+use woadhook::*;
+
+pub const MS: u64 = 1_000;
+pub const LOOKUP: TypeId = TypeId(0);
+pub const LOAD: TypeId = TypeId(1);
+pub const E0: EngineId = EngineId(0);
+pub const E1: EngineId = EngineId(1);
+
+pub fn ms(millis: u64) -> Span {
+    Span::from_micros(millis * MS)
+}
+
+/// What a story may change before its router starts.
+pub struct Start {
+    pub types: Vec<ReservationType>,
+    pub fleet: Fleet,
+    pub cold: ColdStart,
+    pub further: Further,
+    pub watching: Watching,
+    pub answers: Answers,
+}
+
+pub struct Host {
+    pub now: Moment,
+    pub router: Router,
+    jobs: usize,
+    /// Job, engine and priority of each dispatch so far.
+    pub sent: Vec<(JobId, EngineId, u8)>,
+    pub throttled: Vec<JobId>,
+    pub cancelled: Vec<JobId>,
+    pub called_off: Vec<(JobId, usize)>,
+    pub probed: Vec<EngineId>,
+    pub subscribed: usize,
+    pub forgotten: Vec<Forgotten>,
+}
+
+fn kind(threads: f64, sla: u64, effect: Effect, is_load: bool) -> ReservationType {
+    ReservationType {
+        sla: ms(sla),
+        sla_stretch: 2.0,
+        timeout: ms(sla * 5),
+        billed: if is_load { 10.0 } else { 1.0 },
+        late_share: 0.2,
+        effect,
+        ordered: false,
+        zones: None,
+        kinds: None,
+        threads,
+        is_load,
+        waits_for_loads: !is_load,
+    }
+}
+
+impl Host {
+    /// Two engines of 8 cores in two zones, look-ups that may run again, and run-once loads.
+    pub fn new(change: impl Fn(&mut Start)) -> Self {
+        let mut start = Start {
+            types: vec![
+                kind(1.0, 1_000, Effect::Restartable, false),
+                kind(2.0, 4_000, Effect::RunOnce, true),
+            ],
+            fleet: Fleet {
+                zone: ZoneId(0),
+                replicas: 1,
+                cores: vec![8.0, 8.0],
+                memory: vec![16_384.0; 2],
+                crossing_price: 0.04,
+            },
+            cold: ColdStart { factor: 2.0, fall: ms(2_000), start_capacity: 0.25, cold_for: ms(15_000) },
+            further: Further {
+                try_limit: 4,
+                copies: false,
+                cancelling: true,
+                turn_gap: Span::ZERO,
+                ration: None,
+            },
+            watching: Watching {
+                may_probe: true,
+                reports_by_probe: false,
+                connect_timeout: ms(250),
+                note_period: ms(1_000),
+                ask_within: None,
+            },
+            answers: Answers {
+                slack: ms(20),
+                come_back: Some(ms(2_000)),
+                by_work: false,
+                over_share: 0.1,
+                allowances: vec![1.0, 100.0],
+            },
+        };
+        change(&mut start);
+        let now = Moment::from_micros(1_000_000_000);
+        let Start { types, fleet, cold, further, watching, answers } = start;
+        let terms = Terms { grants: true, priorities: true, most_grant: 0.5 };
+        let router = Router::new(now, 7, types, fleet, cold, further, watching, answers, terms);
+        let mut host = Host {
+            now,
+            router,
+            jobs: 0,
+            sent: vec![],
+            throttled: vec![],
+            cancelled: vec![],
+            called_off: vec![],
+            probed: vec![],
+            subscribed: 0,
+            forgotten: vec![],
+        };
+        host.list(0, Listed::Live, None);
+        host.list(1, Listed::Live, None);
+        host
+    }
+
+    /// Lists an engine; it stands in the zone, is of the kind and belongs to the cell of its own number.
+    pub fn list(&mut self, engine: usize, listed: Listed, came_up: Option<Moment>) {
+        let (zone, kind, cell) = (ZoneId(engine % 2), KindId(engine % 2), CellId(engine));
+        self.router.engine_listed(self.now, EngineId(engine), zone, kind, cell, listed, came_up);
+    }
+
+    /// A job of 100 ms of work on a table group.
+    pub fn job(&mut self, kind: TypeId, group: usize) -> JobId {
+        self.job_of(kind, group, None, None, 100)
+    }
+
+    pub fn job_of(
+        &mut self, kind: TypeId, group: usize, tenant: Option<usize>, key: Option<usize>, work: u64,
+    ) -> JobId {
+        let job = JobId(self.jobs);
+        self.jobs += 1;
+        let (tenant, key) = (tenant.map(TenantId), key.map(KeyId));
+        let told = Some(ms(work));
+        self.router.job_arrived(self.now, job, kind, tenant, GroupId(group), key, told, 100.0, ms(20_000));
+        job
+    }
+
+    pub fn pull(&mut self) {
+        while let Some(decision) = self.router.next_decision(self.now) {
+            match decision {
+                Decision::Dispatch { job, engine, priority, .. } => self.sent.push((job, engine, priority)),
+                Decision::Throttle { job, .. } => self.throttled.push(job),
+                Decision::CancelForGood { job } => self.cancelled.push(job),
+                Decision::CancelDispatch { job, number } => self.called_off.push((job, number)),
+                Decision::Probe { engine } => self.probed.push(engine),
+                Decision::Subscribe => self.subscribed += 1,
+                Decision::Forget(what) => self.forgotten.push(what),
+                Decision::Wake { .. } | Decision::Log(_) => {}
+            }
+        }
+    }
+
+    /// Lets time pass in steps of 20 ms.
+    pub fn pass(&mut self, millis: u64) {
+        for _ in 0..millis / 20 {
+            self.now = self.now + ms(20);
+            self.pull();
+        }
+    }
+
+    /// Ends a dispatch after `took` milliseconds and pulls.
+    pub fn end(&mut self, job: JobId, number: usize, outcome: Outcome, took: u64) {
+        let over = outcome == Outcome::Done;
+        self.router.dispatch_ended(self.now, job, number, outcome, ms(took), None, over);
+        self.pull();
+    }
+
+    /// The engines that a job was sent to, in turn.
+    pub fn engines_of(&self, job: JobId) -> Vec<EngineId> {
+        self.sent.iter().filter(|(sent, ..)| *sent == job).map(|(_, engine, _)| *engine).collect()
+    }
+
+    pub fn report(&mut self, engine: EngineId, active: f64) {
+        self.router.reported(self.now, engine, Some(active), None, None, None);
+    }
+}
--- /dev/null
+++ b/tests/stories/main.rs
@@ -0,0 +1,454 @@
+//! Short stories, one for each rule and each failure met.
+
+mod host;
+
+use host::*;
+use woadhook::*;
+
+fn other(engine: EngineId) -> EngineId {
+    EngineId(1 - engine.0)
+}
+
+#[test]
+fn a_job_gets_one_final_answer_at_once_and_nothing_after() {
+    let mut host = Host::new(|_| ());
+    host.list(0, Listed::Draining, None);
+    host.list(1, Listed::Draining, None);
+    let job = host.job(LOOKUP, 1);
+    host.pass(3_000);
+    assert_eq!(host.throttled, [job]);
+    host.list(0, Listed::Live, None);
+    host.pass(1_000);
+    assert!(host.sent.is_empty() && host.cancelled.is_empty());
+    assert_eq!(host.forgotten, [Forgotten::Job(job)]);
+}
+
+#[test]
+fn a_run_once_job_that_may_have_run_is_cancelled_for_good_and_never_throttled() {
+    for outcome in [Outcome::TimedOut, Outcome::Reset, Outcome::Error, Outcome::Cancelled] {
+        let mut host = Host::new(|_| ());
+        let job = host.job(LOAD, 1);
+        host.pull();
+        host.end(job, 0, outcome, 50);
+        assert_eq!((host.sent.len(), host.cancelled.as_slice()), (1, [job].as_slice()), "{outcome:?}");
+        assert!(host.throttled.is_empty());
+    }
+}
+
+#[test]
+fn a_run_once_job_that_never_ran_goes_again() {
+    for outcome in [Outcome::TurnedAway, Outcome::NotConnected] {
+        let mut host = Host::new(|_| ());
+        let job = host.job(LOAD, 1);
+        host.pull();
+        host.end(job, 0, outcome, 50);
+        assert_eq!(host.engines_of(job).len(), 2, "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_keyed_job_that_may_have_run_stays_in_its_group_and_window() {
+    let keyed = |scope| Effect::Keyed { scope, window: ms(500) };
+    for scope in [Scope::Zone, Scope::Cell] {
+        let mut host = Host::new(|start| start.types[0].effect = keyed(scope));
+        let job = host.job(LOOKUP, 1);
+        host.pull();
+        let first = host.sent[0].1;
+        host.list(first.0, Listed::Draining, None);
+        host.end(job, 0, Outcome::TimedOut, 50);
+        assert_eq!(host.sent.len(), 1, "only the group's engine may get it, and that one drains");
+        host.list(first.0, Listed::Live, None);
+        host.pull();
+        assert_eq!(host.engines_of(job), [first, first]);
+        host.end(job, 1, Outcome::NotConnected, 50);
+        host.pass(600);
+        assert_eq!((host.sent.len(), host.cancelled.as_slice()), (2, [job].as_slice()));
+        assert!(host.throttled.is_empty());
+    }
+    let mut host = Host::new(|start| start.types[0].effect = keyed(Scope::All));
+    let job = host.job(LOOKUP, 1);
+    host.pull();
+    host.end(job, 0, Outcome::TimedOut, 50);
+    host.list(0, Listed::Draining, None);
+    host.list(1, Listed::Draining, None);
+    host.end(job, 1, Outcome::NotConnected, 50);
+    host.pass(600);
+    assert_eq!((host.throttled.as_slice(), host.cancelled.len()), ([job].as_slice(), 0));
+}
+
+#[test]
+fn nothing_goes_to_an_engine_that_drains_or_is_gone() {
+    for listed in [Listed::Draining, Listed::Gone] {
+        let mut host = Host::new(|_| ());
+        host.list(0, listed, None);
+        for _ in 0..4 {
+            host.job(LOOKUP, 1);
+        }
+        host.pull();
+        assert!(host.sent.len() == 4 && host.sent.iter().all(|(_, engine, _)| *engine == E1), "{listed:?}");
+    }
+}
+
+#[test]
+fn a_list_that_must_be_asked_for_is_asked_for_and_again_after_a_failure() {
+    let mut host = Host::new(|start| start.watching.ask_within = Some(ms(1_000)));
+    host.pull();
+    assert_eq!(host.subscribed, 1);
+    host.router.list_changed();
+    host.router.list_unavailable();
+    host.now = host.now + ms(2_000);
+    host.pull();
+    assert_eq!(host.subscribed, 2, "asks again after a failure");
+    host.router.list_changed();
+    host.pass(5_000);
+    assert_eq!(host.subscribed, 2);
+}
+
+#[test]
+fn a_cold_engine_gets_no_more_than_this_routers_part_in_any_window() {
+    let mut host = Host::new(|start| start.fleet.replicas = 2);
+    host.list(0, Listed::Gone, None);
+    host.pull();
+    host.now = host.now + ms(10_000);
+    host.list(1, Listed::Live, Some(host.now));
+    let mut sent = vec![];
+    for _ in 0..100 {
+        host.job(LOOKUP, 1);
+        host.pull();
+        for (job, ..) in std::mem::take(&mut host.sent) {
+            sent.push(host.now);
+            host.end(job, 0, Outcome::Done, 20);
+        }
+        host.now = host.now + ms(40);
+    }
+    // Factor 2, a quarter of 8 cores and 2 s make 8 s of work for all; half of that is this router's.
+    let most = sent.iter().map(|at| sent.iter().filter(|t| **t >= *at && t.since(*at) < ms(2_000)).count());
+    let most = most.max().unwrap();
+    assert!((5..=40).contains(&most), "{most} jobs of about 0.1 s in a window");
+}
+
+#[test]
+fn a_restarted_router_waits_a_window_before_it_sends_to_a_cold_engine() {
+    let mut host = Host::new(|_| ());
+    host.list(0, Listed::Gone, None);
+    host.list(1, Listed::Live, Some(host.now));
+    host.job(LOOKUP, 1);
+    host.pass(900);
+    assert!(host.sent.is_empty());
+    host.pass(1_200);
+    let job = host.job_of(LOOKUP, 1, None, None, 20);
+    host.pull();
+    assert_eq!(host.engines_of(job), [E1]);
+}
+
+#[test]
+fn jobs_of_one_key_go_one_at_a_time_in_order_and_rest_after_a_doubt() {
+    let mut host = Host::new(|start| {
+        start.types[0].ordered = true;
+        start.further.turn_gap = ms(400);
+        start.further.try_limit = 1;
+    });
+    let big = host.job_of(LOOKUP, 1, None, Some(3), 200);
+    let small = host.job_of(LOOKUP, 1, None, Some(3), 10);
+    let free = host.job_of(LOOKUP, 1, None, Some(4), 10);
+    host.pull();
+    assert!(host.engines_of(small).is_empty(), "an earlier one is out");
+    assert_eq!((host.engines_of(big).len(), host.engines_of(free).len()), (1, 1));
+    host.end(big, 0, Outcome::TimedOut, 100);
+    host.pass(380);
+    assert!(host.engines_of(small).is_empty(), "the key rests");
+    host.pass(60);
+    assert_eq!(host.engines_of(small).len(), 1);
+}
+
+#[test]
+fn a_bound_type_is_held_or_ended_when_its_engines_are_down() {
+    let bind: [fn(&mut ReservationType); 2] =
+        [|t| t.zones = Some(vec![ZoneId(0)]), |t| t.kinds = Some(vec![KindId(0)])];
+    for bind in bind {
+        let mut host = Host::new(|start| bind(&mut start.types[0]));
+        let first = host.job(LOOKUP, 1);
+        host.pull();
+        assert_eq!(host.engines_of(first), [E0]);
+        host.list(0, Listed::Draining, None);
+        host.end(first, 0, Outcome::NotConnected, 50);
+        host.pass(3_000);
+        assert_eq!((host.sent.len(), host.throttled.as_slice()), (1, [first].as_slice()));
+    }
+}
+
+#[test]
+fn further_dispatches_stay_within_the_ration() {
+    let ration = Some(Ration { free: 1.0, share: 0.1, window: ms(1_000) });
+    let mut host = Host::new(|start| start.further.ration = ration);
+    let jobs: Vec<JobId> = (0..3).map(|_| host.job(LOOKUP, 1)).collect();
+    host.pull();
+    for job in &jobs {
+        host.end(*job, 0, Outcome::Error, 10);
+    }
+    assert_eq!(host.sent.len(), 4, "one further dispatch for three jobs taken");
+}
+
+#[test]
+fn tries_and_copies_stay_within_the_settings() {
+    let mut host = Host::new(|start| start.further.try_limit = 2);
+    let job = host.job(LOOKUP, 1);
+    host.pull();
+    host.end(job, 0, Outcome::Error, 10);
+    host.end(job, 1, Outcome::Error, 10);
+    assert_eq!((host.sent.len(), host.throttled.as_slice()), (2, [job].as_slice()));
+    for (copies, try_limit) in [(false, 4), (true, 1)] {
+        let mut host = Host::new(|start| {
+            start.further = Further { copies, try_limit, cancelling: false, ..start.further.clone() };
+        });
+        host.job(LOOKUP, 1);
+        host.pass(900);
+        assert_eq!(host.sent.len(), 1, "copies {copies}, tries {try_limit}");
+    }
+}
+
+#[test]
+fn a_restart_with_a_stale_list_moves_on_from_a_dead_engine() {
+    let mut host = Host::new(|_| ());
+    let job = host.job(LOOKUP, 1);
+    host.pull();
+    let dead = host.sent[0].1;
+    host.end(job, 0, Outcome::NotConnected, 250);
+    assert_eq!(host.engines_of(job), [dead, other(dead)]);
+    let next = host.job(LOOKUP, 2);
+    host.pull();
+    assert_eq!(host.engines_of(next), [other(dead)], "it is set aside");
+}
+
+#[test]
+fn a_silent_engine_is_set_aside_and_comes_back_cold_after_answered_probes() {
+    let mut host = Host::new(|start| start.further.cancelling = false);
+    host.job_of(LOAD, 1, None, None, 100);
+    host.pull();
+    let silent = host.sent[0].1;
+    host.pass(3_000);
+    assert!(host.probed.contains(&silent));
+    let job = host.job_of(LOOKUP, 1, None, None, 50);
+    host.pull();
+    assert_eq!(host.engines_of(job), [other(silent)]);
+    host.end(job, 0, Outcome::Done, 50);
+    host.list(other(silent).0, Listed::Draining, None);
+    host.router.probe_ended(host.now, silent, Outcome::Done);
+    host.pass(600);
+    assert_eq!(*host.probed.last().unwrap(), silent);
+    host.router.probe_ended(host.now, silent, Outcome::Done);
+    let heavy = host.job_of(LOOKUP, 1, None, None, 50_000);
+    let light: Vec<JobId> = (0..100).map(|_| host.job_of(LOOKUP, 1, None, None, 50)).collect();
+    host.pull();
+    assert!(host.engines_of(heavy).is_empty());
+    let sent = light.iter().filter(|job| !host.engines_of(**job).is_empty()).count();
+    assert!(sent < 10, "{sent} jobs on a cold engine");
+}
+
+#[test]
+fn an_engine_that_came_up_again_has_no_warm_groups() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    let first = host.job(LOOKUP, 1);
+    host.pull();
+    let warm = host.sent[0].1;
+    host.end(first, 0, Outcome::Done, 100);
+    host.now = host.now + ms(3_000);
+    host.list(warm.0, Listed::Live, Some(host.now));
+    host.report(warm, 1.0);
+    host.report(other(warm), 0.9);
+    let next = host.job(LOOKUP, 1);
+    host.pull();
+    assert_eq!(host.engines_of(next), [other(warm)]);
+}
+
+#[test]
+fn choices_follow_reports_and_own_dispatches_since() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    host.report(E0, 10.0);
+    host.report(E1, 8.5);
+    let jobs: Vec<JobId> = (0..4).map(|group| host.job(LOOKUP, group)).collect();
+    host.pull();
+    let to = |engine| jobs.iter().filter(|job| host.engines_of(**job) == [engine]).count();
+    assert!((to(E0), to(E1)) == (1, 3) || (to(E0), to(E1)) == (2, 2), "{:?}", host.sent);
+    assert_eq!(host.sent[0].1, E1);
+    let (late, mut host) = (E0, host);
+    host.report(late, 0.0);
+    let next = host.job(LOOKUP, 9);
+    host.pull();
+    assert_eq!(host.engines_of(next), [late], "a late report counts when it comes");
+}
+
+#[test]
+fn unheard_engines_count_as_average() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    host.list(2, Listed::Live, None);
+    host.report(E0, 12.0);
+    host.report(E1, 2.0);
+    let (first, second) = (host.job(LOOKUP, 1), host.job(LOOKUP, 2));
+    host.pull();
+    assert_eq!((host.engines_of(first), host.engines_of(second)), (vec![E1], vec![E1]));
+    host.list(1, Listed::Draining, None);
+    let third = host.job(LOOKUP, 3);
+    host.pull();
+    assert_eq!(host.engines_of(third), [EngineId(2)]);
+}
+
+#[test]
+fn a_warm_engine_is_costed_optimistically_until_it_is_full_of_own_threads() {
+    let mut host = Host::new(|start| {
+        start.fleet.crossing_price = 0.0;
+        start.fleet.replicas = 4;
+    });
+    let first = host.job(LOOKUP, 1);
+    host.pull();
+    let warm = host.sent[0].1;
+    host.end(first, 0, Outcome::Done, 100);
+    host.report(warm, 5.0);
+    host.report(other(warm), 4.0);
+    let next = host.job(LOOKUP, 1);
+    host.pull();
+    assert_eq!(host.engines_of(next), [warm]);
+    for _ in 0..40 {
+        let pair = [host.job(LOOKUP, 1), host.job(LOOKUP, 1)];
+        host.pull();
+        for job in pair {
+            host.end(job, 0, Outcome::Done, 100);
+        }
+    }
+    host.list(other(warm).0, Listed::Draining, None);
+    for _ in 0..2 {
+        host.job(LOOKUP, 1);
+    }
+    host.pull();
+    host.list(other(warm).0, Listed::Live, None);
+    host.report(warm, 5.0);
+    host.report(other(warm), 4.0);
+    let last = host.job(LOOKUP, 1);
+    host.pull();
+    assert_eq!(host.engines_of(last), [other(warm)]);
+}
+
+#[test]
+fn work_beyond_the_in_flight_limit_waits_and_bad_outcomes_cut_it() {
+    let mut host = Host::new(|_| ());
+    let jobs: Vec<JobId> = (0..40).map(|_| host.job(LOOKUP, 1)).collect();
+    host.pull();
+    assert_eq!(host.sent.len(), 16, "a thread a core");
+    for (job, ..) in host.sent.clone() {
+        host.end(job, 0, Outcome::TurnedAway, 900);
+        host.router.job_over(job);
+    }
+    for job in jobs {
+        host.router.job_over(job);
+    }
+    host.sent.clear();
+    for _ in 0..40 {
+        host.job(LOOKUP, 1);
+    }
+    host.pull();
+    assert!(host.sent.len() < 16, "{}", host.sent.len());
+}
+
+#[test]
+fn notes_that_foretell_a_miss_cut_the_limit_before_the_answer() {
+    let mut host = Host::new(|_| ());
+    for _ in 0..20 {
+        host.job(LOOKUP, 1);
+    }
+    host.pull();
+    host.now = host.now + ms(400);
+    let first = host.sent.clone();
+    for (job, ..) in &first {
+        host.router.progressed(host.now, *job, 0, Progress::Share(0.05));
+    }
+    for (job, ..) in first {
+        host.router.job_over(job);
+        host.end(job, 0, Outcome::Cancelled, 400);
+    }
+    host.sent.clear();
+    for _ in 0..40 {
+        host.job(LOOKUP, 1);
+    }
+    host.pull();
+    assert!(host.sent.len() <= 14, "{}", host.sent.len());
+}
+
+#[test]
+fn a_dispatch_lost_without_word_goes_again_elsewhere_in_time() {
+    let mut host = Host::new(|_| ());
+    let job = host.job(LOOKUP, 1);
+    host.pull();
+    let first = host.sent[0].1;
+    host.pass(700);
+    assert_eq!(host.called_off, [(job, 0)]);
+    host.end(job, 0, Outcome::Cancelled, 600);
+    assert_eq!(host.engines_of(job), [first, other(first)]);
+}
+
+#[test]
+fn where_nothing_can_be_cancelled_a_copy_goes_out_unless_jobs_wait_unsent() {
+    for crowd in [0, 60] {
+        let mut host = Host::new(|start| {
+            start.further.cancelling = false;
+            start.further.copies = true;
+        });
+        let job = host.job(LOOKUP, 1);
+        host.pull();
+        host.pass(480);
+        for _ in 0..crowd {
+            host.job(LOOKUP, 1);
+        }
+        host.pass(200);
+        assert_eq!(host.engines_of(job).len(), if crowd == 0 { 2 } else { 1 });
+    }
+}
+
+#[test]
+fn groups_held_by_loads_are_shunned() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    let load = host.job_of(LOAD, 5, None, None, 4_000);
+    let stuck = host.job(LOOKUP, 6);
+    host.pull();
+    let (own, foreign) = (host.engines_of(load)[0], host.engines_of(stuck)[0]);
+    host.router.progressed(host.now, stuck, 0, Progress::WaitsForLoad);
+    let (beside_own, beside_foreign) = (host.job(LOOKUP, 5), host.job(LOOKUP, 6));
+    host.pull();
+    assert_eq!(host.engines_of(beside_own), [other(own)]);
+    assert_eq!(host.engines_of(beside_foreign), [other(foreign)]);
+}
+
+#[test]
+fn loads_get_the_top_priority_and_heavy_jobs_a_low_one() {
+    let mut host = Host::new(|_| ());
+    let load = host.job_of(LOAD, 1, None, None, 8_000);
+    let heavy = host.job_of(LOOKUP, 2, None, None, 20_000);
+    host.pull();
+    let priority = |job| host.sent.iter().find(|(sent, ..)| *sent == job).map(|(.., priority)| *priority);
+    assert_eq!((priority(load), priority(heavy)), (Some(3), Some(0)));
+}
+
+#[test]
+fn jobs_beyond_their_tenants_share_go_last() {
+    let mut host = Host::new(|_| ());
+    host.list(0, Listed::Draining, None);
+    host.list(1, Listed::Draining, None);
+    let over: Vec<JobId> = (0..3).map(|_| host.job_of(LOOKUP, 1, Some(0), None, 100)).collect();
+    let within = host.job_of(LOOKUP, 1, Some(1), None, 100);
+    host.list(0, Listed::Live, None);
+    host.pull();
+    let order: Vec<JobId> = host.sent.iter().map(|(job, ..)| *job).collect();
+    assert_eq!(order, [over[0], within, over[1], over[2]]);
+}
+
+#[test]
+fn same_events_make_same_decisions() {
+    let play = || {
+        let mut host = Host::new(|_| ());
+        for group in 0..30 {
+            host.job(LOOKUP, group);
+            host.pass(20);
+        }
+        host.sent
+    };
+    assert_eq!(play(), play());
+}
