--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,7 +41,7 @@
 /// A dispatch is lost when what remains of it exceeds so many fresh runs.
 const LOST_RUNS: f64 = 2.0;
 /// A dispatch without word is lost after so many fresh runs, or a good part of the SLA time if that is more.
-const OVERDUE_RUNS: f64 = 4.0;
+const OVERDUE_RUNS: f64 = 3.0;
 /// Billed value per work, over its mean, from which each next priority is given.
 const PRIORITY_STEPS: [f64; 3] = [0.25, 1.0, 2.0];
 /// Note periods for which a word on a dispatch holds.
