--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,7 +29,7 @@
 /// Part of the SLA time that a good dispatch may take; the rest is for waiting here.
 const GOOD_PART: f64 = 0.5;
 /// Share of an in-flight limit that a bad outcome leaves.
-const CUT: f64 = 0.8;
+const CUT: f64 = 0.6;
 /// Note periods, or else longest SLA times, without a word from an engine with work out that mean silence.
 const SILENT_PERIODS: f64 = 2.5;
 /// Answered probes in a row that bring an engine back.
