--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,6 +44,8 @@
 const OVERDUE_RUNS: f64 = 3.0;
 /// Billed value per work, over its mean, from which each next priority is given.
 const PRIORITY_STEPS: [f64; 3] = [0.25, 1.0, 2.0];
+/// Part of the billed value for which a late answer is worth waiting.
+const WORTH_LATE: f64 = 0.25;
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
 
@@ -517,7 +519,8 @@
             let stuck = job.out() == 0
                 && (job.dispatches.len() >= self.further.try_limit
                     || !self.repeat_safe(job, None, now)
-                    || now + t_run(t, job.work) > job.sla_due);
+                    || (now + t_run(t, job.work) > job.sla_due && t.late_share < WORTH_LATE)
+                    || now + self.fresh_run(job) > job.deadline);
             let over_time = now >= job.deadline;
             (!job.over && (stuck || over_time)).then(|| (*id, self.may_throttle(job)))
         })?;
@@ -638,9 +641,11 @@
             .fold(engine.holds.get(&group).map_or(0.0, |until| until.since(now).secs()), f64::max)
     }
 
-    /// Billed value per second of work.
-    fn density(&self, job: &Job) -> f64 {
-        job.billed / job.work.max(1e-3)
+    /// Billed value per second of work, as far as it can still be earned.
+    fn density(&self, job: &Job, now: Moment) -> f64 {
+        let t = &self.types[job.kind.0];
+        let late = now + t_run(t, job.work) > job.sla_due;
+        job.billed * if late { t.late_share } else { 1.0 } / job.work.max(1e-3)
     }
 
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
@@ -652,7 +657,7 @@
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now)));
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
-        let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.density(job), job.turn, *id)).collect();
+        let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.density(job, now), job.turn, *id)).collect();
         if engines.is_empty() || waiting.is_empty() {
             return None;
         }
@@ -681,7 +686,7 @@
     fn send(&mut self, now: Moment, id: JobId, to: EngineId) -> Decision {
         let fair = self.estimates.all_work.value.max(1e-3);
         let billed: f64 = self.types.iter().map(|t| t.billed).sum::<f64>() / self.types.len() as f64;
-        let density = self.density(&self.jobs[&id]) / (billed / fair);
+        let density = self.density(&self.jobs[&id], now) / (billed / fair);
         let retry = !self.further.cancelling && !self.further.copies;
         let (Some(job), Some(engine)) = (self.jobs.get_mut(&id), self.engines.get_mut(&to)) else {
             unreachable!("a dispatch names a job and an engine that are held")
