--- a/src/logic.rs
+++ b/src/logic.rs
@@ -46,6 +46,9 @@
 const PRIORITY_STEPS: [f64; 3] = [0.25, 1.0, 2.0];
 /// Part of the billed value for which a late answer is worth waiting.
 const WORTH_LATE: f64 = 0.25;
+/// By how much a dispatch short of memory raises the next grants.
+const GRANT_STEP: f64 = 1.04;
+const SHORT_SHARE: f64 = 0.1;
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
 
@@ -73,7 +76,7 @@
     all_work: Mean,
     /// True work over told work.
     work_bias: Vec<Mean>,
-    /// Grant over told memory that about one dispatch in five finds short.
+    /// Grant over told memory that `SHORT_SHARE` of the dispatches find short.
     memory_bias: Vec<f64>,
     /// Time of a dispatch over its work on its threads: about the median, which stalls don't move far.
     stretch: Vec<f64>,
@@ -277,7 +280,8 @@
                 self.estimates.work[record.kind.0].add(work);
             }
             let bias = &mut self.estimates.memory_bias[record.kind.0];
-            *bias = (*bias * if dispatch.short { 1.04 } else { 0.99 }).clamp(0.25, 4.0);
+            *bias =
+                (*bias * GRANT_STEP.powf(if dispatch.short { 1.0 } else { -SHORT_SHARE })).clamp(0.25, 4.0);
             let stretch = took.secs() * t.threads / work.max(1e-3);
             let usual = &mut self.estimates.stretch[record.kind.0];
             *usual *= if stretch > *usual { MEDIAN_STEP } else { 1.0 / MEDIAN_STEP };
