--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,8 @@
 /// By how much a dispatch short of memory raises the next grants.
 const GRANT_STEP: f64 = 1.04;
 const SHORT_SHARE: f64 = 0.1;
+/// Added to the part of the SLA time that is left: bounds how far a pressing job gets ahead.
+const PRESSING: f64 = 0.25;
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
 
@@ -652,6 +654,14 @@
         job.billed * if late { t.late_share } else { 1.0 } / job.work.max(1e-3)
     }
 
+    /// The order of held jobs: density, the more pressing the less of the SLA time is left to wait.
+    fn rank(&self, job: &Job, now: Moment) -> f64 {
+        let t = &self.types[job.kind.0];
+        let left = job.sla_due.since(now + t_run(t, job.work));
+        let left = if left > Span::ZERO { left.secs() / sla_of(t, job.work).secs() } else { 1.0 };
+        self.density(job, now) / (left + PRESSING)
+    }
+
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
         let start = self.chance.random_range(0..self.engines.len().max(1));
         let live = |e: &Engine| e.listed == Listed::Live;
@@ -661,7 +671,7 @@
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now)));
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
-        let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.density(job, now), job.turn, *id)).collect();
+        let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.rank(job, now), job.turn, *id)).collect();
         if engines.is_empty() || waiting.is_empty() {
             return None;
         }
