--- a/src/logic.rs
+++ b/src/logic.rs
@@ -631,7 +631,7 @@
             total += t.sla.secs();
         }
         if engine.zone != self.fleet.zone {
-            total += 20.0 * self.fleet.crossing_price * t.sla.secs();
+            total += self.fleet.crossing_price * t.sla.secs();
         }
         total
     }
