Set aside engines that are slow against their peers

Told from overload by its peers, which answered in time. Each engine has a pace, near the median of its dispatches' time over what is usual for their types; overdue and timed-out ones count as slower.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -19,10 +19,10 @@
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
-use crate::records::{Dispatch, Job, Report, Sent};
+use crate::records::{Dispatch, Job, Mean, Report, Sent};
 use crate::time::{Moment, Span};
 
-/// A mean that forgets: recent samples count for at least one part in `MEMORY`.
+/// Samples that a mean remembers.
 const MEMORY: f64 = 128.0;
 /// By how much a sample moves a running median.
 const MEDIAN_STEP: f64 = 1.03;
@@ -32,6 +32,10 @@
 const CUT: f64 = 0.6;
 /// Note periods, or else longest SLA times, without a word from an engine with work out that mean silence.
 const SILENT_PERIODS: f64 = 2.5;
+/// Times the median pace of the engines at which one is slow.
+const SLOW_TIMES: f64 = 4.0;
+/// By how much a dispatch moves an engine's pace.
+const PACE_STEP: f64 = 1.2;
 /// Answered probes in a row that bring an engine back.
 const ANSWERS_TO_RETURN: u32 = 2;
 /// Part of the cold-start budget that is used: true work and speeds are not known.
@@ -54,23 +58,6 @@
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
 
-#[derive(Clone, Copy, Debug)]
-struct Mean {
-    value: f64,
-    samples: f64,
-}
-
-impl Mean {
-    fn new(value: f64, samples: f64) -> Self {
-        Self { value, samples }
-    }
-
-    fn add(&mut self, sample: f64) {
-        self.samples = (self.samples + 1.0).min(MEMORY);
-        self.value += (sample - self.value) / self.samples;
-    }
-}
-
 /// What jobs cost, learned from estimates, answers and notes. Its tables hold a line for each type.
 struct Estimates {
     /// Work of a job in seconds of one thread, by type; it starts from the SLA time on all threads.
@@ -131,8 +118,10 @@
     heard: Moment,
     probe_out: bool,
     probed: Option<Moment>,
-    /// While set aside: probes answered in a row.
-    aside: Option<u32>,
+    /// Own dispatches' time over what is usual for their types: near the median.
+    pace: f64,
+    /// While set aside: probes still to answer in a row, of how many.
+    aside: Option<(u32, u32)>,
 }
 
 impl Engine {
@@ -238,9 +227,9 @@
             self.taken.push(now);
         }
         self.turns_given += 1;
-        self.estimates.all_work.add(work);
+        self.estimates.all_work.add(work, MEMORY);
         if told.is_some() {
-            self.estimates.work[kind.0].add(work);
+            self.estimates.work[kind.0].add(work, MEMORY);
         }
         let sla_due = now + sla_of(t, work);
         let (billed, deadline) = (t.billed * earned * worth, now + expires);
@@ -272,14 +261,15 @@
             let turns = self.keys.entry(key).or_default();
             turns.rest_until = turns.rest_until.max(now + self.further.turn_gap);
         }
+        let mut slower = (outcome == Outcome::TimedOut).then_some(f64::MAX);
         if outcome == Outcome::Done {
             let work = told.map_or(record.work, |(work, _)| work.secs());
             if let Some((_, memory)) = told {
                 dispatch.short = dispatch.grant > 0.0 && memory > dispatch.grant;
                 if let Some(guess) = record.told.filter(|guess| *guess > Span::ZERO) {
-                    self.estimates.work_bias[record.kind.0].add(work / guess.secs());
+                    self.estimates.work_bias[record.kind.0].add(work / guess.secs(), MEMORY);
                 }
-                self.estimates.work[record.kind.0].add(work);
+                self.estimates.work[record.kind.0].add(work, MEMORY);
             }
             let bias = &mut self.estimates.memory_bias[record.kind.0];
             *bias =
@@ -287,12 +277,13 @@
             let stretch = took.secs() * t.threads / work.max(1e-3);
             let usual = &mut self.estimates.stretch[record.kind.0];
             *usual *= if stretch > *usual { MEDIAN_STEP } else { 1.0 / MEDIAN_STEP };
+            slower = Some(stretch / *usual);
             let cold = &mut self.estimates.cold_stretch[record.kind.0];
             if !dispatch.warm {
-                cold.add(stretch);
-            } else if cold.samples > 8.0 {
+                cold.add(stretch, MEMORY);
+            } else if cold.samples() > 8.0 {
                 let ratio = (stretch / cold.value).min(2.0);
-                self.estimates.warm_ratio.add(ratio);
+                self.estimates.warm_ratio.add(ratio, MEMORY);
             }
         }
         let good = outcome == Outcome::Done && took <= sla_of(t, record.work).times(GOOD_PART);
@@ -303,12 +294,15 @@
                 engine.judge(now, sent, good, t.threads);
             }
             engine.out.remove(&(job, number));
+            if let Some(slower) = slower {
+                engine.pace *= if slower > engine.pace { PACE_STEP } else { 1.0 / PACE_STEP };
+            }
             if matches!(outcome, Outcome::Done | Outcome::Error | Outcome::TurnedAway) {
                 engine.heard = now;
             }
         }
         if matches!(outcome, Outcome::Reset | Outcome::NotConnected) {
-            self.set_aside(id, outcome);
+            self.set_aside(id, ANSWERS_TO_RETURN, "reset or not connected");
         }
         if let Some(record) = self.jobs.get_mut(&job) {
             record.over |= over;
@@ -356,21 +350,24 @@
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.probe_out = false;
         if !matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
-            engine.aside = engine.aside.map(|_| 0);
-            return self.set_aside(id, outcome);
+            engine.aside = engine.aside.map(|(_, answers)| (answers, answers));
+            return self.set_aside(id, ANSWERS_TO_RETURN, "probe not answered");
         }
         engine.heard = now;
-        engine.aside = engine.aside.map(|answered| answered + 1);
-        if engine.aside.is_some_and(|answered| answered >= ANSWERS_TO_RETURN) {
-            (engine.aside, engine.cold_since, engine.limit) = (None, Some(now), start);
+        let Some((left, answers)) = engine.aside else { return };
+        engine.aside = (left > 1).then_some((left - 1, answers));
+        if engine.aside.is_none() {
+            let restarted = answers == ANSWERS_TO_RETURN;
+            engine.cold_since = if restarted { Some(now) } else { engine.cold_since };
+            (engine.limit, engine.pace) = (start, 1.0);
             self.lines.push_back(format!("engine {} is back", id.0));
         }
     }
 
-    fn set_aside(&mut self, id: EngineId, why: Outcome) {
+    fn set_aside(&mut self, id: EngineId, answers: u32, why: &str) {
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.aside.is_none()) {
-            engine.aside = Some(0);
-            self.lines.push_back(format!("engine {} set aside: {why:?}", id.0));
+            engine.aside = Some((answers, answers));
+            self.lines.push_back(format!("engine {} set aside: {why}", id.0));
         }
     }
 
@@ -385,7 +382,8 @@
         came_up: Option<Moment>,
     ) {
         let (cold_since, limit) = (came_up, (self.cores(kind) * self.share()).max(1.0));
-        let fresh = Engine { came_up, cold_since, heard: now, limit, cut_at: now, ..Engine::default() };
+        let fresh =
+            Engine { came_up, cold_since, heard: now, limit, cut_at: now, pace: 1.0, ..Engine::default() };
         let engine = self.engines.entry(id).or_insert(fresh);
         (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
         if came_up > engine.came_up {
@@ -485,19 +483,26 @@
         self.forgotten.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
     }
 
-    /// Sets silent engines aside. Threat: a machine that hangs without a reset. It also catches a cut link
-    /// and lost notes; it hurts where notes merely come late, so at most half of the live engines go.
+    /// Sets aside engines that are silent with work out, or slow against their peers. Threat: machines that
+    /// hang without a reset, or crawl. It also catches cut links and lost notes; it hurts where notes come late
+    /// or one engine gets the odd jobs, so at most half of the live engines go. Slow ones come back later.
     fn watch(&mut self, now: Moment) {
         let patience = self.patience();
-        let live = self.engines.values().filter(|e| e.listed == Listed::Live).count();
-        let mut aside = self.engines.values().filter(|e| e.aside.is_some()).count();
+        let live: Vec<_> = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live).collect();
+        let mut paces: Vec<f64> = live.iter().map(|(_, e)| e.pace).collect();
+        paces.sort_by(f64::total_cmp);
+        let slow = paces.get(paces.len() / 2).map_or(f64::MAX, |median| median.max(1.0) * SLOW_TIMES);
+        let aside = live.iter().filter(|(_, e)| e.aside.is_some()).count();
         let silent = |e: &Engine| e.quiet_since().is_some_and(|since| now.since(since) > patience);
-        let silent: Vec<EngineId> =
-            self.engines.iter().filter(|(_, e)| e.aside.is_none() && silent(e)).map(|(id, _)| *id).collect();
-        for id in silent {
-            aside += 1;
-            if aside * 2 <= live {
-                self.set_aside(id, Outcome::TimedOut);
+        let doubted = live.iter().filter(|(_, e)| e.aside.is_none() && (e.pace > slow || silent(e)));
+        let doubted: Vec<_> = doubted.map(|(id, e)| (**id, silent(e))).collect();
+        let room = (live.len() / 2).saturating_sub(aside);
+        let long = (patience.secs() / self.watching.connect_timeout.secs().max(1e-3)) as u32;
+        for (id, silent) in doubted.into_iter().take(room) {
+            if silent {
+                self.set_aside(id, ANSWERS_TO_RETURN, "silent");
+            } else {
+                self.set_aside(id, long.max(ANSWERS_TO_RETURN + 1), "slow against its peers");
             }
         }
     }
@@ -779,9 +784,11 @@
         let hold = now + self.load_run();
         let job = self.jobs.get_mut(&id)?;
         job.dispatches[number].cancelled = true;
-        let engine = self.engines.get_mut(&job.dispatches[number].engine);
-        if let Some(engine) = engine.filter(|_| self.types[job.kind.0].waits_for_loads) {
-            engine.holds.insert(job.group, hold);
+        if let Some(engine) = self.engines.get_mut(&job.dispatches[number].engine) {
+            engine.pace *= PACE_STEP;
+            if self.types[job.kind.0].waits_for_loads {
+                engine.holds.insert(job.group, hold);
+            }
         }
         Some(Decision::CancelDispatch { job: id, number })
     }
@@ -811,9 +818,8 @@
 
     /// One coalesced timer: soon while there are jobs, rarely while engines are set aside.
     fn wake(&mut self, now: Moment) -> Option<Decision> {
-        let idle =
-            self.jobs.is_empty() && self.subscribed && self.engines.values().all(|e| e.aside.is_none());
-        if idle {
+        let aside = self.engines.values().any(|e| e.aside.is_some());
+        if self.jobs.is_empty() && self.subscribed && !aside {
             return None;
         }
         let after = if self.jobs.is_empty() { self.watching.connect_timeout } else { self.answers.slack };
--- a/src/records.rs
+++ b/src/records.rs
@@ -61,3 +61,26 @@
     pub(crate) work: f64,
     pub(crate) threads: f64,
 }
+
+/// A mean that forgets.
+#[derive(Clone, Copy)]
+pub(crate) struct Mean {
+    pub(crate) value: f64,
+    samples: f64,
+}
+
+impl Mean {
+    pub(crate) fn new(value: f64, samples: f64) -> Self {
+        Self { value, samples }
+    }
+
+    pub(crate) fn samples(&self) -> f64 {
+        self.samples
+    }
+
+    /// Takes in a sample, which counts for at least one part in `memory`.
+    pub(crate) fn add(&mut self, sample: f64, memory: f64) {
+        self.samples = (self.samples + 1.0).min(memory);
+        self.value += (sample - self.value) / self.samples;
+    }
+}
