--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,7 @@
 //! Beside it stand six mechanisms, and one legality check that every dispatch passes (`legal`):
 //!
 //! 1. a limit on the threads in flight at each engine; work beyond it waits here (`limit`),
-//! 2. engines set aside on silence, resets and failed connects, back after answered probes (`watch`),
+//! 2. engines set aside on silence, resets, failed connects or slowness, back after probes (`watch`),
 //! 3. a budget of work for cold engines (`warm_enough`),
 //! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
 //! 5. time-outs and further dispatches (`cancel_lost`, `wants_copy`),
@@ -19,7 +19,7 @@
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
-use crate::records::{Dispatch, Job, Mean, Report, Sent};
+use crate::records::{Dispatch, Job, Mean, Report, Sent, Turns};
 use crate::time::{Moment, Span};
 
 /// Samples that a mean remembers.
@@ -88,13 +88,6 @@
     }
 }
 
-/// The jobs of one key in the order taken; dropped when none is left and the rest is over.
-#[derive(Default)]
-struct Turns {
-    jobs: VecDeque<JobId>,
-    rest_until: Moment,
-}
-
 /// One engine of the list; dropped when gone and nothing is out there.
 #[derive(Default)]
 struct Engine {
@@ -166,6 +159,7 @@
     subscribed: bool,
     /// Emptied of jobs that are over and have nothing out.
     jobs: BTreeMap<JobId, Job>,
+    /// Emptied of keys with no job left, once rested.
     keys: BTreeMap<KeyId, Turns>,
     engines: BTreeMap<EngineId, Engine>,
     turns_given: u64,
@@ -223,9 +217,7 @@
         if let Some(key) = key {
             self.keys.entry(key).or_default().jobs.push_back(job);
         }
-        if self.further.ration.is_some() {
-            self.taken.push(now);
-        }
+        self.taken.extend(self.further.ration.map(|_| now));
         self.turns_given += 1;
         self.estimates.all_work.add(work, MEMORY);
         if told.is_some() {
@@ -256,6 +248,7 @@
         let Some(record) = self.jobs.get_mut(&job) else { return };
         let Some(dispatch) = record.dispatches.get_mut(number) else { return };
         dispatch.outcome = Some(outcome);
+        record.over |= over;
         let t = &self.types[record.kind.0];
         if let (Some(key), true) = (record.key, outcome.may_still_run()) {
             let turns = self.keys.entry(key).or_default();
@@ -304,9 +297,6 @@
         if matches!(outcome, Outcome::Reset | Outcome::NotConnected) {
             self.set_aside(id, ANSWERS_TO_RETURN, "reset or not connected");
         }
-        if let Some(record) = self.jobs.get_mut(&job) {
-            record.over |= over;
-        }
         self.drop_if_spent(job);
     }
 
@@ -346,7 +336,6 @@
     }
 
     pub fn probe_ended(&mut self, now: Moment, id: EngineId, outcome: Outcome) {
-        let start = self.start_limit(id);
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.probe_out = false;
         if !matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
@@ -357,9 +346,8 @@
         let Some((left, answers)) = engine.aside else { return };
         engine.aside = (left > 1).then_some((left - 1, answers));
         if engine.aside.is_none() {
-            let restarted = answers == ANSWERS_TO_RETURN;
-            engine.cold_since = if restarted { Some(now) } else { engine.cold_since };
-            (engine.limit, engine.pace) = (start, 1.0);
+            engine.cold_since = if answers == ANSWERS_TO_RETURN { Some(now) } else { engine.cold_since };
+            engine.pace = 1.0;
             self.lines.push_back(format!("engine {} is back", id.0));
         }
     }
@@ -371,11 +359,6 @@
         }
     }
 
-    /// An in-flight limit of this router's part of the cores.
-    fn start_limit(&self, id: EngineId) -> f64 {
-        self.engines.get(&id).map_or(1.0, |e| self.cores(e.kind) * self.share()).max(1.0)
-    }
-
     /// One line of the engine list.
     pub fn engine_listed(
         &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, listed: Listed,
@@ -483,15 +466,17 @@
         self.forgotten.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
     }
 
-    /// Sets aside engines that are silent with work out, or slow against their peers. Threat: machines that
-    /// hang without a reset, or crawl. It also catches cut links and lost notes; it hurts where notes come late
-    /// or one engine gets the odd jobs, so at most half of the live engines go. Slow ones come back later.
+    /// Sets aside engines silent with work out, or slow against their peers. Threat: machines that hang
+    /// without a reset, or crawl. It also catches cut links and lost notes; it hurts where notes come late or
+    /// one engine gets the odd jobs, so at most half of the live engines go. Slow ones come back later.
     fn watch(&mut self, now: Moment) {
         let patience = self.patience();
         let live: Vec<_> = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live).collect();
         let mut paces: Vec<f64> = live.iter().map(|(_, e)| e.pace).collect();
         paces.sort_by(f64::total_cmp);
-        let slow = paces.get(paces.len() / 2).map_or(f64::MAX, |median| median.max(1.0) * SLOW_TIMES);
+        let slow = paces
+            .get(paces.len().saturating_sub(1) / 2)
+            .map_or(f64::MAX, |median| median.max(1.0) * SLOW_TIMES);
         let aside = live.iter().filter(|(_, e)| e.aside.is_some()).count();
         let silent = |e: &Engine| e.quiet_since().is_some_and(|since| now.since(since) > patience);
         let doubted = live.iter().filter(|(_, e)| e.aside.is_none() && (e.pace > slow || silent(e)));
@@ -499,11 +484,9 @@
         let room = (live.len() / 2).saturating_sub(aside);
         let long = (patience.secs() / self.watching.connect_timeout.secs().max(1e-3)) as u32;
         for (id, silent) in doubted.into_iter().take(room) {
-            if silent {
-                self.set_aside(id, ANSWERS_TO_RETURN, "silent");
-            } else {
-                self.set_aside(id, long.max(ANSWERS_TO_RETURN + 1), "slow against its peers");
-            }
+            let slow = (long.max(ANSWERS_TO_RETURN + 1), "slow against its peers");
+            let (answers, why) = if silent { (ANSWERS_TO_RETURN, "silent") } else { slow };
+            self.set_aside(id, answers, why);
         }
     }
 
@@ -608,14 +591,12 @@
     /// report has no count of held queries, own ones stand in, and busy cores beyond their threads count too.
     fn reported_work(&self, engine: &Engine) -> Option<f64> {
         let report = engine.report?;
-        let mean = self.estimates.all_work.value;
         let held = report.active.unwrap_or_else(|| {
             let own = engine.out.values().filter(|sent| sent.at < report.at);
             let (count, threads) = own.fold((0.0, 0.0), |(n, t), sent| (n + 1.0, t + sent.threads));
-            let busy = report.cpu * self.cores(engine.kind);
-            count + (busy - threads).max(0.0)
+            count + (report.cpu * self.cores(engine.kind) - threads).max(0.0)
         });
-        Some((held + report.waiting) * mean)
+        Some((held + report.waiting) * self.estimates.all_work.value)
     }
 
     /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
@@ -671,8 +652,8 @@
         let start = self.chance.random_range(0..self.engines.len().max(1));
         let live = |e: &Engine| e.listed == Listed::Live;
         let all_aside = !self.engines.values().any(|e| live(e) && e.aside.is_none());
-        let open = |e: &Engine| (all_aside || e.aside.is_none()) && e.threads_out() < e.limit;
-        let mut engines: Vec<_> = self.engines.iter().filter(|(_, e)| open(e)).collect();
+        let mut engines: Vec<_> =
+            self.engines.iter().filter(|(_, e)| all_aside || e.aside.is_none()).collect();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now)));
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
@@ -688,28 +669,22 @@
         let (job, engine) = waiting.iter().find_map(|(_, _, id)| {
             let job = &self.jobs[id];
             let here = |e: EngineId| job.dispatches.iter().any(|d| d.outcome.is_none() && d.engine == e);
-            let may = |e: &Engine| self.fits(job, e) && self.legal(*id, job, e, now);
+            let threads = self.types[job.kind.0].threads;
+            let fits = |e: &Engine| e.out.is_empty() || e.threads_out() + threads <= e.limit;
+            let may = |e: &Engine| fits(e) && self.legal(*id, job, e, now);
             let allowed = engines.iter().filter(|(id, e)| may(e) && !here(**id));
             let costs = allowed.map(|(id, e)| (self.wait_and_run(job, **id, e, average, now), **id));
             costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
         })?;
-        Some(self.send(now, job, engine))
-    }
-
-    /// Whether a job keeps an engine within its in-flight limit; one alone always does.
-    fn fits(&self, job: &Job, engine: &Engine) -> bool {
-        let out = engine.threads_out();
-        out == 0.0 || out + self.types[job.kind.0].threads <= engine.limit
+        self.send(now, job, engine)
     }
 
-    fn send(&mut self, now: Moment, id: JobId, to: EngineId) -> Decision {
+    fn send(&mut self, now: Moment, id: JobId, to: EngineId) -> Option<Decision> {
         let fair = self.estimates.all_work.value.max(1e-3);
         let billed: f64 = self.types.iter().map(|t| t.billed).sum::<f64>() / self.types.len() as f64;
         let density = self.density(&self.jobs[&id], now) / (billed / fair);
         let retry = !self.further.cancelling && !self.further.copies;
-        let (Some(job), Some(engine)) = (self.jobs.get_mut(&id), self.engines.get_mut(&to)) else {
-            unreachable!("a dispatch names a job and an engine that are held")
-        };
+        let (job, engine) = (self.jobs.get_mut(&id)?, self.engines.get_mut(&to)?);
         let t = &self.types[job.kind.0];
         let most = self.terms.most_grant * self.fleet.memory.get(engine.kind.0).copied().unwrap_or(0.0);
         let grant = (job.memory * self.estimates.memory_bias[job.kind.0]).min(most);
@@ -720,9 +695,7 @@
         let short = retry && t.effect != Effect::RunOnce;
         let timeout = if short { left.min(sla_of(t, job.work)) } else { left };
         let number = job.dispatches.len();
-        if number > 0 && self.further.ration.is_some() {
-            self.resent.push(now);
-        }
+        self.resent.extend(self.further.ration.filter(|_| number > 0).map(|_| now));
         engine.sent.push((now, self.estimates.work[job.kind.0].value));
         let warm = engine.groups.insert(job.group, now).is_some();
         let sent = Sent { at: now, kind: job.kind, group: job.group, work: job.work, threads: t.threads };
@@ -731,7 +704,7 @@
         let sent = Dispatch { engine: to, zone, cell, sent: now, warm, grant, ..Dispatch::default() };
         job.dispatches.push(sent);
         self.since_probe += 1;
-        Decision::Dispatch { job: id, engine: to, timeout, memory: grant, priority }
+        Some(Decision::Dispatch { job: id, engine: to, timeout, memory: grant, priority })
     }
 
     /// Whether a dispatch that is out should be replaced: its engine was set aside, or the rest of it at its
@@ -818,8 +791,7 @@
 
     /// One coalesced timer: soon while there are jobs, rarely while engines are set aside.
     fn wake(&mut self, now: Moment) -> Option<Decision> {
-        let aside = self.engines.values().any(|e| e.aside.is_some());
-        if self.jobs.is_empty() && self.subscribed && !aside {
+        if self.jobs.is_empty() && self.subscribed && self.engines.values().all(|e| e.aside.is_none()) {
             return None;
         }
         let after = if self.jobs.is_empty() { self.watching.connect_timeout } else { self.answers.slack };
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,5 +1,7 @@
 //! What the decision module notes down of jobs and dispatches: plain records, which decide nothing.
 
+use std::collections::VecDeque;
+
 use crate::interface::*;
 use crate::time::{Moment, Span};
 
@@ -62,6 +64,13 @@
     pub(crate) threads: f64,
 }
 
+/// The jobs of one key in the order taken.
+#[derive(Default)]
+pub(crate) struct Turns {
+    pub(crate) jobs: VecDeque<JobId>,
+    pub(crate) rest_until: Moment,
+}
+
 /// A mean that forgets.
 #[derive(Clone, Copy)]
 pub(crate) struct Mean {
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -245,6 +245,23 @@
     assert!(sent < 10, "{sent} jobs on a cold engine");
 }
 
+#[test]
+fn an_engine_slow_against_its_peers_is_set_aside_though_it_answers() {
+    let mut host = Host::new(|start| start.further.cancelling = false);
+    for _ in 0..40 {
+        host.job(LOOKUP, 1);
+        host.job(LOOKUP, 2);
+        host.pull();
+        for (job, engine, _) in std::mem::take(&mut host.sent) {
+            host.end(job, 0, Outcome::Done, if engine == E0 { 1_500 } else { 100 });
+        }
+    }
+    let job = host.job(LOOKUP, 3);
+    host.pull();
+    assert_eq!(host.engines_of(job), [E1]);
+    assert!(host.probed.contains(&E0) && !host.probed.contains(&E1));
+}
+
 #[test]
 fn an_engine_that_came_up_again_has_no_warm_groups() {
     let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
