--- a/src/logic.rs
+++ b/src/logic.rs
@@ -739,8 +739,7 @@
 
     fn wants_copy(&self, job: &Job, now: Moment) -> bool {
         let again = self.types[job.kind.0].effect == Effect::Restartable && job.out() == 1;
-        let aside = |d: &Dispatch| self.engines.get(&d.engine).is_none_or(|e| e.aside.is_some());
-        again && job.dispatches.iter().any(|d| aside(d) && self.lost(job, d, now))
+        again && job.dispatches.iter().any(|d| self.lost(job, d, now))
     }
 
     fn cancel_lost(&mut self, now: Moment) -> Option<Decision> {
