--- a/src/logic.rs
+++ b/src/logic.rs
@@ -65,8 +65,6 @@
     all_work: Mean,
     /// True work over told work.
     work_bias: Vec<Mean>,
-    /// Part of the jobs that were done within their SLA time.
-    in_time: Vec<Mean>,
     /// Grant over told memory that `SHORT_SHARE` of the dispatches find short.
     memory_bias: Vec<f64>,
     /// Time of a dispatch over its work on its threads: about the median, which stalls don't move far.
@@ -82,7 +80,6 @@
             work: types.iter().map(|t| Mean::new(t.sla.secs() * t.threads, 4.0)).collect(),
             all_work: Mean::new(0.0, 0.0),
             work_bias: each(1.0, 4.0),
-            in_time: each(1.0, 16.0),
             memory_bias: vec![1.25; types.len()],
             stretch: vec![1.0; types.len()],
             cold_stretch: each(1.0, 0.0),
@@ -252,7 +249,6 @@
         let Some(dispatch) = record.dispatches.get_mut(number) else { return };
         dispatch.outcome = Some(outcome);
         record.over |= over;
-        record.in_time |= outcome == Outcome::Done && now <= record.sla_due;
         let t = &self.types[record.kind.0];
         if let (Some(key), true) = (record.key, outcome.may_still_run()) {
             let turns = self.keys.entry(key).or_default();
@@ -430,9 +426,6 @@
     fn drop_if_spent(&mut self, job: JobId) {
         if self.jobs.get(&job).is_some_and(|record| record.over && record.out() == 0) {
             let record = self.jobs.remove(&job);
-            if let Some(record) = &record {
-                self.estimates.in_time[record.kind.0].add(f64::from(record.in_time), MEMORY);
-            }
             if let Some(turns) = record.and_then(|r| r.key).and_then(|key| self.keys.get_mut(&key)) {
                 turns.jobs.retain(|other| *other != job);
             }
@@ -652,8 +645,7 @@
         let t = &self.types[job.kind.0];
         let left = job.sla_due.since(now + t_run(t, job.work));
         let left = if left > Span::ZERO { left.secs() / sla_of(t, job.work).secs() } else { 1.0 };
-        let served = self.estimates.in_time[job.kind.0].value;
-        self.density(job, now) / (left + PRESSING) / served.max(PRESSING)
+        self.density(job, now) / (left + PRESSING)
     }
 
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
--- a/src/records.rs
+++ b/src/records.rs
@@ -34,7 +34,6 @@
     pub(crate) deadline: Moment,
     pub(crate) billed: f64,
     pub(crate) over: bool,
-    pub(crate) in_time: bool,
     pub(crate) dispatches: Vec<Dispatch>,
 }
 
