--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,7 +27,7 @@
 /// By how much a sample moves a running median.
 const MEDIAN_STEP: f64 = 1.03;
 /// Part of the SLA time that a good dispatch may take; the rest is for waiting here.
-const GOOD_PART: f64 = 0.5;
+const GOOD_PART: f64 = 0.75;
 /// Share of an in-flight limit that a bad outcome leaves.
 const CUT: f64 = 0.6;
 /// Note periods, or else longest SLA times, without a word from an engine with work out that mean silence.
@@ -42,10 +42,11 @@
 const COLD_MARGIN: f64 = 0.5;
 /// Own dispatches for each probe that only asks for a report.
 const DISPATCHES_PER_PROBE: u32 = 8;
-/// A dispatch is lost when what remains of it exceeds so many fresh runs.
+/// A dispatch is lost when what remains of it exceeds so many usual runs.
 const LOST_RUNS: f64 = 2.0;
-/// A dispatch without word is lost after so many fresh runs, or a good part of the SLA time if that is more.
+/// A dispatch without word is lost after so many usual runs, or this part of the SLA time if that is more.
 const OVERDUE_RUNS: f64 = 3.0;
+const OVERDUE_PART: f64 = 0.5;
 /// Billed value per work, over its mean, from which each next priority is given.
 const PRIORITY_STEPS: [f64; 3] = [0.25, 1.0, 2.0];
 /// Part of the billed value for which a late answer is worth waiting.
@@ -726,7 +727,7 @@
                 let total = at.since(dispatch.sent).times(1.0 / share.max(1e-3));
                 total.less(ran) > fresh.times(LOST_RUNS) && ran > fresh
             }
-            None => ran > fresh.times(OVERDUE_RUNS).max(t.sla.times(GOOD_PART)),
+            None => ran > fresh.times(OVERDUE_RUNS).max(t.sla.times(OVERDUE_PART)),
         };
         (gone || slow) && now + fresh < job.deadline
     }
