Merge twin checks and take out dead code after a last reading

The step of a running median and the test for silence stood twice each; the setting for priorities was never read, and the check for run-once in cancel_lost was covered by repeat_safe.

--- a/adapter/src/flint.rs
+++ b/adapter/src/flint.rs
@@ -173,7 +173,6 @@
         };
         let terms = Terms {
             grants: mark(family, "takesGrants"),
-            priorities: mark(family, "takesPriority"),
             most_grant: number(family, "maxGrantShare").unwrap_or(1.0),
         };
         let router = Router::new(now, seed, types, fleet, cold, further, watching, answers, terms);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -236,11 +236,10 @@
     pub allowances: Vec<f64>,
 }
 
-/// Whether engines heed memory grants and priorities.
+/// Memory grants. Priorities are always told, as engines that don't heed them pass them over.
 #[derive(Clone, Copy, Debug)]
 pub struct Terms {
     pub grants: bool,
-    pub priorities: bool,
     /// Part of an engine's memory that one job gets at most.
     pub most_grant: f64,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -134,8 +134,10 @@
         }
     }
 
-    fn quiet_since(&self) -> Option<Moment> {
-        self.out.values().map(|sent| sent.at).min().map(|first| first.max(self.heard))
+    /// Whether it had work out, and gave no word, for longer than `span`.
+    fn silent(&self, now: Moment, span: Span) -> bool {
+        let first = self.out.values().map(|sent| sent.at).min();
+        first.is_some_and(|first| now.since(first.max(self.heard)) > span)
     }
 }
 
@@ -270,7 +272,7 @@
                 (*bias * GRANT_STEP.powf(if dispatch.short { 1.0 } else { -SHORT_SHARE })).clamp(0.25, 4.0);
             let stretch = took.secs() * t.threads / work.max(1e-3);
             let usual = &mut self.estimates.stretch[record.kind.0];
-            *usual *= if stretch > *usual { MEDIAN_STEP } else { 1.0 / MEDIAN_STEP };
+            step_to(usual, stretch, MEDIAN_STEP);
             slower = Some(stretch / *usual);
             let cold = &mut self.estimates.cold_stretch[record.kind.0];
             if !dispatch.warm {
@@ -289,7 +291,7 @@
             }
             engine.out.remove(&(job, number));
             if let Some(slower) = slower {
-                engine.pace *= if slower > engine.pace { PACE_STEP } else { 1.0 / PACE_STEP };
+                step_to(&mut engine.pace, slower, PACE_STEP);
             }
             if matches!(outcome, Outcome::Done | Outcome::Error | Outcome::TurnedAway) {
                 engine.heard = now;
@@ -449,10 +451,9 @@
 
     /// Empties what time alone empties.
     fn let_go(&mut self, now: Moment) {
-        let fall = self.cold.fall;
         let lifetime = self.types.iter().map(|t| t.timeout).min().unwrap_or_default();
         for engine in self.engines.values_mut() {
-            engine.sent.retain(|(at, _)| now.since(*at) <= fall);
+            engine.sent.retain(|(at, _)| now.since(*at) <= self.cold.fall);
             engine.groups.retain(|_, at| now.since(*at) <= lifetime);
             engine.holds.retain(|_, until| now < *until);
         }
@@ -479,9 +480,9 @@
             .get(paces.len().saturating_sub(1) / 2)
             .map_or(f64::MAX, |median| median.max(1.0) * SLOW_TIMES);
         let aside = live.iter().filter(|(_, e)| e.aside.is_some()).count();
-        let silent = |e: &Engine| e.quiet_since().is_some_and(|since| now.since(since) > patience);
-        let doubted = live.iter().filter(|(_, e)| e.aside.is_none() && (e.pace > slow || silent(e)));
-        let doubted: Vec<_> = doubted.map(|(id, e)| (**id, silent(e))).collect();
+        let doubted = live.iter().map(|(id, e)| (**id, e.silent(now, patience), *e));
+        let doubted = doubted.filter(|(_, silent, e)| e.aside.is_none() && (e.pace > slow || *silent));
+        let doubted: Vec<_> = doubted.map(|(id, silent, _)| (id, silent)).collect();
         let room = (live.len() / 2).saturating_sub(aside);
         let long = (patience.secs() / self.watching.connect_timeout.secs().max(1e-3)) as u32;
         for (id, silent) in doubted.into_iter().take(room) {
@@ -623,7 +624,7 @@
         total
     }
 
-    /// Exception to the design: what is left of own loads that hold the table group there.
+    /// Exception to the design: what is left of loads that hold the table group there, own or as it seems.
     fn load_hold(&self, engine: &Engine, group: GroupId, now: Moment) -> f64 {
         let loads = engine.out.values().filter(|s| s.group == group && self.types[s.kind.0].is_load);
         loads
@@ -651,8 +652,7 @@
 
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
         let start = self.chance.random_range(0..self.engines.len().max(1));
-        let live = |e: &Engine| e.listed == Listed::Live;
-        let all_aside = !self.engines.values().any(|e| live(e) && e.aside.is_none());
+        let all_aside = !self.engines.values().any(|e| e.listed == Listed::Live && e.aside.is_none());
         let mut engines: Vec<_> =
             self.engines.iter().filter(|(_, e)| all_aside || e.aside.is_none()).collect();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
@@ -749,7 +749,6 @@
         }
         let (id, number) = self.jobs.iter().find_map(|(id, job)| {
             let again = job.dispatches.len() < self.further.try_limit
-                && self.types[job.kind.0].effect != Effect::RunOnce
                 && self.repeat_safe(job, None, now)
                 && self.ration_left();
             let lost = job.dispatches.iter().position(|d| self.lost(job, d, now));
@@ -775,10 +774,7 @@
         }
         let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.patience().times(0.5));
         let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
-        let doubtful = |e: &Engine| {
-            e.listed != Listed::Gone
-                && (e.aside.is_some() || e.quiet_since().is_some_and(|since| now.since(since) > quiet))
-        };
+        let doubtful = |e: &Engine| e.listed != Listed::Gone && (e.aside.is_some() || e.silent(now, quiet));
         let mut pick = self.engines.iter().find(|(_, e)| due(e) && doubtful(e)).map(|(id, _)| *id);
         if pick.is_none() && self.watching.reports_by_probe && self.since_probe >= DISPATCHES_PER_PROBE {
             let live = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live && due(e));
@@ -805,6 +801,11 @@
     }
 }
 
+/// Moves a running median towards a sample.
+fn step_to(median: &mut f64, sample: f64, step: f64) {
+    *median *= if sample > *median { step } else { 1.0 / step };
+}
+
 fn t_run(t: &ReservationType, work: f64) -> Span {
     Span::from_secs(work / t.threads)
 }
--- a/tests/stories/host.rs
+++ b/tests/stories/host.rs
@@ -94,7 +94,7 @@
         change(&mut start);
         let now = Moment::from_micros(1_000_000_000);
         let Start { types, fleet, cold, further, watching, answers } = start;
-        let terms = Terms { grants: true, priorities: true, most_grant: 0.5 };
+        let terms = Terms { grants: true, most_grant: 0.5 };
         let router = Router::new(now, 7, types, fleet, cold, further, watching, answers, terms);
         let mut host = Host {
             now,
