Bound a router's threads over all engines, and take turns at cold engines

Cause: with 50 to 250 routers every part by share fell below one job. Each router could still have one job at each engine, so engines overfilled (full engines turned away up to 90% of the dispatches), and a cold engine got nothing until warm.

--- a/adapter/src/flint.rs
+++ b/adapter/src/flint.rs
@@ -139,6 +139,7 @@
         let fleet = Fleet {
             zone: ZoneId(place(&zones, text(info, "zone")?, "zone")?),
             replicas: whole(info, "replicasOfMe")? as usize,
+            number: whole(info, "myNumber")? as usize,
             cores: numbers(family, "coresByKind")?,
             memory: numbers(family, "ramOfKindMb")?,
             crossing_price: number(prices, "crossZone").unwrap_or(0.0),
@@ -438,7 +439,7 @@
 
     fn spawn() -> Value {
         json!({"kind": "SPAWN", "initSeed": 1, "unknown": true, "bootInfo": {
-            "replicasOfMe": 1, "zone": "a", "zones": ["a"], "kinds": ["k"], "tenants": [],
+            "replicasOfMe": 1, "myNumber": 0, "zone": "a", "zones": ["a"], "kinds": ["k"], "tenants": [],
             "discovery": "pushed", "feedback": {"how": "none", "names": []}, "prices": {},
             "classes": [{"name": "c", "goalTimeUs": 1_000_000, "deadlineUs": 4_000_000, "gain": 1.0,
                 "lateWorth": 0.0, "effect": "repeatable", "runsIn": null}],
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -172,7 +172,9 @@
 #[derive(Clone, Debug)]
 pub struct Fleet {
     pub zone: ZoneId,
+    /// How many routers there are, and which of them, counted from 0, this one is.
     pub replicas: usize,
+    pub number: usize,
     /// Both by kind of machine.
     pub cores: Vec<f64>,
     pub memory: Vec<f64>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,9 +6,9 @@
 //! engines that lately got its table group costed optimistically (`wait_and_run`).
 //! Beside it stand six mechanisms, and one legality check that every dispatch passes (`legal`):
 //!
-//! 1. a limit on the threads in flight at each engine; work beyond it waits here (`limit`),
-//! 2. engines set aside on silence, resets, failed connects or slowness, back after probes (`watch`),
-//! 3. a budget of work for cold engines (`warm_enough`),
+//! 1. a limit on the threads in flight, of which each engine gets a part; the rest waits here (`judge`),
+//! 2. engines set aside on silence, resets or failed connects, back after probes (`watch`),
+//! 3. a budget of work for cold engines, at which the routers take turns (`warm_enough`),
 //! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
 //! 5. time-outs and further dispatches (`cancel_lost`, `wants_copy`),
 //! 6. memory grants and priorities from learned estimate bias (`send`, `Estimates`).
@@ -28,20 +28,22 @@
 const MEDIAN_STEP: f64 = 1.03;
 /// Part of the SLA time that a good dispatch may take; the rest is for waiting here.
 const GOOD_PART: f64 = 0.75;
-/// Share of an in-flight limit that a bad outcome leaves.
-const CUT: f64 = 0.6;
+/// Good answers that make up for a bad one.
+const GOOD_PER_BAD: f64 = 8.0;
+/// What jobs shorter than the mean may fill, over the limit: they free their threads soon.
+const SHORT_ROOM: f64 = 2.0;
+/// What one engine may take, over its even part of the limit.
+const ENGINE_PARTS: f64 = 2.0;
+/// Roots of this router's part of the cores that its first limit adds, as bursts of many routers even out.
+const BURST_ROOTS: f64 = 2.0;
 /// Note periods, or else longest SLA times, without a word from an engine with work out that mean silence.
 const SILENT_PERIODS: f64 = 2.5;
-/// Times the median pace of the engines at which one is slow.
-const SLOW_TIMES: f64 = 4.0;
-/// By how much a dispatch moves an engine's pace.
-const PACE_STEP: f64 = 1.2;
 /// Answered probes in a row that bring an engine back.
 const ANSWERS_TO_RETURN: u32 = 2;
-/// Part of the cold-start budget that is used: true work and speeds are not known.
-const COLD_MARGIN: f64 = 0.5;
+/// Part of the cold-start budget that a turn uses: two turns may meet, and usual work is not quite known.
+const COLD_MARGIN: f64 = 0.3;
 /// Own dispatches for each probe that only asks for a report.
-const DISPATCHES_PER_PROBE: u32 = 8;
+const DISPATCHES_PER_PROBE: u32 = 3;
 /// A dispatch is lost when what remains of it exceeds so many usual runs.
 const LOST_RUNS: f64 = 2.0;
 /// A dispatch without word is lost after so many usual runs, or this part of the SLA time if that is more.
@@ -105,17 +107,13 @@
     holds: BTreeMap<GroupId, Moment>,
     /// Own dispatches that are out; emptied by their outcomes.
     out: BTreeMap<(JobId, usize), Sent>,
-    limit: f64,
-    cut_at: Moment,
     /// Usual work sent lately; emptied of what has left the cold-start window.
     sent: Vec<(Moment, f64)>,
     heard: Moment,
     probe_out: bool,
     probed: Option<Moment>,
-    /// Own dispatches' time over what is usual for their types: near the median.
-    pace: f64,
-    /// While set aside: probes still to answer in a row, of how many.
-    aside: Option<(u32, u32)>,
+    /// While set aside: probes still to answer in a row.
+    aside: Option<u32>,
 }
 
 impl Engine {
@@ -123,17 +121,6 @@
         self.out.values().map(|sent| sent.threads).sum()
     }
 
-    /// Grows the in-flight limit by one for each round of good answers, if it was in use, or cuts it by a
-    /// share, once for what was sent since the last cut.
-    fn judge(&mut self, now: Moment, sent: Moment, good: bool, threads: f64) {
-        if good && self.threads_out() * 2.0 > self.limit {
-            self.limit += threads / self.limit;
-        } else if !good && sent >= self.cut_at {
-            self.limit = (self.limit * CUT).max(1.0);
-            self.cut_at = now;
-        }
-    }
-
     /// Whether it had work out, and gave no word, for longer than `span`.
     fn silent(&self, now: Moment, span: Span) -> bool {
         let first = self.out.values().map(|sent| sent.at).min();
@@ -153,6 +140,9 @@
     watching: Watching,
     answers: Answers,
     terms: Terms,
+    /// The in-flight limit over what it starts from, and whether a bad answer has cut it yet.
+    fill: f64,
+    was_cut: bool,
     /// What is left of this router's part of each tenant's share, and since when.
     parts: Vec<(f64, Moment)>,
     /// What rule 7 counts; both emptied of what has left its window.
@@ -165,7 +155,6 @@
     /// Emptied of keys with no job left, once rested.
     keys: BTreeMap<KeyId, Turns>,
     engines: BTreeMap<EngineId, Engine>,
-    turns_given: u64,
     since_probe: u32,
     wake_at: Option<Moment>,
     /// Both emptied as the host pulls.
@@ -191,6 +180,8 @@
             watching,
             answers,
             terms,
+            fill: 1.0,
+            was_cut: false,
             parts,
             taken: Vec::new(),
             resent: Vec::new(),
@@ -199,7 +190,6 @@
             jobs: BTreeMap::new(),
             keys: BTreeMap::new(),
             engines: BTreeMap::new(),
-            turns_given: 0,
             since_probe: 0,
             wake_at: None,
             forgotten: Vec::new(),
@@ -221,16 +211,13 @@
             self.keys.entry(key).or_default().jobs.push_back(job);
         }
         self.taken.extend(self.further.ration.map(|_| now));
-        self.turns_given += 1;
         self.estimates.all_work.add(work, MEMORY);
         if told.is_some() {
             self.estimates.work[kind.0].add(work, MEMORY);
         }
         let sla_due = now + sla_of(t, work);
         let (billed, deadline) = (t.billed * earned * worth, now + expires);
-        let turn = self.turns_given;
-        let new =
-            Job { kind, group, key, told, work, memory, turn, sla_due, deadline, billed, ..Job::default() };
+        let new = Job { kind, group, key, told, work, memory, sla_due, deadline, billed, ..Job::default() };
         self.jobs.insert(job, new);
     }
 
@@ -257,7 +244,6 @@
             let turns = self.keys.entry(key).or_default();
             turns.rest_until = turns.rest_until.max(now + self.further.turn_gap);
         }
-        let mut slower = (outcome == Outcome::TimedOut).then_some(f64::MAX);
         if outcome == Outcome::Done {
             let work = told.map_or(record.work, |(work, _)| work.secs());
             if let Some((_, memory)) = told {
@@ -272,33 +258,28 @@
                 (*bias * GRANT_STEP.powf(if dispatch.short { 1.0 } else { -SHORT_SHARE })).clamp(0.25, 4.0);
             let stretch = took.secs() * t.threads / work.max(1e-3);
             let usual = &mut self.estimates.stretch[record.kind.0];
-            step_to(usual, stretch, MEDIAN_STEP);
-            slower = Some(stretch / *usual);
+            *usual *= if stretch > *usual { MEDIAN_STEP } else { 1.0 / MEDIAN_STEP };
             let cold = &mut self.estimates.cold_stretch[record.kind.0];
             if !dispatch.warm {
                 cold.add(stretch, MEMORY);
             } else if cold.samples() > 8.0 {
-                let ratio = (stretch / cold.value).min(2.0);
-                self.estimates.warm_ratio.add(ratio, MEMORY);
+                self.estimates.warm_ratio.add((stretch / cold.value).min(2.0), MEMORY);
             }
         }
         let good = outcome == Outcome::Done && took <= sla_of(t, record.work).times(GOOD_PART);
         let telling = good || !(dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued));
-        let (id, sent) = (dispatch.engine, dispatch.sent);
+        let (telling, kind, id) = (telling && !dispatch.judged, record.kind, dispatch.engine);
+        if telling {
+            self.judge(kind, good);
+        }
         if let Some(engine) = self.engines.get_mut(&id) {
-            if telling {
-                engine.judge(now, sent, good, t.threads);
-            }
             engine.out.remove(&(job, number));
-            if let Some(slower) = slower {
-                step_to(&mut engine.pace, slower, PACE_STEP);
-            }
             if matches!(outcome, Outcome::Done | Outcome::Error | Outcome::TurnedAway) {
                 engine.heard = now;
             }
         }
         if matches!(outcome, Outcome::Reset | Outcome::NotConnected) {
-            self.set_aside(id, ANSWERS_TO_RETURN, "reset or not connected");
+            self.set_aside(id, "reset or not connected");
         }
         self.drop_if_spent(job);
     }
@@ -314,8 +295,10 @@
                 dispatch.share = Some((now, share));
                 let t = &self.types[record.kind.0];
                 let foretold = now.since(dispatch.sent).times(1.0 / share.max(1e-3));
-                if foretold > sla_of(t, record.work) && !dispatch.stood {
-                    engine.judge(now, dispatch.sent, false, t.threads);
+                if foretold > sla_of(t, record.work) && !dispatch.stood && !dispatch.judged {
+                    dispatch.judged = true;
+                    let kind = record.kind;
+                    self.judge(kind, false);
                 }
             }
             Progress::Spills(_) => dispatch.short = true,
@@ -342,22 +325,21 @@
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.probe_out = false;
         if !matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
-            engine.aside = engine.aside.map(|(_, answers)| (answers, answers));
-            return self.set_aside(id, ANSWERS_TO_RETURN, "probe not answered");
+            engine.aside = engine.aside.map(|_| ANSWERS_TO_RETURN);
+            return self.set_aside(id, "probe not answered");
         }
         engine.heard = now;
-        let Some((left, answers)) = engine.aside else { return };
-        engine.aside = (left > 1).then_some((left - 1, answers));
+        let Some(left) = engine.aside else { return };
+        engine.aside = (left > 1).then_some(left - 1);
         if engine.aside.is_none() {
-            engine.cold_since = if answers == ANSWERS_TO_RETURN { Some(now) } else { engine.cold_since };
-            engine.pace = 1.0;
+            engine.cold_since = Some(now);
             self.lines.push_back(format!("engine {} is back", id.0));
         }
     }
 
-    fn set_aside(&mut self, id: EngineId, answers: u32, why: &str) {
+    fn set_aside(&mut self, id: EngineId, why: &str) {
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.aside.is_none()) {
-            engine.aside = Some((answers, answers));
+            engine.aside = Some(ANSWERS_TO_RETURN);
             self.lines.push_back(format!("engine {} set aside: {why}", id.0));
         }
     }
@@ -367,9 +349,7 @@
         &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, listed: Listed,
         came_up: Option<Moment>,
     ) {
-        let (cold_since, limit) = (came_up, (self.cores(kind) * self.share()).max(1.0));
-        let fresh =
-            Engine { came_up, cold_since, heard: now, limit, cut_at: now, pace: 1.0, ..Engine::default() };
+        let fresh = Engine { came_up, cold_since: came_up, heard: now, ..Engine::default() };
         let engine = self.engines.entry(id).or_insert(fresh);
         (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
         if came_up > engine.came_up {
@@ -408,6 +388,35 @@
         if within { 1.0 } else { self.answers.over_share }
     }
 
+    fn threads_out(&self) -> f64 {
+        self.usable().iter().map(|(_, e)| e.threads_out()).sum()
+    }
+
+    /// Engines that are live and not set aside; if all are, all that are live.
+    fn usable(&self) -> Vec<(EngineId, &Engine)> {
+        let live = || self.engines.iter().filter(|(_, e)| e.listed == Listed::Live).map(|(id, e)| (*id, e));
+        let well: Vec<_> = live().filter(|(_, e)| e.aside.is_none()).collect();
+        if well.is_empty() { live().collect() } else { well }
+    }
+
+    /// What the in-flight limit starts from: this router's part of the usable cores, and room for bursts.
+    fn first_limit(&self) -> f64 {
+        let part = self.usable().iter().map(|(_, e)| self.cores(e.kind)).sum::<f64>() * self.share();
+        (part + BURST_ROOTS * part.sqrt()).max(1.0)
+    }
+
+    /// The in-flight limit, in threads at all usable engines: it grows by one for each good answer until its
+    /// first cut and for each `GOOD_PER_BAD` later, if in use; a bad answer cuts it by its part of a round.
+    fn judge(&mut self, kind: TypeId, good: bool) {
+        let (first, threads) = (self.first_limit(), self.types[kind.0].threads);
+        if !good {
+            self.was_cut = true;
+            self.fill = (self.fill - threads / first).max(1.0 / first);
+        } else if self.threads_out() * 2.0 > self.fill * first {
+            self.fill += threads / first / if self.was_cut { GOOD_PER_BAD } else { 1.0 };
+        }
+    }
+
     /// This router's part of the fleet.
     fn share(&self) -> f64 {
         1.0 / self.fleet.replicas.max(1) as f64
@@ -441,9 +450,9 @@
         self.watch(now);
         self.follow_list(now)
             .or_else(|| self.give_up(now))
-            .or_else(|| self.cancel_lost(now))
+            .or_else(|| if self.further.cancelling { self.cancel_lost(now) } else { None })
             .or_else(|| self.dispatch(now))
-            .or_else(|| self.probe(now))
+            .or_else(|| if self.watching.may_probe { self.probe(now) } else { None })
             .or_else(|| self.lines.pop_front().map(Decision::Log))
             .or_else(|| self.forgotten.pop().map(Decision::Forget))
             .or_else(|| self.wake(now))
@@ -468,27 +477,16 @@
         self.forgotten.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
     }
 
-    /// Sets aside engines silent with work out, or slow against their peers. Threat: machines that hang
-    /// without a reset, or crawl. It also catches cut links and lost notes; it hurts where notes come late or
-    /// one engine gets the odd jobs, so at most half of the live engines go. Slow ones come back later.
+    /// Sets aside engines silent with work out. Threat: machines that hang without a reset. It also catches
+    /// cut links and lost notes; it hurts where notes come late, so at most half of the live engines go.
     fn watch(&mut self, now: Moment) {
         let patience = self.patience();
         let live: Vec<_> = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live).collect();
-        let mut paces: Vec<f64> = live.iter().map(|(_, e)| e.pace).collect();
-        paces.sort_by(f64::total_cmp);
-        let slow = paces
-            .get(paces.len().saturating_sub(1) / 2)
-            .map_or(f64::MAX, |median| median.max(1.0) * SLOW_TIMES);
         let aside = live.iter().filter(|(_, e)| e.aside.is_some()).count();
-        let doubted = live.iter().map(|(id, e)| (**id, e.silent(now, patience), *e));
-        let doubted = doubted.filter(|(_, silent, e)| e.aside.is_none() && (e.pace > slow || *silent));
-        let doubted: Vec<_> = doubted.map(|(id, silent, _)| (id, silent)).collect();
-        let room = (live.len() / 2).saturating_sub(aside);
-        let long = (patience.secs() / self.watching.connect_timeout.secs().max(1e-3)) as u32;
-        for (id, silent) in doubted.into_iter().take(room) {
-            let slow = (long.max(ANSWERS_TO_RETURN + 1), "slow against its peers");
-            let (answers, why) = if silent { (ANSWERS_TO_RETURN, "silent") } else { slow };
-            self.set_aside(id, answers, why);
+        let silent = live.iter().filter(|(_, e)| e.aside.is_none() && e.silent(now, patience));
+        let silent: Vec<EngineId> = silent.map(|(id, _)| **id).collect();
+        for id in silent.into_iter().take((live.len() / 2).saturating_sub(aside)) {
+            self.set_aside(id, "silent");
         }
     }
 
@@ -576,39 +574,49 @@
         self.further.ration.as_ref().is_none_or(|ration| left(ration) >= 1.0)
     }
 
-    /// Rule 4: this router's part of the budget for any window. After its own start, a whole window passes
-    /// first: what it sent there before is not known.
+    /// Rule 4: the routers take turns at a cold engine, one window each by the common clock and the engine's
+    /// start, so that small parts need no splitting; two turns that meet in a window stay within the budget.
+    /// After its own start, a router lets a whole window pass: what it sent there before is not known.
     fn warm_enough(&self, engine: &Engine, kind: TypeId, now: Moment) -> bool {
         let cold = &self.cold;
-        if engine.cold_since.is_none_or(|since| now.since(since) >= cold.cold_for) {
+        let Some(since) = engine.cold_since.filter(|since| now.since(*since) < cold.cold_for) else {
             return true;
-        }
-        let capacity = cold.start_capacity * self.cores(engine.kind);
-        let part = cold.factor * capacity * cold.fall.secs() * self.share() * COLD_MARGIN;
+        };
+        let clock = |at: Moment| at.since(Moment::default()).micros();
+        let turn = clock(now) / cold.fall.micros().max(1) + clock(since);
+        let mine = turn % self.fleet.replicas.max(1) as u64 == self.fleet.number as u64;
+        let budget = cold.factor * cold.start_capacity * self.cores(engine.kind) * cold.fall.secs();
         let sent: f64 = engine.sent.iter().map(|(_, work)| work).sum();
-        now.since(self.started) > cold.fall && sent + self.estimates.work[kind.0].value <= part
+        let fits = sent + self.estimates.work[kind.0].value <= budget * COLD_MARGIN;
+        mine && fits && now.since(self.started) > cold.fall
     }
 
-    /// Queued work that the engine's last report tells, in seconds of one thread; none if unheard. Where a
-    /// report has no count of held queries, own ones stand in, and busy cores beyond their threads count too.
-    fn reported_work(&self, engine: &Engine) -> Option<f64> {
+    /// Queued work of others, in seconds of one thread, as the last report tells it; none if unheard.
+    /// Where a report has no count of held queries, busy cores beyond own threads stand in.
+    fn foreign_work(&self, engine: &Engine) -> Option<f64> {
         let report = engine.report?;
-        let held = report.active.unwrap_or_else(|| {
-            let own = engine.out.values().filter(|sent| sent.at < report.at);
-            let (count, threads) = own.fold((0.0, 0.0), |(n, t), sent| (n + 1.0, t + sent.threads));
-            count + (report.cpu * self.cores(engine.kind) - threads).max(0.0)
-        });
+        let own = engine.out.values().filter(|sent| sent.at < report.at);
+        let (count, threads) = own.fold((0.0, 0.0), |(n, t), sent| (n + 1.0, t + sent.threads));
+        let busy = report.cpu * self.cores(engine.kind) - threads;
+        let held = report.active.map_or(busy, |active| active - count).max(0.0);
         Some((held + report.waiting) * self.estimates.all_work.value)
     }
 
+    /// How far a report still tells of now: it fades as the jobs that it counted end.
+    fn freshness(&self, engine: &Engine, now: Moment) -> f64 {
+        let age = engine.report.map_or(f64::MAX, |report| now.since(report.at).secs());
+        (-age / self.estimates.all_work.value.max(1e-3)).exp()
+    }
+
     /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
     fn wait_and_run(&self, job: &Job, id: EngineId, engine: &Engine, average: f64, now: Moment) -> f64 {
         let t = &self.types[job.kind.0];
         let cores = self.cores(engine.kind);
         let seen = engine.report.map(|report| report.at);
-        let since: f64 =
-            engine.out.values().filter(|s| seen.is_none_or(|at| s.at >= at)).map(|s| s.work).sum();
-        let queued = self.reported_work(engine).unwrap_or(average) + since;
+        let mean = self.estimates.all_work.value;
+        let own = engine.out.values().map(|s| if seen.is_some_and(|at| s.at < at) { mean } else { s.work });
+        let foreign = self.foreign_work(engine).unwrap_or(average) - average;
+        let queued = own.sum::<f64>() + average + foreign * self.freshness(engine, now);
         let warm = engine.groups.contains_key(&job.group) && engine.threads_out() <= cores * self.share();
         let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
         let mut total = (queued / cores + job.work / t.threads) * discount;
@@ -652,29 +660,33 @@
 
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
         let start = self.chance.random_range(0..self.engines.len().max(1));
-        let all_aside = !self.engines.values().any(|e| e.listed == Listed::Live && e.aside.is_none());
-        let mut engines: Vec<_> =
-            self.engines.iter().filter(|(_, e)| all_aside || e.aside.is_none()).collect();
+        let mut engines = self.usable();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now)));
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
-        let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.rank(job, now), job.turn, *id)).collect();
+        let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.rank(job, now), *id)).collect();
         if engines.is_empty() || waiting.is_empty() {
             return None;
         }
-        waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        waiting.sort_by(|a, b| b.0.total_cmp(&a.0));
         let tie = start % engines.len();
         engines.rotate_left(tie);
-        let heard: Vec<f64> = self.engines.values().filter_map(|e| self.reported_work(e)).collect();
-        let average = heard.iter().sum::<f64>() / heard.len().max(1) as f64;
-        let (job, engine) = waiting.iter().find_map(|(_, _, id)| {
+        let heard =
+            self.engines.values().filter_map(|e| Some((self.foreign_work(e)?, self.freshness(e, now))));
+        let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
+        let (out, limit) = (self.threads_out(), self.fill * self.first_limit());
+        let part = limit * ENGINE_PARTS / engines.len() as f64;
+        let mean = self.estimates.all_work.value;
+        let (job, engine) = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
             let here = |e: EngineId| job.dispatches.iter().any(|d| d.outcome.is_none() && d.engine == e);
             let threads = self.types[job.kind.0].threads;
-            let fits = |e: &Engine| e.out.is_empty() || e.threads_out() + threads <= e.limit;
+            let most = limit * if job.work < mean { SHORT_ROOM } else { 1.0 };
+            let room = out == 0.0 || out + threads <= most;
+            let fits = |e: &Engine| room && (e.out.is_empty() || e.threads_out() + threads <= part);
             let may = |e: &Engine| fits(e) && self.legal(*id, job, e, now);
-            let allowed = engines.iter().filter(|(id, e)| may(e) && !here(**id));
-            let costs = allowed.map(|(id, e)| (self.wait_and_run(job, **id, e, average, now), **id));
+            let allowed = engines.iter().filter(|(id, e)| may(e) && !here(*id));
+            let costs = allowed.map(|(id, e)| (self.wait_and_run(job, *id, e, heard.0 / heard.1, now), *id));
             costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
         })?;
         self.send(now, job, engine)
@@ -744,9 +756,6 @@
     }
 
     fn cancel_lost(&mut self, now: Moment) -> Option<Decision> {
-        if !self.further.cancelling {
-            return None;
-        }
         let (id, number) = self.jobs.iter().find_map(|(id, job)| {
             let again = job.dispatches.len() < self.further.try_limit
                 && self.repeat_safe(job, None, now)
@@ -757,11 +766,10 @@
         let hold = now + self.load_run();
         let job = self.jobs.get_mut(&id)?;
         job.dispatches[number].cancelled = true;
-        if let Some(engine) = self.engines.get_mut(&job.dispatches[number].engine) {
-            engine.pace *= PACE_STEP;
-            if self.types[job.kind.0].waits_for_loads {
-                engine.holds.insert(job.group, hold);
-            }
+        if let Some(engine) = self.engines.get_mut(&job.dispatches[number].engine)
+            && self.types[job.kind.0].waits_for_loads
+        {
+            engine.holds.insert(job.group, hold);
         }
         Some(Decision::CancelDispatch { job: id, number })
     }
@@ -769,16 +777,14 @@
     /// Probes engines that are set aside or quiet with work out, and, where only probes carry reports, the
     /// one with the oldest report, thriftily.
     fn probe(&mut self, now: Moment) -> Option<Decision> {
-        if !self.watching.may_probe {
-            return None;
-        }
         let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.patience().times(0.5));
         let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
         let doubtful = |e: &Engine| e.listed != Listed::Gone && (e.aside.is_some() || e.silent(now, quiet));
         let mut pick = self.engines.iter().find(|(_, e)| due(e) && doubtful(e)).map(|(id, _)| *id);
         if pick.is_none() && self.watching.reports_by_probe && self.since_probe >= DISPATCHES_PER_PROBE {
             let live = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live && due(e));
-            pick = live.min_by_key(|(_, e)| e.probed).map(|(id, _)| *id);
+            let live: Vec<EngineId> = live.map(|(id, _)| *id).collect();
+            pick = live.get(self.chance.random_range(0..live.len().max(1))).copied();
             self.since_probe = 0;
         }
         let engine = self.engines.get_mut(&pick?)?;
@@ -801,11 +807,6 @@
     }
 }
 
-/// Moves a running median towards a sample.
-fn step_to(median: &mut f64, sample: f64, step: f64) {
-    *median *= if sample > *median { step } else { 1.0 / step };
-}
-
 fn t_run(t: &ReservationType, work: f64) -> Span {
     Span::from_secs(work / t.threads)
 }
--- a/src/records.rs
+++ b/src/records.rs
@@ -15,6 +15,8 @@
     pub(crate) grant: f64,
     pub(crate) short: bool,
     pub(crate) stood: bool,
+    /// Whether a note already foretold that it would miss its SLA time.
+    pub(crate) judged: bool,
     /// When a note last told the share done, and that share.
     pub(crate) share: Option<(Moment, f64)>,
     pub(crate) outcome: Option<Outcome>,
@@ -29,7 +31,6 @@
     pub(crate) told: Option<Span>,
     pub(crate) work: f64,
     pub(crate) memory: f64,
-    pub(crate) turn: u64,
     pub(crate) sla_due: Moment,
     pub(crate) deadline: Moment,
     pub(crate) billed: f64,
--- a/tests/stories/host.rs
+++ b/tests/stories/host.rs
@@ -64,6 +64,7 @@
             fleet: Fleet {
                 zone: ZoneId(0),
                 replicas: 1,
+                number: 0,
                 cores: vec![8.0, 8.0],
                 memory: vec![16_384.0; 2],
                 crossing_price: 0.04,
