Learn grants from the megabytes that spills tell, and break ties evenly

Changes: a spill note raises the learned grant towards what was missing, first steps large, and waiting for memory lowers it; ties by a shuffle; loads rank one under short jobs in the engines' lines; loads are taken to hold their group for their SLA time; overdue look-ups no longer mark groups as held; a probe for five dispatches.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -15,6 +15,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
@@ -43,19 +44,21 @@
 /// Part of the cold-start budget that a turn uses: two turns may meet, and usual work is not quite known.
 const COLD_MARGIN: f64 = 0.3;
 /// Own dispatches for each probe that only asks for a report.
-const DISPATCHES_PER_PROBE: u32 = 3;
+const DISPATCHES_PER_PROBE: u32 = 5;
 /// A dispatch is lost when what remains of it exceeds so many usual runs.
 const LOST_RUNS: f64 = 2.0;
 /// A dispatch without word is lost after so many usual runs, or this part of the SLA time if that is more.
 const OVERDUE_RUNS: f64 = 3.0;
 const OVERDUE_PART: f64 = 0.5;
 /// Billed value per work, over its mean, from which each next priority is given.
-const PRIORITY_STEPS: [f64; 3] = [0.25, 1.0, 2.0];
+const PRIORITY_STEPS: [f64; 3] = [0.25, 0.5, 0.75];
 /// Part of the billed value for which a late answer is worth waiting.
 const WORTH_LATE: f64 = 0.25;
 /// By how much a dispatch short of memory raises the next grants.
 const GRANT_STEP: f64 = 1.04;
 const SHORT_SHARE: f64 = 0.1;
+/// How much more a dispatch that waited for memory lowers the next grants than one that did not.
+const WAIT_WEIGHT: f64 = 3.0;
 /// Added to the part of the SLA time that is left: bounds how far a pressing job gets ahead.
 const PRESSING: f64 = 0.25;
 /// Note periods for which a word on a dispatch holds.
@@ -68,8 +71,8 @@
     all_work: Mean,
     /// True work over told work.
     work_bias: Vec<Mean>,
-    /// Grant over told memory that `SHORT_SHARE` of the dispatches find short.
-    memory_bias: Vec<f64>,
+    /// Grant over told memory that `SHORT_SHARE` of the dispatches find short, and how often it was learned.
+    memory_bias: Vec<(f64, f64)>,
     /// Time of a dispatch over its work on its threads: about the median, which stalls don't move far.
     stretch: Vec<f64>,
     cold_stretch: Vec<Mean>,
@@ -83,12 +86,23 @@
             work: types.iter().map(|t| Mean::new(t.sla.secs() * t.threads, 4.0)).collect(),
             all_work: Mean::new(0.0, 0.0),
             work_bias: each(1.0, 4.0),
-            memory_bias: vec![1.25; types.len()],
+            memory_bias: vec![(1.25, 0.0); types.len()],
             stretch: vec![1.0; types.len()],
             cold_stretch: each(1.0, 0.0),
             warm_ratio: Mean::new(0.5, 16.0),
         }
     }
+
+    /// Learns from a dispatch that needed so many times its told memory, if short, or else was not short. The
+    /// first steps are large: a router with few jobs would spill for a minute.
+    fn grant_judged(&mut self, kind: TypeId, needed: Option<f64>, waited: bool) {
+        let down = -SHORT_SHARE * if waited { WAIT_WEIGHT } else { 1.0 };
+        let (bias, samples) = &mut self.memory_bias[kind.0];
+        *samples += 1.0;
+        let step = GRANT_STEP.max(1.0 + 1.0 / *samples);
+        *bias = needed.map_or(*bias * step.powf(down), |n| (*bias * step).min(n.max(*bias)));
+        *bias = bias.clamp(0.25, 8.0);
+    }
 }
 
 /// One engine of the list; dropped when gone and nothing is out there.
@@ -246,16 +260,16 @@
         }
         if outcome == Outcome::Done {
             let work = told.map_or(record.work, |(work, _)| work.secs());
-            if let Some((_, memory)) = told {
-                dispatch.short = dispatch.grant > 0.0 && memory > dispatch.grant;
+            if told.is_some() {
                 if let Some(guess) = record.told.filter(|guess| *guess > Span::ZERO) {
                     self.estimates.work_bias[record.kind.0].add(work / guess.secs(), MEMORY);
                 }
                 self.estimates.work[record.kind.0].add(work, MEMORY);
             }
-            let bias = &mut self.estimates.memory_bias[record.kind.0];
-            *bias =
-                (*bias * GRANT_STEP.powf(if dispatch.short { 1.0 } else { -SHORT_SHARE })).clamp(0.25, 4.0);
+            if !dispatch.short && dispatch.grant > 0.0 {
+                let needed = told.map(|(_, memory)| memory).filter(|memory| *memory > dispatch.grant);
+                self.estimates.grant_judged(record.kind, needed.map(|m| m / record.memory), dispatch.waited);
+            }
             let stretch = took.secs() * t.threads / work.max(1e-3);
             let usual = &mut self.estimates.stretch[record.kind.0];
             *usual *= if stretch > *usual { MEDIAN_STEP } else { 1.0 / MEDIAN_STEP };
@@ -295,14 +309,19 @@
                 dispatch.share = Some((now, share));
                 let t = &self.types[record.kind.0];
                 let foretold = now.since(dispatch.sent).times(1.0 / share.max(1e-3));
-                if foretold > sla_of(t, record.work) && !dispatch.stood && !dispatch.judged {
-                    dispatch.judged = true;
+                let misses = foretold > sla_of(t, record.work) && !dispatch.stood;
+                if misses && !std::mem::replace(&mut dispatch.judged, true) {
                     let kind = record.kind;
                     self.judge(kind, false);
                 }
             }
-            Progress::Spills(_) => dispatch.short = true,
-            Progress::WaitsForMemory => {}
+            Progress::Spills(missing) => {
+                if !std::mem::replace(&mut dispatch.short, true) && dispatch.grant > 0.0 {
+                    let needed = (dispatch.grant + missing) / record.memory;
+                    self.estimates.grant_judged(record.kind, Some(needed), false);
+                }
+            }
+            Progress::WaitsForMemory => dispatch.waited = true,
             Progress::WaitsForLoad => {
                 dispatch.stood = true;
                 engine.holds.insert(record.group, hold);
@@ -426,13 +445,9 @@
         self.fleet.cores.get(kind.0).copied().unwrap_or(1.0).max(1.0)
     }
 
-    /// How long a load usually runs.
+    /// How long a load may be taken to hold its group.
     fn load_run(&self) -> Span {
-        let loads = self.types.iter().enumerate().filter(|(_, t)| t.is_load);
-        let run = |(i, t): (usize, &ReservationType)| {
-            t_run(t, self.estimates.work[i].value).times(self.estimates.stretch[i])
-        };
-        loads.map(run).max().unwrap_or_default()
+        self.types.iter().filter(|t| t.is_load).map(|t| t.sla).max().unwrap_or_default()
     }
 
     fn drop_if_spent(&mut self, job: JobId) {
@@ -635,12 +650,9 @@
     /// Exception to the design: what is left of loads that hold the table group there, own or as it seems.
     fn load_hold(&self, engine: &Engine, group: GroupId, now: Moment) -> f64 {
         let loads = engine.out.values().filter(|s| s.group == group && self.types[s.kind.0].is_load);
-        loads
-            .map(|s| {
-                let run = s.work / s.threads * self.estimates.stretch[s.kind.0];
-                (run - now.since(s.at).secs()).max(run * 0.25)
-            })
-            .fold(engine.holds.get(&group).map_or(0.0, |until| until.since(now).secs()), f64::max)
+        let run = self.load_run();
+        let own = loads.map(|s| (s.at + run).max(now + run.times(0.25)));
+        own.chain(engine.holds.get(&group).copied()).max().map_or(0.0, |until| until.since(now).secs())
     }
 
     /// Billed value per second of work, as far as it can still be earned.
@@ -659,24 +671,27 @@
     }
 
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
-        let start = self.chance.random_range(0..self.engines.len().max(1));
+        let mut ties = Pcg32::seed_from_u64(self.chance.random());
         let mut engines = self.usable();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
-        let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && self.wants_copy(job, now)));
+        let copy = |job: &Job| {
+            self.types[job.kind.0].effect == Effect::Restartable
+                && job.out() == 1
+                && job.dispatches.iter().any(|d| self.lost(job, d, now))
+        };
+        let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && copy(job)));
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
         let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.rank(job, now), *id)).collect();
         if engines.is_empty() || waiting.is_empty() {
             return None;
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let tie = start % engines.len();
-        engines.rotate_left(tie);
+        engines.shuffle(&mut ties);
         let heard =
             self.engines.values().filter_map(|e| Some((self.foreign_work(e)?, self.freshness(e, now))));
         let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
         let (out, limit) = (self.threads_out(), self.fill * self.first_limit());
-        let part = limit * ENGINE_PARTS / engines.len() as f64;
-        let mean = self.estimates.all_work.value;
+        let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
         let (job, engine) = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
             let here = |e: EngineId| job.dispatches.iter().any(|d| d.outcome.is_none() && d.engine == e);
@@ -700,10 +715,10 @@
         let (job, engine) = (self.jobs.get_mut(&id)?, self.engines.get_mut(&to)?);
         let t = &self.types[job.kind.0];
         let most = self.terms.most_grant * self.fleet.memory.get(engine.kind.0).copied().unwrap_or(0.0);
-        let grant = (job.memory * self.estimates.memory_bias[job.kind.0]).min(most);
+        let grant = (job.memory * self.estimates.memory_bias[job.kind.0].0).min(most);
         let grant = if self.terms.grants { grant } else { 0.0 };
         let step = PRIORITY_STEPS.iter().filter(|step| density >= **step).count() as u8;
-        let priority = if t.is_load { PRIORITY_STEPS.len() as u8 } else { step };
+        let priority = if t.is_load { step.max(2) } else { step };
         let left = job.deadline.since(now);
         let short = retry && t.effect != Effect::RunOnce;
         let timeout = if short { left.min(sla_of(t, job.work)) } else { left };
@@ -731,9 +746,8 @@
         let gone = self.engines.get(&dispatch.engine).is_none_or(|e| e.aside.is_some());
         let fresh = self.fresh_run(job);
         let ran = now.since(dispatch.sent);
-        let word = dispatch
-            .share
-            .filter(|(at, _)| now.since(*at) <= self.watching.note_period.times(OVERDUE_PERIODS));
+        let holds = self.watching.note_period.times(OVERDUE_PERIODS);
+        let word = dispatch.share.filter(|(at, _)| now.since(*at) <= holds);
         let slow = match word {
             Some((at, share)) => {
                 let total = at.since(dispatch.sent).times(1.0 / share.max(1e-3));
@@ -750,11 +764,6 @@
         t_run(&self.types[job.kind.0], job.work).times(stretch)
     }
 
-    fn wants_copy(&self, job: &Job, now: Moment) -> bool {
-        let again = self.types[job.kind.0].effect == Effect::Restartable && job.out() == 1;
-        again && job.dispatches.iter().any(|d| self.lost(job, d, now))
-    }
-
     fn cancel_lost(&mut self, now: Moment) -> Option<Decision> {
         let (id, number) = self.jobs.iter().find_map(|(id, job)| {
             let again = job.dispatches.len() < self.further.try_limit
@@ -763,14 +772,7 @@
             let lost = job.dispatches.iter().position(|d| self.lost(job, d, now));
             lost.filter(|_| !job.over && again).map(|number| (*id, number))
         })?;
-        let hold = now + self.load_run();
-        let job = self.jobs.get_mut(&id)?;
-        job.dispatches[number].cancelled = true;
-        if let Some(engine) = self.engines.get_mut(&job.dispatches[number].engine)
-            && self.types[job.kind.0].waits_for_loads
-        {
-            engine.holds.insert(job.group, hold);
-        }
+        self.jobs.get_mut(&id)?.dispatches[number].cancelled = true;
         Some(Decision::CancelDispatch { job: id, number })
     }
 
--- a/src/records.rs
+++ b/src/records.rs
@@ -14,6 +14,7 @@
     pub(crate) warm: bool,
     pub(crate) grant: f64,
     pub(crate) short: bool,
+    pub(crate) waited: bool,
     pub(crate) stood: bool,
     /// Whether a note already foretold that it would miss its SLA time.
     pub(crate) judged: bool,
--- a/tests/stories/host.rs
+++ b/tests/stories/host.rs
@@ -28,6 +28,7 @@
     jobs: usize,
     /// Job, engine and priority of each dispatch so far.
     pub sent: Vec<(JobId, EngineId, u8)>,
+    pub grants: Vec<f64>,
     pub throttled: Vec<JobId>,
     pub cancelled: Vec<JobId>,
     pub called_off: Vec<(JobId, usize)>,
@@ -102,6 +103,7 @@
             router,
             jobs: 0,
             sent: vec![],
+            grants: vec![],
             throttled: vec![],
             cancelled: vec![],
             called_off: vec![],
@@ -139,7 +141,10 @@
     pub fn pull(&mut self) {
         while let Some(decision) = self.router.next_decision(self.now) {
             match decision {
-                Decision::Dispatch { job, engine, priority, .. } => self.sent.push((job, engine, priority)),
+                Decision::Dispatch { job, engine, priority, memory, .. } => {
+                    self.sent.push((job, engine, priority));
+                    self.grants.push(memory);
+                }
                 Decision::Throttle { job, .. } => self.throttled.push(job),
                 Decision::CancelForGood { job } => self.cancelled.push(job),
                 Decision::CancelDispatch { job, number } => self.called_off.push((job, number)),
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -364,6 +364,34 @@
     assert_eq!(host.engines_of(short).len(), 1, "a short job need not stand behind long ones");
 }
 
+#[test]
+fn equal_engines_get_equal_work_wherever_they_stand_in_the_list() {
+    let mut host = Host::new(|start| start.fleet.replicas = 100);
+    // Engines of the own zone are even: the first follows a long run of others.
+    (2..20).for_each(|engine| host.list(2 * engine + usize::from(engine < 10), Listed::Live, None));
+    host.list(1, Listed::Gone, None);
+    for group in 0..600 {
+        let job = host.job(LOOKUP, group);
+        host.pull();
+        host.end(job, 0, Outcome::Done, 10);
+    }
+    let count = |engine| host.sent.iter().filter(|(_, sent, _)| *sent == engine).count();
+    let most = host.sent.iter().map(|(_, engine, _)| count(*engine)).max().unwrap();
+    assert!(most < 120, "{most} of 600 jobs on one of 11 equal engines");
+}
+
+#[test]
+fn a_spill_teaches_the_next_grant_how_much_is_missing() {
+    let mut host = Host::new(|_| ());
+    let job = host.job(LOOKUP, 1);
+    host.pull();
+    host.router.progressed(host.now, job, 0, Progress::Spills(125.0));
+    assert_eq!(host.grants, [125.0], "a quarter over the 100 MB told");
+    host.job(LOOKUP, 1);
+    host.pull();
+    assert_eq!(host.grants, [125.0, 250.0]);
+}
+
 #[test]
 fn many_routers_take_turns_at_a_cold_engine_and_use_it() {
     let mut sent = vec![];
