--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,8 +61,6 @@
 const WAIT_WEIGHT: f64 = 3.0;
 /// Added to the part of the SLA time that is left: bounds how far a pressing job gets ahead.
 const PRESSING: f64 = 0.25;
-/// Part of the most time left that jobs came with, under which one is a client's later try.
-const LATER_TRY: f64 = 0.98;
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
 
@@ -161,8 +159,6 @@
     was_cut: bool,
     /// What is left of this router's part of each tenant's share, and since when.
     parts: Vec<(f64, Moment)>,
-    /// The most time left that a job of each type came with.
-    longest: Vec<Span>,
     /// What rule 7 counts; both emptied of what has left its window.
     taken: Vec<Moment>,
     resent: Vec<Moment>,
@@ -186,7 +182,6 @@
         watching: Watching, answers: Answers, terms: Terms,
     ) -> Self {
         let parts = vec![(1.0, now); answers.allowances.len()];
-        let longest = vec![Span::ZERO; types.len()];
         let subscribed = watching.ask_within.is_none();
         Self {
             chance: Pcg32::seed_from_u64(seed),
@@ -202,7 +197,6 @@
             fill: 1.0,
             was_cut: false,
             parts,
-            longest,
             taken: Vec::new(),
             resent: Vec::new(),
             asked: None,
@@ -235,11 +229,7 @@
         if told.is_some() {
             self.estimates.work[kind.0].add(work, MEMORY);
         }
-        let longest = &mut self.longest[kind.0];
-        *longest = expires.max(*longest);
-        let later_try = expires >= t.sla && expires < longest.times(LATER_TRY);
-        let spent = if later_try { t.timeout.less(expires) } else { Span::ZERO };
-        let sla_due = now + sla_of(t, work).less(spent);
+        let sla_due = now + sla_of(t, work);
         let (billed, deadline) = (t.billed * earned * worth, now + expires);
         let new = Job { kind, group, key, told, work, memory, sla_due, deadline, billed, ..Job::default() };
         self.jobs.insert(job, new);
