--- a/src/logic.rs
+++ b/src/logic.rs
@@ -54,8 +54,8 @@
 const PRIORITY_STEPS: [f64; 3] = [0.25, 0.5, 0.75];
 /// Part of the billed value for which a late answer is worth waiting.
 const WORTH_LATE: f64 = 0.25;
-/// By how much a dispatch short of memory raises the next grants.
-const GRANT_STEP: f64 = 1.04;
+/// By how much a dispatch short of memory raises the next grants: the first one, and at least.
+const GRANT_STEPS: [f64; 2] = [0.3, 0.04];
 const SHORT_SHARE: f64 = 0.1;
 /// How much more a dispatch that waited for memory lowers the next grants than one that did not.
 const WAIT_WEIGHT: f64 = 3.0;
@@ -99,7 +99,7 @@
         let down = -SHORT_SHARE * if waited { WAIT_WEIGHT } else { 1.0 };
         let (bias, samples) = &mut self.memory_bias[kind.0];
         *samples += 1.0;
-        let step = GRANT_STEP.max(1.0 + 1.0 / *samples);
+        let step = 1.0 + (GRANT_STEPS[0] / *samples).max(GRANT_STEPS[1]);
         *bias = needed.map_or(*bias * step.powf(down), |n| (*bias * step).min(n.max(*bias)));
         *bias = bias.clamp(0.25, 8.0);
     }
