--- a/src/logic.rs
+++ b/src/logic.rs
@@ -281,8 +281,9 @@
             }
         }
         let good = outcome == Outcome::Done && took <= sla_of(t, record.work).times(GOOD_PART);
-        let telling = good || !(dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued));
-        let (telling, kind, id) = (telling && !dispatch.judged, record.kind, dispatch.engine);
+        let failed = matches!(outcome, Outcome::Reset | Outcome::NotConnected);
+        let silent = failed || dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued);
+        let (telling, kind, id) = ((good || !silent) && !dispatch.judged, record.kind, dispatch.engine);
         if telling {
             self.judge(kind, good);
         }
@@ -292,7 +293,7 @@
                 engine.heard = now;
             }
         }
-        if matches!(outcome, Outcome::Reset | Outcome::NotConnected) {
+        if failed {
             self.set_aside(id, "reset or not connected");
         }
         self.drop_if_spent(job);
@@ -418,19 +419,21 @@
         if well.is_empty() { live().collect() } else { well }
     }
 
-    /// What the in-flight limit starts from: this router's part of the usable cores, and room for bursts.
-    fn first_limit(&self) -> f64 {
-        let part = self.usable().iter().map(|(_, e)| self.cores(e.kind)).sum::<f64>() * self.share();
-        (part + BURST_ROOTS * part.sqrt()).max(1.0)
+    /// What the in-flight limit starts from and falls to: this router's part of the usable cores with room for
+    /// bursts, and without.
+    fn first_limit(&self) -> (f64, f64) {
+        let cores: f64 = self.usable().iter().map(|(_, e)| self.cores(e.kind)).sum();
+        let part = (cores * self.share()).max(1.0);
+        (part + BURST_ROOTS * part.sqrt(), part)
     }
 
     /// The in-flight limit, in threads at all usable engines: it grows by one for each good answer until its
     /// first cut and for each `GOOD_PER_BAD` later, if in use; a bad answer cuts it by its part of a round.
     fn judge(&mut self, kind: TypeId, good: bool) {
-        let (first, threads) = (self.first_limit(), self.types[kind.0].threads);
+        let ((first, least), threads) = (self.first_limit(), self.types[kind.0].threads);
         if !good {
             self.was_cut = true;
-            self.fill = (self.fill - threads / first).max(1.0 / first);
+            self.fill = (self.fill - threads / first).max(least / first);
         } else if self.threads_out() * 2.0 > self.fill * first {
             self.fill += threads / first / if self.was_cut { GOOD_PER_BAD } else { 1.0 };
         }
@@ -496,11 +499,10 @@
     /// cut links and lost notes; it hurts where notes come late, so at most half of the live engines go.
     fn watch(&mut self, now: Moment) {
         let patience = self.patience();
-        let live: Vec<_> = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live).collect();
-        let aside = live.iter().filter(|(_, e)| e.aside.is_some()).count();
-        let silent = live.iter().filter(|(_, e)| e.aside.is_none() && e.silent(now, patience));
-        let silent: Vec<EngineId> = silent.map(|(id, _)| **id).collect();
-        for id in silent.into_iter().take((live.len() / 2).saturating_sub(aside)) {
+        let live = || self.engines.iter().filter(|(_, e)| e.listed == Listed::Live);
+        let room = (live().count() / 2).saturating_sub(live().filter(|(_, e)| e.aside.is_some()).count());
+        let silent = live().filter(|(_, e)| e.aside.is_none() && e.silent(now, patience));
+        for id in silent.map(|(id, _)| *id).take(room).collect::<Vec<_>>() {
             self.set_aside(id, "silent");
         }
     }
@@ -530,8 +532,7 @@
                     || !self.repeat_safe(job, None, now)
                     || (now + t_run(t, job.work) > job.sla_due && t.late_share < WORTH_LATE)
                     || now + self.fresh_run(job) > job.deadline);
-            let over_time = now >= job.deadline;
-            (!job.over && (stuck || over_time)).then(|| (*id, self.may_throttle(job)))
+            (!job.over && (stuck || now >= job.deadline)).then(|| (*id, self.may_throttle(job)))
         })?;
         self.job_over(id);
         if harmless {
@@ -690,7 +691,7 @@
         let heard =
             self.engines.values().filter_map(|e| Some((self.foreign_work(e)?, self.freshness(e, now))));
         let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
-        let (out, limit) = (self.threads_out(), self.fill * self.first_limit());
+        let (out, limit) = (self.threads_out(), self.fill * self.first_limit().0);
         let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
         let (job, engine) = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
@@ -760,8 +761,7 @@
 
     /// How long a new dispatch of a job would take, as its type goes these days.
     fn fresh_run(&self, job: &Job) -> Span {
-        let stretch = self.estimates.stretch[job.kind.0].max(1.0);
-        t_run(&self.types[job.kind.0], job.work).times(stretch)
+        t_run(&self.types[job.kind.0], job.work).times(self.estimates.stretch[job.kind.0].max(1.0))
     }
 
     fn cancel_lost(&mut self, now: Moment) -> Option<Decision> {
