--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,7 +42,7 @@
 /// Answered probes in a row that bring an engine back.
 const ANSWERS_TO_RETURN: u32 = 2;
 /// Part of the cold-start budget that a turn uses: two turns may meet, and usual work is not quite known.
-const COLD_MARGIN: f64 = 0.3;
+const COLD_MARGIN: f64 = 0.4;
 /// Own dispatches for each probe that only asks for a report.
 const DISPATCHES_PER_PROBE: u32 = 5;
 /// A dispatch is lost when what remains of it exceeds so many usual runs.
@@ -285,7 +285,7 @@
         let silent = failed || dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued);
         let (telling, kind, id) = ((good || !silent) && !dispatch.judged, record.kind, dispatch.engine);
         if telling {
-            self.judge(kind, good);
+            self.judge(now, kind, good);
         }
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.out.remove(&(job, number));
@@ -313,7 +313,7 @@
                 let misses = foretold > sla_of(t, record.work) && !dispatch.stood;
                 if misses && !std::mem::replace(&mut dispatch.judged, true) {
                     let kind = record.kind;
-                    self.judge(kind, false);
+                    self.judge(now, kind, false);
                 }
             }
             Progress::Spills(missing) => {
@@ -419,18 +419,19 @@
         if well.is_empty() { live().collect() } else { well }
     }
 
-    /// What the in-flight limit starts from and falls to: this router's part of the usable cores with room for
-    /// bursts, and without.
-    fn first_limit(&self) -> (f64, f64) {
-        let cores: f64 = self.usable().iter().map(|(_, e)| self.cores(e.kind)).sum();
+    /// What the in-flight limit starts from and falls to: this router's part of the usable cores, cold ones
+    /// at their start capacity, with room for bursts and without.
+    fn first_limit(&self, now: Moment) -> (f64, f64) {
+        let able = |e: &Engine| if self.cold_from(e, now).is_some() { self.cold.start_capacity } else { 1.0 };
+        let cores: f64 = self.usable().iter().map(|(_, e)| self.cores(e.kind) * able(e)).sum();
         let part = (cores * self.share()).max(1.0);
         (part + BURST_ROOTS * part.sqrt(), part)
     }
 
     /// The in-flight limit, in threads at all usable engines: it grows by one for each good answer until its
     /// first cut and for each `GOOD_PER_BAD` later, if in use; a bad answer cuts it by its part of a round.
-    fn judge(&mut self, kind: TypeId, good: bool) {
-        let ((first, least), threads) = (self.first_limit(), self.types[kind.0].threads);
+    fn judge(&mut self, now: Moment, kind: TypeId, good: bool) {
+        let ((first, least), threads) = (self.first_limit(now), self.types[kind.0].threads);
         if !good {
             self.was_cut = true;
             self.fill = (self.fill - threads / first).max(least / first);
@@ -595,9 +596,7 @@
     /// After its own start, a router lets a whole window pass: what it sent there before is not known.
     fn warm_enough(&self, engine: &Engine, kind: TypeId, now: Moment) -> bool {
         let cold = &self.cold;
-        let Some(since) = engine.cold_since.filter(|since| now.since(*since) < cold.cold_for) else {
-            return true;
-        };
+        let Some(since) = self.cold_from(engine, now) else { return true };
         let clock = |at: Moment| at.since(Moment::default()).micros();
         let turn = clock(now) / cold.fall.micros().max(1) + clock(since);
         let mine = turn % self.fleet.replicas.max(1) as u64 == self.fleet.number as u64;
@@ -607,6 +606,11 @@
         mine && fits && now.since(self.started) > cold.fall
     }
 
+    /// Since when an engine is cold, if it is.
+    fn cold_from(&self, engine: &Engine, now: Moment) -> Option<Moment> {
+        engine.cold_since.filter(|since| now.since(*since) < self.cold.cold_for)
+    }
+
     /// Queued work of others, in seconds of one thread, as the last report tells it; none if unheard.
     /// Where a report has no count of held queries, busy cores beyond own threads stand in.
     fn foreign_work(&self, engine: &Engine) -> Option<f64> {
@@ -675,11 +679,8 @@
         let mut ties = Pcg32::seed_from_u64(self.chance.random());
         let mut engines = self.usable();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
-        let copy = |job: &Job| {
-            self.types[job.kind.0].effect == Effect::Restartable
-                && job.out() == 1
-                && job.dispatches.iter().any(|d| self.lost(job, d, now))
-        };
+        let again = |job: &Job| self.types[job.kind.0].effect == Effect::Restartable && job.out() == 1;
+        let copy = |job: &Job| again(job) && job.dispatches.iter().any(|d| self.lost(job, d, now));
         let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && copy(job)));
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
         let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.rank(job, now), *id)).collect();
@@ -688,10 +689,10 @@
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0));
         engines.shuffle(&mut ties);
-        let heard =
-            self.engines.values().filter_map(|e| Some((self.foreign_work(e)?, self.freshness(e, now))));
+        let word = |e: &Engine| Some((self.foreign_work(e)?, self.freshness(e, now)));
+        let heard = self.engines.values().filter_map(word);
         let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
-        let (out, limit) = (self.threads_out(), self.fill * self.first_limit().0);
+        let (out, limit) = (self.threads_out(), self.fill * self.first_limit(now).0);
         let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
         let (job, engine) = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
@@ -776,8 +777,8 @@
         Some(Decision::CancelDispatch { job: id, number })
     }
 
-    /// Probes engines that are set aside or quiet with work out, and, where only probes carry reports, the
-    /// one with the oldest report, thriftily.
+    /// Probes engines that are set aside or quiet with work out, and, where only probes carry reports, one
+    /// drawn by chance, thriftily: probes in an order would tell all routers of the same engines.
     fn probe(&mut self, now: Moment) -> Option<Decision> {
         let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.patience().times(0.5));
         let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
