--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -405,6 +405,15 @@
     assert_eq!(host.grants, [125.0, 162.5], "at once by a good part of it");
 }
 
+#[test]
+fn while_most_engines_are_cold_the_warm_ones_are_not_overfilled() {
+    let mut host = Host::new(|_| ());
+    (2..20).for_each(|engine| host.list(engine, Listed::Live, Some(host.now)));
+    (0..60).for_each(|group| _ = host.job(LOOKUP, group));
+    host.pull();
+    assert_eq!(host.sent.len(), 12, "six threads at each of the two");
+}
+
 #[test]
 fn many_routers_take_turns_at_a_cold_engine_and_use_it() {
     let mut sent = vec![];
