--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,7 +30,7 @@
 /// Part of the SLA time that a good dispatch may take; the rest is for waiting here.
 const GOOD_PART: f64 = 0.75;
 /// Good answers that make up for a bad one.
-const GOOD_PER_BAD: f64 = 16.0;
+const GOOD_PER_BAD: f64 = 8.0;
 /// What jobs shorter than the mean may fill, over the limit: they free their threads soon.
 const SHORT_ROOM: f64 = 2.0;
 /// What one engine may take, over its even part of the limit.
