--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,8 +39,7 @@
 const BURST_ROOTS: f64 = 2.0;
 /// Note periods, or else longest SLA times, without a word from an engine with work out that mean silence.
 const SILENT_PERIODS: f64 = 2.5;
-/// Errors in a row that set an engine aside, and answered probes in a row that bring one back.
-const ERRORS_IN_A_ROW: u32 = 2;
+/// Answered probes in a row that bring an engine back.
 const ANSWERS_TO_RETURN: u32 = 2;
 /// Part of the cold-start budget that a turn uses: two turns may meet, and usual work is not quite known.
 const COLD_MARGIN: f64 = 0.4;
@@ -127,8 +126,6 @@
     heard: Moment,
     probe_out: bool,
     probed: Option<Moment>,
-    /// Errors since its last answer.
-    errors: u32,
     /// While set aside: probes still to answer in a row.
     aside: Option<u32>,
 }
@@ -285,9 +282,7 @@
         }
         let good = outcome == Outcome::Done && took <= sla_of(t, record.work).times(GOOD_PART);
         let failed = matches!(outcome, Outcome::Reset | Outcome::NotConnected);
-        let erred = outcome == Outcome::Error;
-        let silent =
-            failed || erred || dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued);
+        let silent = failed || dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued);
         let (telling, kind, id) = ((good || !silent) && !dispatch.judged, record.kind, dispatch.engine);
         if telling {
             self.judge(now, kind, good);
@@ -297,10 +292,9 @@
             if matches!(outcome, Outcome::Done | Outcome::Error | Outcome::TurnedAway) {
                 engine.heard = now;
             }
-            engine.errors = if outcome == Outcome::Done { 0 } else { engine.errors + u32::from(erred) };
-            if failed || (erred && engine.errors >= ERRORS_IN_A_ROW) {
-                self.set_aside(id, "reset, not connected or errors");
-            }
+        }
+        if failed {
+            self.set_aside(id, "reset or not connected");
         }
         self.drop_if_spent(job);
     }
@@ -686,8 +680,8 @@
         let mut engines = self.usable();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let again = |job: &Job| self.types[job.kind.0].effect == Effect::Restartable && job.out() == 1;
-        let lost = |job: &Job| job.dispatches.iter().any(|d| self.lost(job, d, now));
-        let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && again(job) && lost(job)));
+        let copy = |job: &Job| again(job) && job.dispatches.iter().any(|d| self.lost(job, d, now));
+        let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && copy(job)));
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
         let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.rank(job, now), *id)).collect();
         if engines.is_empty() || waiting.is_empty() {
@@ -696,11 +690,8 @@
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0));
         engines.shuffle(&mut ties);
         let word = |e: &Engine| Some((self.foreign_work(e)?, self.freshness(e, now)));
-        let heard = self
-            .engines
-            .values()
-            .filter_map(word)
-            .fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
+        let heard = self.engines.values().filter_map(word);
+        let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
         let (out, limit) = (self.threads_out(), self.fill * self.first_limit(now).0);
         let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
         let (job, engine) = waiting.iter().find_map(|(_, id)| {
