Gather the usable engines once for each dispatch, and mend stale names

They were gathered three times a dispatch, and once even when no job waits; the head named a function that is gone, and the priority of loads was a bare number.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,7 +10,7 @@
 //! 2. engines set aside on silence, resets or failed connects, back after probes (`watch`),
 //! 3. a budget of work for cold engines, at which the routers take turns (`warm_enough`),
 //! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
-//! 5. time-outs and further dispatches (`cancel_lost`, `wants_copy`),
+//! 5. time-outs and further dispatches (`lost`, `cancel_lost`),
 //! 6. memory grants and priorities from learned estimate bias (`send`, `Estimates`).
 
 use std::collections::{BTreeMap, VecDeque};
@@ -408,10 +408,6 @@
         if within { 1.0 } else { self.answers.over_share }
     }
 
-    fn threads_out(&self) -> f64 {
-        self.usable().iter().map(|(_, e)| e.threads_out()).sum()
-    }
-
     /// Engines that are live and not set aside; if all are, all that are live.
     fn usable(&self) -> Vec<(EngineId, &Engine)> {
         let live = || self.engines.iter().filter(|(_, e)| e.listed == Listed::Live).map(|(id, e)| (*id, e));
@@ -421,9 +417,9 @@
 
     /// What the in-flight limit starts from and falls to: this router's part of the usable cores, cold ones
     /// at their start capacity, with room for bursts and without.
-    fn first_limit(&self, now: Moment) -> (f64, f64) {
+    fn first_limit(&self, usable: &[(EngineId, &Engine)], now: Moment) -> (f64, f64) {
         let able = |e: &Engine| if self.cold_from(e, now).is_some() { self.cold.start_capacity } else { 1.0 };
-        let cores: f64 = self.usable().iter().map(|(_, e)| self.cores(e.kind) * able(e)).sum();
+        let cores: f64 = usable.iter().map(|(_, e)| self.cores(e.kind) * able(e)).sum();
         let part = (cores * self.share()).max(1.0);
         (part + BURST_ROOTS * part.sqrt(), part)
     }
@@ -431,11 +427,12 @@
     /// The in-flight limit, in threads at all usable engines: it grows by one for each good answer until its
     /// first cut and for each `GOOD_PER_BAD` later, if in use; a bad answer cuts it by its part of a round.
     fn judge(&mut self, now: Moment, kind: TypeId, good: bool) {
-        let ((first, least), threads) = (self.first_limit(now), self.types[kind.0].threads);
+        let (usable, threads) = (self.usable(), self.types[kind.0].threads);
+        let ((first, least), out) = (self.first_limit(&usable, now), threads_out(&usable));
         if !good {
             self.was_cut = true;
             self.fill = (self.fill - threads / first).max(least / first);
-        } else if self.threads_out() * 2.0 > self.fill * first {
+        } else if out * 2.0 > self.fill * first {
             self.fill += threads / first / if self.was_cut { GOOD_PER_BAD } else { 1.0 };
         }
     }
@@ -631,9 +628,8 @@
     /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
     fn wait_and_run(&self, job: &Job, id: EngineId, engine: &Engine, average: f64, now: Moment) -> f64 {
         let t = &self.types[job.kind.0];
-        let cores = self.cores(engine.kind);
+        let (cores, mean) = (self.cores(engine.kind), self.estimates.all_work.value);
         let seen = engine.report.map(|report| report.at);
-        let mean = self.estimates.all_work.value;
         let own = engine.out.values().map(|s| if seen.is_some_and(|at| s.at < at) { mean } else { s.work });
         let foreign = self.foreign_work(engine).unwrap_or(average) - average;
         let queued = own.sum::<f64>() + average + foreign * self.freshness(engine, now);
@@ -677,22 +673,22 @@
 
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
         let mut ties = Pcg32::seed_from_u64(self.chance.random());
-        let mut engines = self.usable();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let again = |job: &Job| self.types[job.kind.0].effect == Effect::Restartable && job.out() == 1;
         let copy = |job: &Job| again(job) && job.dispatches.iter().any(|d| self.lost(job, d, now));
         let waits = |job: &Job| !job.over && (job.out() == 0 || (!scarce && copy(job)));
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
         let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.rank(job, now), *id)).collect();
-        if engines.is_empty() || waiting.is_empty() {
+        if waiting.is_empty() {
             return None;
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let mut engines = self.usable();
+        let (out, limit) = (threads_out(&engines), self.fill * self.first_limit(&engines, now).0);
         engines.shuffle(&mut ties);
         let word = |e: &Engine| Some((self.foreign_work(e)?, self.freshness(e, now)));
         let heard = self.engines.values().filter_map(word);
         let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
-        let (out, limit) = (self.threads_out(), self.fill * self.first_limit(now).0);
         let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
         let (job, engine) = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
@@ -720,7 +716,7 @@
         let grant = (job.memory * self.estimates.memory_bias[job.kind.0].0).min(most);
         let grant = if self.terms.grants { grant } else { 0.0 };
         let step = PRIORITY_STEPS.iter().filter(|step| density >= **step).count() as u8;
-        let priority = if t.is_load { step.max(2) } else { step };
+        let priority = if t.is_load { step.max(PRIORITY_STEPS.len() as u8 - 1) } else { step };
         let left = job.deadline.since(now);
         let short = retry && t.effect != Effect::RunOnce;
         let timeout = if short { left.min(sla_of(t, job.work)) } else { left };
@@ -810,6 +806,10 @@
     }
 }
 
+fn threads_out(engines: &[(EngineId, &Engine)]) -> f64 {
+    engines.iter().map(|(_, e)| e.threads_out()).sum()
+}
+
 fn t_run(t: &ReservationType, work: f64) -> Span {
     Span::from_secs(work / t.threads)
 }
