--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts routers of the decision module behind a protocol on standard input and output. [`flint`] is the
-//! bench's wire; another protocol would stand beside it and share [`door`].
+//! bench's wire; another protocol would stand beside it and share the crate `woadhook_door`.
 
-mod door;
 mod flint;
 
 use std::io::{self, BufRead, Write};
