--- /dev/null
+++ b/router/src/clock.rs
@@ -0,0 +1,33 @@
+//! The one clock: Unix time as the system tells it at the start, moved on by the monotonic clock.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use async_io::Timer;
+use woadhook::{Moment, Span};
+
+#[derive(Clone, Copy)]
+pub struct Clock {
+    started: Instant,
+    unix: Moment,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started: Instant::now(), unix: Moment::from_micros(unix.as_micros() as u64) }
+    }
+
+    pub fn now(self) -> Moment {
+        self.unix + Span::from_micros(self.started.elapsed().as_micros() as u64)
+    }
+
+    /// Comes when the moment has.
+    pub async fn until(self, moment: Moment) {
+        let ahead = moment.since(self.unix);
+        Timer::at(self.started + Duration::from_micros(ahead.micros())).await;
+    }
+
+    pub async fn pass(self, span: Span) {
+        Timer::after(Duration::from_micros(span.micros())).await;
+    }
+}
--- /dev/null
+++ b/router/src/config.rs
@@ -0,0 +1,45 @@
+//! What a router is told at its start: `LB_CONFIG`, with `LB_LISTEN` over it.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+use woadhook_door::fields::*;
+
+pub struct Given {
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub memory_mb: f64,
+    pub descriptors: usize,
+    pub bulletin: SocketAddr,
+    /// The events of the bulletin so far, in its own form.
+    pub known: Value,
+    /// The object that the module's hosts share.
+    pub settings: Value,
+}
+
+pub fn read() -> Result<Given> {
+    let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG names no file".to_owned())?;
+    let words = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+    parse(&words, env::var("LB_LISTEN").ok())
+}
+
+pub fn parse(words: &str, listen: Option<String>) -> Result<Given> {
+    let mut given: Value = serde_json::from_str(words).map_err(|error| error.to_string())?;
+    let limits = present(&given, "limits")?;
+    let listen = listen.map_or_else(|| text(&given, "listen").map(str::to_owned), Ok)?;
+    Ok(Given {
+        listen: address(&listen)?,
+        seed: u64::from_str_radix(text(&given, "seed")?, 16).map_err(|error| format!("seed: {error}"))?,
+        memory_mb: number(limits, "memory_mb")?,
+        descriptors: whole(limits, "sockets")? as usize,
+        bulletin: address(text(&given, "bulletin")?)?,
+        known: given["known"].take(),
+        settings: given["settings"].take(),
+    })
+}
+
+pub fn address(words: &str) -> Result<SocketAddr> {
+    words.parse().map_err(|error| format!("{words}: {error}"))
+}
--- /dev/null
+++ b/router/src/decide.rs
@@ -0,0 +1,398 @@
+//! The module's actor: the only owner of its router, its names, its timer and the jobs that are open. It takes
+//! in all that is queued, then pulls decisions until there is none.
+
+use std::collections::HashMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::{FutureExt, future};
+use serde_json::Value;
+use woadhook::*;
+use woadhook_door::Instance;
+use woadhook_door::fields::*;
+
+use crate::clock::Clock;
+use crate::codec::Answer;
+use crate::config::address;
+use crate::engine::{Errand, Ground, Peer};
+use crate::front::Reply;
+use crate::query::{Dispatch, Order, Rows, Statement};
+
+pub const MAILBOX: usize = 4096;
+/// Orders to one query that it has not yet taken.
+const ORDERS: usize = 4;
+
+/// What the module's actor is told.
+pub enum Event {
+    Arrived {
+        client: u64,
+        statement: Rc<Statement>,
+        group: usize,
+        tenant: Option<String>,
+        key: Option<String>,
+        told: Option<Span>,
+        memory: f64,
+        deadline: Moment,
+        reply: Reply,
+    },
+    Withdrawn {
+        client: u64,
+        number: u32,
+    },
+    ClientGone {
+        client: u64,
+    },
+    Ping {
+        reply: Reply,
+    },
+    Ended {
+        job: JobId,
+        number: usize,
+        outcome: Outcome,
+        took: Span,
+        told: Option<(Span, f64)>,
+        rows: Option<Rows>,
+    },
+    Progressed {
+        job: JobId,
+        number: usize,
+        progress: Progress,
+    },
+    Reported {
+        engine: EngineId,
+        stats: String,
+    },
+    ProbeEnded {
+        engine: EngineId,
+        outcome: Outcome,
+    },
+    Listed {
+        roster: Value,
+    },
+    Stopping {
+        by: Moment,
+    },
+}
+
+/// A job that the module holds.
+struct Open {
+    client: u64,
+    statement: Rc<Statement>,
+    deadline: Moment,
+    /// Taken by the one answer.
+    reply: Option<Reply>,
+    dispatches: usize,
+    /// Those that are out; emptied by their ends.
+    out: HashMap<usize, Sender<Order>>,
+}
+
+pub struct Desk {
+    clock: Clock,
+    settings: Value,
+    seed: u64,
+    instance: Instance,
+    ground: Ground,
+    /// For actors that tell the module things.
+    module: Sender<Event>,
+    /// Both emptied as the module forgets.
+    jobs: HashMap<JobId, Open>,
+    peers: HashMap<EngineId, Peer>,
+    /// The lines of the list by engine, for a module that begins again; emptied like `peers`.
+    lines: HashMap<EngineId, Value>,
+    /// Counts the actors of engines.
+    serial: u64,
+    wake: Option<Moment>,
+    /// When the last answer is due, once the router is stopping.
+    last_answer: Option<Moment>,
+}
+
+impl Desk {
+    pub fn new(
+        clock: Clock, seed: u64, settings: Value, ground: Ground, module: Sender<Event>,
+    ) -> Result<Self> {
+        Ok(Self {
+            clock,
+            instance: Instance::start(clock.now(), seed, &settings)?,
+            settings,
+            seed,
+            ground,
+            module,
+            jobs: HashMap::new(),
+            peers: HashMap::new(),
+            lines: HashMap::new(),
+            serial: 0,
+            wake: None,
+            last_answer: None,
+        })
+    }
+
+    pub async fn run(mut self, mailbox: Receiver<Event>) {
+        loop {
+            let wake = self.wake;
+            let due = async {
+                match wake {
+                    Some(moment) => self.clock.until(moment).await,
+                    None => future::pending().await,
+                }
+                Ok(None)
+            };
+            let Ok(first) = async { mailbox.recv().await.map(Some) }.or(due).await else { return };
+            let queued = std::iter::from_fn(|| mailbox.try_recv().ok()).take(MAILBOX);
+            let turn = || self.turn(first.into_iter().chain(queued));
+            // Threat: a fault of the module. It costs the jobs that are open, not the process; what was learned
+            // is lost too, so it may hurt if it repeats.
+            if catch_unwind(AssertUnwindSafe(turn)).is_err() {
+                log::error!("the module panicked and begins again");
+                self.begin_again();
+            }
+        }
+    }
+
+    fn turn(&mut self, events: impl Iterator<Item = Event>) {
+        let now = self.clock.now();
+        for event in events {
+            self.take_in(now, event);
+        }
+        if self.wake.is_some_and(|wake| wake <= now) {
+            self.wake = None;
+        }
+        self.end_at_the_last(now);
+        while let Some(decision) = self.instance.router.next_decision(now) {
+            self.carry_out(now, decision);
+        }
+    }
+
+    fn take_in(&mut self, now: Moment, event: Event) {
+        match event {
+            Event::Arrived { client, statement, group, tenant, key, told, memory, deadline, reply } => {
+                self.arrive(now, client, statement, group, tenant, key, told, memory, deadline, reply);
+            }
+            Event::Withdrawn { client, number } => {
+                if let Some(job) = self.instance.jobs.find(&name(client, number)) {
+                    self.withdraw(JobId(job));
+                }
+            }
+            Event::ClientGone { client } => {
+                let left = |open: &&JobId| self.jobs[*open].client == client;
+                for job in self.jobs.keys().filter(left).copied().collect::<Vec<_>>() {
+                    self.withdraw(job);
+                }
+            }
+            Event::Ping { reply } => reply.send(Answer::Pong(self.last_answer.is_none())),
+            Event::Ended { job, number, outcome, took, told, rows } => {
+                let Some(open) = self.jobs.get_mut(&job) else { return };
+                open.out.remove(&number);
+                if let Some((rows, reply)) = rows.zip(open.reply.take_if(|_| outcome == Outcome::Done)) {
+                    reply.send(Answer::Served(rows));
+                }
+                let over = open.reply.is_none();
+                let told = told.filter(|_| self.instance.costs_told);
+                self.instance.router.dispatch_ended(now, job, number, outcome, took, told, over);
+                if over {
+                    self.call_off(job);
+                }
+            }
+            Event::Progressed { job, number, progress } => {
+                self.instance.router.progressed(now, job, number, progress);
+            }
+            Event::Reported { engine, stats } => self.report(now, engine, &stats),
+            Event::ProbeEnded { engine, outcome } => self.instance.router.probe_ended(now, engine, outcome),
+            Event::Listed { roster } => {
+                if let Err(fault) = self.follow_list(now, &roster) {
+                    log::error!("bulletin: {fault}");
+                }
+            }
+            Event::Stopping { by } => self.last_answer = Some(by),
+        }
+    }
+
+    fn arrive(
+        &mut self, now: Moment, client: u64, statement: Rc<Statement>, group: usize, tenant: Option<String>,
+        key: Option<String>, told: Option<Span>, memory: f64, deadline: Moment, reply: Reply,
+    ) {
+        let name = name(client, reply.number());
+        let kind = position(&self.instance.types, &statement.class).map(TypeId);
+        let (Some(kind), None) = (kind, self.instance.jobs.find(&name)) else {
+            return reply.send(Answer::Failed("Malformed"));
+        };
+        let deadline = self.last_answer.map_or(deadline, |last| deadline.min(last));
+        let job = JobId(self.instance.jobs.admit(&name));
+        let tenant = tenant.and_then(|name| position(&self.instance.tenants, &name)).map(TenantId);
+        let key = key.map(|key| KeyId(self.instance.keys.admit(&key)));
+        let (router, expires) = (&mut self.instance.router, deadline.since(now));
+        router.job_arrived(now, job, kind, tenant, GroupId(group), key, told, memory, expires);
+        let reply = Some(reply);
+        let open = Open { client, statement, deadline, reply, dispatches: 0, out: HashMap::new() };
+        self.jobs.insert(job, open);
+    }
+
+    /// The client waits no longer.
+    fn withdraw(&mut self, job: JobId) {
+        if self.jobs.get_mut(&job).and_then(|open| open.reply.take()).is_some() {
+            self.instance.router.job_over(job);
+            self.call_off(job);
+        }
+    }
+
+    /// Gives up what is still out of a job that is over.
+    fn call_off(&mut self, job: JobId) {
+        for orders in self.jobs.get(&job).into_iter().flat_map(|open| open.out.values()) {
+            let _ = orders.try_send(Order::GiveUp);
+        }
+    }
+
+    fn answer(&mut self, job: JobId, answer: Answer) {
+        if let Some(reply) = self.jobs.get_mut(&job).and_then(|open| open.reply.take()) {
+            reply.send(answer);
+        }
+        self.call_off(job);
+    }
+
+    /// Once the router is stopping, jobs that would outlive it end with it: those sent nowhere yet as
+    /// refused, the others as failed.
+    fn end_at_the_last(&mut self, now: Moment) {
+        if self.last_answer.is_none_or(|last| now < last) {
+            return;
+        }
+        let owed = |(_, open): &(&JobId, &Open)| open.reply.is_some();
+        let owed: Vec<_> = self.jobs.iter().filter(owed).map(|(job, open)| (*job, open.dispatches)).collect();
+        for (job, dispatches) in owed {
+            self.instance.router.job_over(job);
+            self.answer(
+                job,
+                if dispatches == 0 { Answer::Overloaded(None) } else { Answer::Failed("Internal") },
+            );
+        }
+    }
+
+    fn report(&mut self, now: Moment, engine: EngineId, stats: &str) {
+        let fields = || stats.split(';').filter_map(|field| field.split_once(':'));
+        let names = self.instance.report_names.clone();
+        self.instance.reported(now, engine, |place| {
+            let (_, value) = fields().find(|(name, _)| name.trim() == names[place])?;
+            value.trim().parse().ok()
+        });
+    }
+
+    fn follow_list(&mut self, now: Moment, roster: &Value) -> Result<()> {
+        let mut named = Vec::new();
+        for member in rows(roster, "members")? {
+            let engine = EngineId(self.instance.engines.admit(text(member, "id")?));
+            self.list(now, engine, member)?;
+            named.push(engine);
+        }
+        if mark(roster, "complete") {
+            self.instance.router.list_complete(&named);
+            for (_, peer) in self.peers.iter().filter(|(engine, _)| !named.contains(engine)) {
+                peer.engine.open.set(false);
+            }
+        } else {
+            self.instance.router.list_changed();
+        }
+        Ok(())
+    }
+
+    fn list(&mut self, now: Moment, engine: EngineId, member: &Value) -> Result<()> {
+        let listed = match text(member, "phase")? {
+            "SERVING" => Listed::Live,
+            "DRAINING" => Listed::Draining,
+            "DELETED" => Listed::Gone,
+            other => return Err(format!("phase: unknown {other}")),
+        };
+        let came_up = whole(member, "up_since_ms").ok().filter(|&at| at > 0);
+        let came_up = came_up.map(|at| Moment::from_micros(at * 1000));
+        let (zone, kind) = (text(member, "locality")?, text(member, "flavor")?);
+        let cell = CellId(whole(member, "cell").unwrap_or(0) as usize);
+        let at = address(text(member, "host_port")?)?;
+        self.instance.engine_listed(now, engine, zone, kind, cell, listed, came_up)?;
+        if self.peers.get(&engine).is_none_or(|peer| peer.engine.address != at) {
+            self.serial += 1;
+            self.peers.insert(engine, Peer::start(&self.ground, self.serial, at, self.module.clone()));
+        }
+        self.peers[&engine].engine.open.set(listed == Listed::Live);
+        self.lines.insert(engine, member.clone());
+        Ok(())
+    }
+
+    fn carry_out(&mut self, now: Moment, decision: Decision) {
+        match decision {
+            Decision::Dispatch { job, engine, timeout, priority, .. } => {
+                self.dispatch(now, job, engine, now + timeout, priority);
+            }
+            Decision::CancelDispatch { job, number } => {
+                if let Some(orders) = self.jobs.get(&job).and_then(|open| open.out.get(&number)) {
+                    let _ = orders.try_send(Order::GiveUp);
+                }
+            }
+            Decision::Throttle { job, come_back } => self.answer(job, Answer::Overloaded(come_back)),
+            Decision::CancelForGood { job } => self.answer(job, Answer::Failed("Internal")),
+            Decision::Probe { engine } => {
+                let sent = self.peers.get(&engine).map(|peer| peer.send(Errand::Probe(engine)));
+                if !matches!(sent, Some(Ok(()))) {
+                    self.instance.router.probe_ended(now, engine, Outcome::NotIssued);
+                }
+            }
+            // The bulletin is followed all the time.
+            Decision::Subscribe => self.instance.router.list_changed(),
+            Decision::Wake { after } => {
+                let at = now + after;
+                self.wake = Some(self.wake.filter(|wake| *wake > now).map_or(at, |wake| wake.min(at)));
+            }
+            Decision::Log(line) => log::info!("{line}"),
+            Decision::Forget(Forgotten::Job(job)) => {
+                self.jobs.remove(&job);
+                self.instance.jobs.forget(job.0);
+            }
+            Decision::Forget(Forgotten::Key(key)) => self.instance.keys.forget(key.0),
+            Decision::Forget(Forgotten::Engine(engine)) => {
+                self.peers.remove(&engine);
+                self.lines.remove(&engine);
+                self.instance.engines.forget(engine.0);
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: Moment, job: JobId, engine: EngineId, until: Moment, priority: u8) {
+        let (Some(open), Some(peer)) = (self.jobs.get_mut(&job), self.peers.get(&engine)) else { return };
+        for orders in open.out.values() {
+            let _ = orders.try_send(Order::Priority(priority));
+        }
+        let number = open.dispatches;
+        open.dispatches += 1;
+        let statement = open.statement.clone();
+        let until = until.min(open.deadline);
+        let dispatch = Dispatch { job, number, engine, statement, decided: now, until, priority };
+        let (orders, taken) = async_channel::bounded(ORDERS);
+        match peer.send(Errand::Run(dispatch, taken)) {
+            Ok(()) => {
+                open.out.insert(number, orders);
+            }
+            Err(_) => {
+                let (outcome, router) = (Outcome::NotIssued, &mut self.instance.router);
+                router.dispatch_ended(now, job, number, outcome, Span::ZERO, None, false);
+            }
+        }
+    }
+
+    /// A new module, told the list as it stands; all open jobs have failed. The indices go on, so that what is
+    /// still told of the old module's jobs meets none of the new one's.
+    fn begin_again(&mut self) {
+        let now = self.clock.now();
+        for job in self.jobs.keys().copied().collect::<Vec<_>>() {
+            self.answer(job, Answer::Failed("Internal"));
+        }
+        self.jobs.clear();
+        let Ok(new) = Instance::start(now, self.seed, &self.settings) else { return };
+        let old = std::mem::replace(&mut self.instance, new);
+        (self.instance.jobs, self.instance.keys, self.instance.engines) = (old.jobs, old.keys, old.engines);
+        for (engine, line) in self.lines.clone() {
+            let _ = self.list(now, engine, &line);
+        }
+    }
+}
+
+/// The name of a job: message ids run on each connection anew.
+fn name(client: u64, number: u32) -> String {
+    format!("{client}/{number}")
+}
--- /dev/null
+++ b/router/src/engine.rs
@@ -0,0 +1,133 @@
+//! An actor an engine: it starts queries and probes there, and owns what they share.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use woadhook::{EngineId, Outcome, Span};
+
+use crate::clock::Clock;
+use crate::decide::Event;
+use crate::memory::Room;
+use crate::pool::{Lease, Pool};
+use crate::query::{self, Dispatch, Order};
+use crate::sockets::limited;
+use crate::tasks::Tasks;
+
+const MAILBOX: usize = 1024;
+/// Answers other than pages of a result hold next to nothing.
+pub const SMALL_BODY: usize = 64 * 1024;
+
+/// What all engines' actors are given alike.
+#[derive(Clone)]
+pub struct Ground {
+    pub clock: Clock,
+    pub tasks: Tasks,
+    pub queries: Rc<Pool>,
+    pub errands: Rc<Pool>,
+    pub connect_timeout: Span,
+    /// Whether probes ask for a load report.
+    pub reports: bool,
+    /// For results.
+    pub room: Room,
+}
+
+/// What the queries at one engine share.
+pub struct Engine {
+    pub ground: Ground,
+    serial: u64,
+    pub address: SocketAddr,
+    /// Whether nothing was heard of its draining or end.
+    pub open: Cell<bool>,
+}
+
+pub enum Errand {
+    Run(Dispatch, Receiver<Order>),
+    Probe(EngineId),
+}
+
+/// The module's hold on an engine's actor, which ends when this is dropped and its errands are done.
+pub struct Peer {
+    pub engine: Rc<Engine>,
+    mailbox: Sender<Errand>,
+}
+
+impl Peer {
+    pub fn start(ground: &Ground, serial: u64, address: SocketAddr, module: Sender<Event>) -> Self {
+        let (mailbox, errands) = async_channel::bounded(MAILBOX);
+        let engine = Rc::new(Engine { ground: ground.clone(), serial, address, open: Cell::new(true) });
+        ground.tasks.start(serve(engine.clone(), errands, module));
+        Self { engine, mailbox }
+    }
+
+    /// Gives the errand back where the mailbox is full.
+    pub fn send(&self, errand: Errand) -> Result<(), Errand> {
+        self.mailbox.try_send(errand).map_err(|error| error.into_inner())
+    }
+}
+
+async fn serve(engine: Rc<Engine>, errands: Receiver<Errand>, module: Sender<Event>) {
+    while let Ok(errand) = errands.recv().await {
+        let (engine, module) = (engine.clone(), module.clone());
+        match errand {
+            Errand::Run(dispatch, orders) => {
+                engine.ground.tasks.clone().start(query::run(engine, dispatch, orders, module));
+            }
+            Errand::Probe(id) => engine.ground.tasks.clone().start(probe(engine, id, module)),
+        }
+    }
+    engine.ground.queries.close_all(engine.serial);
+    engine.ground.errands.close_all(engine.serial);
+}
+
+impl Engine {
+    pub async fn lease(&self, pool: &Rc<Pool>) -> io::Result<Lease> {
+        pool.lease(self.serial, self.address, self.ground.connect_timeout).await
+    }
+
+    /// A short call beside the queries' own: giving up, a new priority, a probe.
+    pub async fn errand(
+        &self, method: &str, path: &str, body: &str, field: impl FnMut(&str, &str),
+    ) -> io::Result<u16> {
+        let mut connection = self.lease(&self.ground.errands).await?;
+        let head = head(method, path, self.address, &[], body.len());
+        let call = connection.call(&head, body.as_bytes(), SMALL_BODY, || (), field);
+        let (status, _) = limited(self.ground.connect_timeout, call).await?;
+        Ok(status)
+    }
+}
+
+/// The head of a call.
+pub fn head(method: &str, path: &str, to: SocketAddr, fields: &[(&str, &str)], length: usize) -> String {
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\n");
+    for (name, value) in fields {
+        head.extend([name, ": ", value, "\r\n"]);
+    }
+    if length > 0 || method != "GET" {
+        head.push_str(&format!("Content-Length: {length}\r\n"));
+    }
+    head + "\r\n"
+}
+
+async fn probe(engine: Rc<Engine>, id: EngineId, module: Sender<Event>) {
+    let mut stats = None;
+    let path = if engine.ground.reports { "/load" } else { "/-/ok" };
+    let hear = |name: &str, value: &str| {
+        if name.eq_ignore_ascii_case("X-Stats") {
+            stats = Some(value.to_owned());
+        }
+    };
+    let outcome = match engine.errand("GET", path, "", hear).await {
+        Ok(200) => Outcome::Done,
+        Ok(503) => Outcome::TurnedAway,
+        Ok(_) => Outcome::Error,
+        Err(error) if error.kind() == io::ErrorKind::TimedOut => Outcome::TimedOut,
+        Err(_) => Outcome::NotConnected,
+    };
+    if let Some(stats) = stats {
+        let _ = module.send(Event::Reported { engine: id, stats }).await;
+    }
+    let _ = module.send(Event::ProbeEnded { engine: id, outcome }).await;
+}
--- /dev/null
+++ b/router/src/front.rs
@@ -0,0 +1,222 @@
+//! An actor a client connection: it reads requests, and writes answers in the order in which they come.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_channel::{Receiver, Sender};
+use async_lock::{Semaphore, SemaphoreGuardArc};
+use futures_lite::{AsyncReadExt, FutureExt};
+use woadhook::Span;
+
+use crate::clock::Clock;
+use crate::codec::{self, Answer, Malformed};
+use crate::decide::Event;
+use crate::memory::Room;
+use crate::query::Statement;
+use crate::sockets::{Link, limited, write_gathered};
+use crate::statement::table_group;
+
+/// The most open requests of a connection, and pings beside them.
+const OPEN: usize = 32 + 8;
+const MESSAGE_BYTES: usize = 256 * 1024;
+const READ_BYTES: usize = 16 * 1024;
+
+/// What all connections of clients are given alike.
+#[derive(Clone)]
+pub struct Hall {
+    pub clock: Clock,
+    pub module: Sender<Event>,
+    /// For statements.
+    pub room: Room,
+    /// A client that takes nothing for so long has given up all it asked for.
+    pub longest_wait: Span,
+    /// How many answers are owed on all connections.
+    pub owing: Rc<Cell<usize>>,
+}
+
+/// The right to answer one request, once. Dropped unused, no answer is owed any more.
+pub struct Reply {
+    number: u32,
+    outbox: Sender<(u32, Answer, Owed)>,
+    owed: Owed,
+}
+
+/// A place among the open requests of a connection, and one of the answers that the router owes; kept until
+/// the answer is written.
+struct Owed {
+    _place: SemaphoreGuardArc,
+    owing: Rc<Cell<usize>>,
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        self.owing.set(self.owing.get() - 1);
+    }
+}
+
+impl Reply {
+    /// The outbox has a place for each reply; where the connection is gone, nobody is answered.
+    pub fn send(self, answer: Answer) {
+        let _ = self.outbox.try_send((self.number, answer, self.owed));
+    }
+}
+
+/// Serves one connection until either side ends it, then withdraws its jobs.
+pub async fn serve(link: Link, client: u64, hall: Hall) {
+    let (outbox, answers) = async_channel::bounded(OPEN);
+    let reader = Reader { client, places: Arc::new(Semaphore::new(OPEN)), outbox, hall: hall.clone() };
+    let end = reader.read(&link).or(write(&link, answers, hall.longest_wait)).await;
+    if let Err(error) = end {
+        log::debug!("client {client}: {error}");
+    }
+}
+
+/// Tells the module when a connection ends, however it does.
+pub struct Leave {
+    pub client: u64,
+    pub module: Sender<Event>,
+    pub tasks: crate::tasks::Tasks,
+}
+
+impl Drop for Leave {
+    fn drop(&mut self) {
+        let (module, client) = (self.module.clone(), self.client);
+        self.tasks.start(async move {
+            let _ = module.send(Event::ClientGone { client }).await;
+        });
+    }
+}
+
+async fn write(link: &Link, answers: Receiver<(u32, Answer, Owed)>, patience: Span) -> io::Result<()> {
+    let (mut head, mut tail) = (Vec::new(), Vec::new());
+    while let Ok((number, answer, _owed)) = answers.recv().await {
+        head.clear();
+        tail.clear();
+        codec::write(number, &answer, &mut head, &mut tail)?;
+        let pages = if let Answer::Served(rows) = &answer { rows.pages.as_slice() } else { &[] };
+        let mut parts = Vec::with_capacity(pages.len() + 2);
+        parts.push(head.as_slice());
+        parts.extend(pages.iter().map(Vec::as_slice));
+        parts.push(&tail);
+        limited(patience, write_gathered(&link.stream, &parts, || ())).await?;
+    }
+    Ok(())
+}
+
+struct Reader {
+    client: u64,
+    places: Arc<Semaphore>,
+    outbox: Sender<(u32, Answer, Owed)>,
+    hall: Hall,
+}
+
+impl Reader {
+    async fn read(&self, link: &Link) -> io::Result<()> {
+        let malformed = |_: Malformed| io::Error::from(io::ErrorKind::InvalidData);
+        let (mut buffer, mut filled) = (vec![0; READ_BYTES], 0);
+        loop {
+            let mut start = 0;
+            while let Some(length) = codec::whole(&buffer[start..filled]).map_err(malformed)? {
+                self.take(&buffer[start..start + length]).await.map_err(malformed)?;
+                start += length;
+            }
+            buffer.copy_within(start..filled, 0);
+            filled -= start;
+            if filled == buffer.len() {
+                if filled >= MESSAGE_BYTES {
+                    return Err(io::ErrorKind::InvalidData.into());
+                }
+                buffer.resize(filled * 2, 0);
+            }
+            match (&link.stream).read(&mut buffer[filled..]).await? {
+                0 => return Ok(()),
+                count => filled += count,
+            }
+        }
+    }
+
+    /// Takes in one whole message.
+    async fn take(&self, mut message: &[u8]) -> codec::Result<()> {
+        let message = &mut message;
+        let parts = codec::array(message)?;
+        match (codec::number(message)? as u8, parts) {
+            (codec::REQUEST, 4) => {
+                let number = codec::number(message)?;
+                let method = codec::text(message)?;
+                let parts = codec::array(message)?;
+                let reply = self.reply(number).await;
+                if method == "ping" {
+                    let _ = self.hall.module.send(Event::Ping { reply }).await;
+                    return Ok(());
+                }
+                self.request(reply, method, parts, message).await
+            }
+            (codec::NOTICE, 3) => {
+                if codec::text(message)? == "abort" && codec::array(message)? > 0 {
+                    let number = codec::number(message)?;
+                    let _ = self.hall.module.send(Event::Withdrawn { client: self.client, number }).await;
+                }
+                Ok(())
+            }
+            _ => Err(Malformed),
+        }
+    }
+
+    /// Waits where too many answers are open: such a client is held back.
+    async fn reply(&self, number: u32) -> Reply {
+        let (place, owing) = (self.places.acquire_arc().await, self.hall.owing.clone());
+        owing.set(owing.get() + 1);
+        let owed = Owed { _place: place, owing };
+        Reply { number, outbox: self.outbox.clone(), owed }
+    }
+
+    async fn request(
+        &self, reply: Reply, method: &str, parts: u32, message: &mut &[u8],
+    ) -> codec::Result<()> {
+        let arrived = self.hall.clock.now();
+        let (mut id, mut wait, mut cost, mut ram, mut tenant, mut key) = ("", None, None, 0.0, None, None);
+        if parts != 2 {
+            return Err(Malformed);
+        }
+        codec::fields(message, |name, value| match name {
+            "id" => id = value,
+            "wait" => wait = value.parse::<f64>().ok(),
+            "cost" => cost = value.parse::<f64>().ok().filter(|cost| cost.is_finite()),
+            "ram" => ram = value.parse::<f64>().ok().filter(|ram| ram.is_finite()).unwrap_or(0.0),
+            "tenant" => tenant = Some(value.to_owned()),
+            "key" => key = Some(value.to_owned()),
+            _ => {}
+        })?;
+        let body = codec::body(message)?;
+        // The id goes on in paths and heads.
+        let sound = (1..=64).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_alphanumeric());
+        let (true, Some(wait)) = (sound, wait) else {
+            reply.send(Answer::Failed("Malformed"));
+            return Ok(());
+        };
+        let group = table_group(&String::from_utf8_lossy(body)).unwrap_or(0);
+        let held = self.hall.room.take(body.len()).await;
+        let statement = Statement { id: id.into(), class: method.into(), text: body.into(), _held: held };
+        let arrival = Event::Arrived {
+            client: self.client,
+            statement: Rc::new(statement),
+            group,
+            tenant,
+            key,
+            told: cost.map(|cost| Span::from_secs(cost / 1e3)),
+            memory: ram,
+            deadline: arrived + Span::from_secs(wait / 1e3),
+            reply,
+        };
+        let _ = self.hall.module.send(arrival).await;
+        Ok(())
+    }
+}
+
+impl Reply {
+    pub fn number(&self) -> u32 {
+        self.number
+    }
+}
--- /dev/null
+++ b/router/src/pool.rs
@@ -0,0 +1,94 @@
+//! Idle connections to engines, in one place, so that those of one engine never starve another.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::ops::{Deref, DerefMut};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use async_lock::Semaphore;
+use woadhook::Span;
+
+use crate::clock::Clock;
+use crate::http::Connection;
+use crate::sockets::Link;
+
+/// Connections that share one part of the descriptors.
+pub struct Pool {
+    clock: Clock,
+    part: Arc<Semaphore>,
+    /// Half the time after which engines close them, so that no call crosses the close.
+    longest_idle: Span,
+    /// The longest idle first; emptied by age, by use and when the engine's actor ends.
+    idle: RefCell<VecDeque<(u64, Connection)>>,
+}
+
+/// A connection in use. Dropped between calls it is idle again, dropped during one it is closed.
+pub struct Lease {
+    pool: Rc<Pool>,
+    engine: u64,
+    connection: Option<Connection>,
+}
+
+impl Pool {
+    pub fn new(clock: Clock, part: Arc<Semaphore>, idle_close: Span) -> Rc<Self> {
+        Rc::new(Self { clock, part, longest_idle: idle_close.times(0.5), idle: RefCell::default() })
+    }
+
+    /// An idle connection to this engine that its peer has not closed, or else a new one. Where all
+    /// descriptors are in use, the longest idle of any engine is closed for it.
+    pub async fn lease(self: &Rc<Self>, engine: u64, at: SocketAddr, within: Span) -> io::Result<Lease> {
+        let lease = |connection| Lease { pool: self.clone(), engine, connection: Some(connection) };
+        self.close_old();
+        while let Some(connection) = self.latest(engine) {
+            if connection.link.is_quiet() {
+                return Ok(lease(connection));
+            }
+        }
+        if self.part.try_acquire().is_none() {
+            self.idle.borrow_mut().pop_front();
+        }
+        Ok(lease(Connection::new(Link::connect(at, within, &self.part).await?)))
+    }
+
+    fn latest(&self, engine: u64) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let place = idle.iter().rposition(|(of, _)| *of == engine)?;
+        idle.remove(place).map(|(_, connection)| connection)
+    }
+
+    fn close_old(&self) {
+        let (now, mut idle) = (self.clock.now(), self.idle.borrow_mut());
+        while idle.front().is_some_and(|(_, oldest)| now.since(oldest.idle_since) > self.longest_idle) {
+            idle.pop_front();
+        }
+    }
+
+    pub fn close_all(&self, engine: u64) {
+        self.idle.borrow_mut().retain(|(of, _)| *of != engine);
+    }
+}
+
+impl Deref for Lease {
+    type Target = Connection;
+    fn deref(&self) -> &Connection {
+        self.connection.as_ref().expect("held until dropped")
+    }
+}
+
+impl DerefMut for Lease {
+    fn deref_mut(&mut self) -> &mut Connection {
+        self.connection.as_mut().expect("held until dropped")
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if let Some(mut connection) = self.connection.take().filter(|connection| connection.reusable) {
+            connection.idle_since = self.pool.clock.now();
+            self.pool.idle.borrow_mut().push_back((self.engine, connection));
+        }
+    }
+}
--- /dev/null
+++ b/router/src/query.rs
@@ -0,0 +1,327 @@
+//! One dispatch: the POST, its news, the pages of its result, and giving it up.
+
+use std::cell::Cell;
+use std::io;
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::FutureExt;
+use woadhook::{EngineId, JobId, Moment, Outcome, Progress, Span};
+
+use crate::decide::Event;
+use crate::engine::{Engine, SMALL_BODY, head};
+use crate::memory::Held;
+use crate::pool::Lease;
+use crate::sockets::limited;
+use crate::tasks::Tasks;
+
+/// A result holds at most so many bytes.
+const RESULT_BYTES: usize = 48_000;
+/// An engine ends a query that was not asked for so long; news take up to `NEWS_WAIT`.
+const ASK_WITHIN: Span = Span::from_micros(2_000_000);
+const NEWS_WAIT: Span = Span::from_micros(250_000);
+/// Between calls that fail at once.
+const PAUSE: Span = Span::from_micros(20_000);
+/// A call without an answer for so long is made again on another connection.
+const ASK_AGAIN: Span = Span::from_micros(1_000_000);
+
+/// What a client asked for, unchanged.
+pub struct Statement {
+    pub id: String,
+    pub class: String,
+    pub text: Vec<u8>,
+    pub _held: Held,
+}
+
+pub struct Dispatch {
+    pub job: JobId,
+    pub number: usize,
+    pub engine: EngineId,
+    pub statement: Rc<Statement>,
+    pub decided: Moment,
+    pub until: Moment,
+    pub priority: u8,
+}
+
+pub enum Order {
+    GiveUp,
+    Priority(u8),
+}
+
+/// A whole result, and the room it takes.
+pub struct Rows {
+    pub pages: Vec<Vec<u8>>,
+    _held: Held,
+}
+
+/// Tells the module how a dispatch ended: once, and whatever becomes of its task.
+struct Verdict {
+    job: JobId,
+    number: usize,
+    tasks: Tasks,
+    module: Option<Sender<Event>>,
+}
+
+impl Verdict {
+    async fn tell(mut self, took: Span, (outcome, told, rows): End) {
+        let Some(module) = self.module.take() else { return };
+        let (job, number) = (self.job, self.number);
+        let _ = module.send(Event::Ended { job, number, outcome, took, told, rows }).await;
+    }
+}
+
+impl Drop for Verdict {
+    fn drop(&mut self) {
+        let Some(module) = self.module.take() else { return };
+        let verdict = Verdict { module: Some(module), ..*self };
+        self.tasks.start(verdict.tell(Span::ZERO, (Outcome::Reset, None, None)));
+    }
+}
+
+/// The outcome, the true work and memory where they are told, and the result.
+type End = (Outcome, Option<(Span, f64)>, Option<Rows>);
+
+/// A query that is out, or about to be.
+struct Out {
+    engine: Rc<Engine>,
+    dispatch: Dispatch,
+    module: Sender<Event>,
+    /// Whether a byte of the POST was written.
+    began: Cell<bool>,
+    /// When a call that asks for it was last written, and when one was last answered.
+    asked: Cell<Moment>,
+    heard: Cell<Moment>,
+}
+
+/// What the answer to one call said.
+#[derive(Default)]
+struct Answer {
+    status: u16,
+    declined: bool,
+    pages: usize,
+    page: Option<usize>,
+    note: Option<(String, f64)>,
+    told: Option<(Span, f64)>,
+    body: Vec<u8>,
+}
+
+pub async fn run(engine: Rc<Engine>, dispatch: Dispatch, orders: Receiver<Order>, module: Sender<Event>) {
+    let (job, number, decided) = (dispatch.job, dispatch.number, dispatch.decided);
+    let (clock, tasks) = (engine.ground.clock, engine.ground.tasks);
+    let verdict = Verdict { job, number, tasks, module: Some(module.clone()) };
+    let (asked, heard) = (Cell::new(decided), Cell::new(decided));
+    let out = Out { engine, dispatch, module, began: Cell::new(false), asked, heard };
+    let end = async { Ok(out.work().await) }.or(async { Err(out.stopped(&orders).await) }).await;
+    // What may run is deleted before the module hears, so that no other dispatch of the job meets it.
+    let end = match end {
+        Ok(end) => end,
+        Err(_) if !out.began.get() => (Outcome::NotIssued, None, None),
+        Err(outcome) => {
+            out.give_up().await;
+            (outcome, None, None)
+        }
+    };
+    verdict.tell(clock.now().since(decided), end).await;
+}
+
+impl Out {
+    fn now(&self) -> Moment {
+        self.engine.ground.clock.now()
+    }
+
+    async fn pass(&self, span: Span) {
+        self.engine.ground.clock.pass(span).await;
+    }
+
+    async fn work(&self) -> End {
+        match self.follow().await {
+            Ok((told, rows)) => (Outcome::Done, told, Some(rows)),
+            Err(outcome) => (outcome, None, None),
+        }
+    }
+
+    /// From the POST to the last page.
+    async fn follow(&self) -> Result<(Option<(Span, f64)>, Rows), Outcome> {
+        let (mut answer, mut lease) = self.begin().await?;
+        while answer.status == 202 {
+            if let Some((name, value)) = answer.note {
+                self.pass_on(&name, value).await;
+            }
+            (answer, lease) = self.ask(0, Some(lease)).await?;
+        }
+        match answer.status {
+            200 => Ok((answer.told, self.collect(answer, lease).await?)),
+            503 | 504 if answer.declined => Err(Outcome::TurnedAway),
+            _ => Err(Outcome::Error),
+        }
+    }
+
+    /// The POST and its answer. Where the answer stays away, the query is asked for beside it; where the
+    /// connection breaks, what became of the query is asked for too, as it may run.
+    async fn begin(&self) -> Result<(Answer, Lease), Outcome> {
+        let lease = self.engine.lease(&self.engine.ground.queries).await;
+        let mut lease = lease.map_err(|_| Outcome::NotConnected)?;
+        // Rule 3 is checked once more behind the wait for a connection, right before the first byte.
+        if !self.engine.open.get() {
+            return Err(Outcome::NotIssued);
+        }
+        let statement = &self.dispatch.statement;
+        let patience = self.dispatch.until.since(self.now()).micros().div_ceil(1000).to_string();
+        let priority = self.dispatch.priority.to_string();
+        let fields = [
+            ("X-Trace", statement.id.as_str()),
+            ("X-Profile", &statement.class),
+            ("X-Patience", &patience),
+            ("X-Weight-Class", &priority),
+        ];
+        let post = self.call(&mut lease, "POST", "/v2/q", &fields, &statement.text);
+        let beside = async {
+            self.pass(ASK_AGAIN).await;
+            loop {
+                let asked = self.ask(0, None).await;
+                if !matches!(&asked, Ok((answer, _)) if answer.status == 500) {
+                    return Err(Some(asked));
+                }
+                self.pass(NEWS_WAIT).await;
+            }
+        };
+        let posted = async { post.await.map_err(|_| None) };
+        match posted.or(beside).await {
+            Ok(answer) => Ok((answer, lease)),
+            Err(Some(asked)) => asked,
+            Err(None) if !self.began.get() => Err(Outcome::NotConnected),
+            Err(None) => {
+                let (answer, lease) = self.ask(0, None).await?;
+                if answer.status == 500 { Err(Outcome::Reset) } else { Ok((answer, lease)) }
+            }
+        }
+    }
+
+    /// Asks for news (0) or a page, on another connection where one breaks or stays silent.
+    async fn ask(&self, page: usize, mut lease: Option<Lease>) -> Result<(Answer, Lease), Outcome> {
+        let path = format!("/v2/q/{}/{page}", self.dispatch.statement.id);
+        loop {
+            let kept = lease.take().filter(|lease| lease.reusable && lease.link.is_quiet());
+            let opened = match kept {
+                Some(lease) => Ok(lease),
+                None => self.engine.lease(&self.engine.ground.queries).await,
+            };
+            match opened {
+                Ok(mut lease) => {
+                    let call = self.call(&mut lease, "GET", &path, &[], &[]);
+                    if let Ok(answer) = limited(ASK_AGAIN, call).await {
+                        return Ok((answer, lease));
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Err(Outcome::Reset),
+                Err(_) => {}
+            }
+            if self.now().since(self.heard.get()) > ASK_WITHIN {
+                self.give_up().await;
+                return Err(Outcome::Reset);
+            }
+            self.pass(PAUSE).await;
+        }
+    }
+
+    async fn call(
+        &self, lease: &mut Lease, method: &str, path: &str, fields: &[(&str, &str)], body: &[u8],
+    ) -> io::Result<Answer> {
+        let head = head(method, path, self.engine.address, fields, body.len());
+        let mut answer = Answer::default();
+        let (mut note, mut value, mut spent, mut wanted, mut stats) = (None, 0.0, None, None, None);
+        let wrote = || {
+            self.began.set(true);
+            self.asked.set(self.now());
+        };
+        let hear = |name: &str, text: &str| match name.to_ascii_lowercase().as_str() {
+            "x-declined" => answer.declined = text == "1",
+            "x-batches" => answer.pages = text.parse().unwrap_or(0),
+            "x-batch" => answer.page = text.parse().ok(),
+            "x-result" => note = Some(text.to_owned()),
+            "x-num" => value = text.parse().unwrap_or(0.0),
+            "x-spent" => spent = text.parse::<f64>().ok(),
+            "x-wanted" => wanted = text.parse::<f64>().ok(),
+            "x-stats" => stats = Some(text.to_owned()),
+            _ => {}
+        };
+        let (status, body) = lease.call(&head, body, SMALL_BODY, wrote, hear).await?;
+        self.heard.set(self.now());
+        if let Some(stats) = stats {
+            let _ = self.module.send(Event::Reported { engine: self.dispatch.engine, stats }).await;
+        }
+        (answer.status, answer.body) = (status, body);
+        answer.note = note.map(|note| (note, value));
+        answer.told = spent.map(|spent| (Span::from_secs(spent / 1e3), wanted.unwrap_or(0.0)));
+        Ok(answer)
+    }
+
+    async fn pass_on(&self, note: &str, value: f64) {
+        let progress = match (note, value) {
+            ("pct", share) => Progress::Share(share),
+            ("overflow", missing) => Progress::Spills(missing),
+            ("queued", 1.0) => Progress::WaitsForMemory,
+            ("queued", _) => Progress::WaitsForLoad,
+            _ => return,
+        };
+        let Dispatch { job, number, .. } = self.dispatch;
+        let _ = self.module.send(Event::Progressed { job, number, progress }).await;
+    }
+
+    /// Every page of the result, each whole and in its place.
+    async fn collect(&self, first: Answer, mut lease: Lease) -> Result<Rows, Outcome> {
+        let whole = |page: &[u8]| page.is_empty() || page.ends_with(b"\n");
+        let most = if first.pages > 1 { RESULT_BYTES } else { first.body.len() };
+        let held = self.engine.ground.room.take(most).await;
+        let (count, mut pages, mut bytes) = (first.pages, vec![first.body], 0);
+        while pages.len() < count && bytes <= RESULT_BYTES {
+            let (answer, same) = self.ask(pages.len(), Some(lease)).await?;
+            if answer.status != 200 || answer.page != Some(pages.len()) {
+                return Err(Outcome::Error);
+            }
+            lease = same;
+            pages.push(answer.body);
+            bytes = pages.iter().map(Vec::len).sum();
+        }
+        let sound = bytes <= RESULT_BYTES && pages.iter().all(|page| whole(page));
+        if sound { Ok(Rows { pages, _held: held }) } else { Err(Outcome::Error) }
+    }
+
+    /// Ends at the time-out or when told to give up.
+    async fn stopped(&self, orders: &Receiver<Order>) -> Outcome {
+        let late = async {
+            self.engine.ground.clock.until(self.dispatch.until).await;
+            Outcome::TimedOut
+        };
+        let told = async {
+            loop {
+                match orders.recv().await {
+                    Ok(Order::Priority(priority)) => {
+                        let (path, body) = (self.path(), priority.to_string());
+                        let _ = self.engine.errand("PUT", &path, &body, |_, _| ()).await;
+                    }
+                    Ok(Order::GiveUp) | Err(_) => return Outcome::Cancelled,
+                }
+            }
+        };
+        late.or(told).await
+    }
+
+    fn path(&self) -> String {
+        format!("/v2/q/{}", self.dispatch.statement.id)
+    }
+
+    /// Deletes the query, until that has come whole, nothing listens there, or nobody asked for it so long
+    /// that the engine has ended it by itself.
+    async fn give_up(&self) {
+        let ended = self.asked.get() + NEWS_WAIT + ASK_WITHIN;
+        loop {
+            match self.engine.errand("DELETE", &self.path(), "", |_, _| ()).await {
+                Ok(_) => return,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return,
+                Err(_) if self.now() >= ended => return,
+                Err(_) => self.pass(PAUSE).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/sockets.rs
@@ -0,0 +1,89 @@
+//! Descriptors: their shares, and the one place where each is given back.
+
+use std::io::{self, IoSlice};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use async_lock::{Semaphore, SemaphoreGuardArc};
+use futures_lite::{AsyncWrite, FutureExt, future};
+use woadhook::Span;
+
+/// Descriptors that are no sockets of peers: standard streams, poller, signals, listener, bulletin.
+const OWN: usize = 24;
+
+/// The descriptor limit in parts that cannot starve each other.
+#[derive(Clone)]
+pub struct Descriptors {
+    pub clients: Arc<Semaphore>,
+    /// Starting queries, their news and pages.
+    pub queries: Arc<Semaphore>,
+    /// Giving queries up, priorities and probes.
+    pub errands: Arc<Semaphore>,
+}
+
+impl Descriptors {
+    pub fn share(limit: usize) -> Self {
+        let clients = limit / 3;
+        let rest = limit.saturating_sub(clients + OWN).max(2);
+        let errands = (rest / 4).max(1);
+        let part = |count| Arc::new(Semaphore::new(count));
+        Self { clients: part(clients.max(1)), queries: part(rest - errands), errands: part(errands) }
+    }
+}
+
+/// A connected socket; dropping it closes it and then gives its descriptor back.
+pub struct Link {
+    pub stream: Async<TcpStream>,
+    _permit: SemaphoreGuardArc,
+}
+
+impl Link {
+    pub fn accepted(stream: Async<TcpStream>, permit: SemaphoreGuardArc) -> Self {
+        let _ = stream.get_ref().set_nodelay(true);
+        Self { stream, _permit: permit }
+    }
+
+    pub async fn connect(to: SocketAddr, within: Span, part: &Arc<Semaphore>) -> io::Result<Self> {
+        let permit = part.acquire_arc().await;
+        let stream = limited(within, Async::<TcpStream>::connect(to)).await?;
+        Ok(Self::accepted(stream, permit))
+    }
+
+    /// Whether the peer has neither closed it nor sent what nobody asked for.
+    pub fn is_quiet(&self) -> bool {
+        let peeked = self.stream.get_ref().peek(&mut [0]);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// The outcome of `work`, or an error once the span has passed.
+pub async fn limited<T>(span: Span, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let late = async {
+        Timer::after(Duration::from_micros(span.micros())).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    work.or(late).await
+}
+
+/// Writes all the parts in order, as many at once as the system takes. `wrote` hears of each write.
+pub async fn write_gathered(
+    stream: &Async<TcpStream>, parts: &[&[u8]], mut wrote: impl FnMut(),
+) -> io::Result<()> {
+    let mut slices: Vec<IoSlice> = parts.iter().map(|part| IoSlice::new(part)).collect();
+    let mut left = slices.as_mut_slice();
+    IoSlice::advance_slices(&mut left, 0);
+    while !left.is_empty() {
+        let mut stream = stream;
+        let count =
+            future::poll_fn(|context| std::pin::Pin::new(&mut stream).poll_write_vectored(context, left))
+                .await?;
+        if count == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        wrote();
+        IoSlice::advance_slices(&mut left, count);
+    }
+    Ok(())
+}
