--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -73,9 +73,9 @@
         let (engine, module) = (engine.clone(), module.clone());
         match errand {
             Errand::Run(dispatch, orders) => {
-                engine.ground.tasks.clone().start(query::run(engine, dispatch, orders, module));
+                engine.ground.tasks.start(query::run(engine, dispatch, orders, module));
             }
-            Errand::Probe(id) => engine.ground.tasks.clone().start(probe(engine, id, module)),
+            Errand::Probe(id) => engine.ground.tasks.start(probe(engine, id, module)),
         }
     }
     engine.ground.queries.close_all(engine.serial);
