--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+.PHONY: build test lint run toy ask
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+# One router, as the example's configuration tells it.
+run: build
+	LB_CONFIG=router/examples/config.json target/release/woadhook
+
+# Two toy engines and a toy bulletin for it; then `make ask`.
+toy:
+	cargo run --locked -p woadhook-router --example toy -- serve
+
+ask:
+	cargo run --locked -p woadhook-router --example toy -- ask report "select id from sales_17.orders"
--- a/adapter/src/flint.rs
+++ b/adapter/src/flint.rs
@@ -174,7 +174,7 @@
 fn take_report(instance: &mut Instance, now: Moment, event: &Value) -> Result<()> {
     let Ok(values) = numbers(event, "pressure") else { return Ok(()) };
     if let Some(engine) = instance.engines.find(text(event, "engine")?) {
-        instance.reported(now, EngineId(engine), |place| values.get(place).copied());
+        instance.reported(now, EngineId(engine), |place, _| values.get(place).copied());
     }
     Ok(())
 }
--- a/door/src/instance.rs
+++ b/door/src/instance.rs
@@ -144,9 +144,9 @@
         Ok(())
     }
 
-    /// A load report; `value` finds what it holds for a place among `report_names`.
-    pub fn reported(&mut self, now: Moment, engine: EngineId, value: impl Fn(usize) -> Option<f64>) {
-        let value = |name| position(&self.report_names, name).and_then(&value);
+    /// A load report; `value` finds what it holds for a name, by its place among `report_names` or by itself.
+    pub fn reported(&mut self, now: Moment, engine: EngineId, value: impl Fn(usize, &str) -> Option<f64>) {
+        let value = |name| position(&self.report_names, name).and_then(|place| value(place, name));
         let (active, waiting, cpu, disks) = (value("active"), value("waiting"), value("cpu"), value("x1"));
         self.router.reported(now, engine, active, waiting, cpu, disks);
     }
--- a/router/src/bulletin.rs
+++ b/router/src/bulletin.rs
@@ -19,27 +19,28 @@
 const LIST_BYTES: usize = 4 * 1024 * 1024;
 /// The longest patience that a bulletin grants.
 const LONGEST: Span = Span::from_micros(5_000_000);
-/// Between connections that fail at once.
-const PAUSE: Span = Span::from_micros(20_000);
-
 /// `last` is the number of the last event known. A change is to be heard within `grace` even over a connection
-/// that went silent, so each call waits for a quarter of it only.
+/// that went silent, so each call waits for a quarter of it only; after a
+/// fault it asks again on a new connection soon.
 pub async fn follow(
     clock: Clock, address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64,
     module: Sender<Event>,
 ) {
     let part = Arc::new(Semaphore::new(1));
     let patience = grace.times(0.25).min(LONGEST);
+    let mut fault = String::new();
     while !module.is_closed() {
-        if let Ok(link) = Link::connect(address, connect_timeout, &part).await {
+        if let Ok(link) = Link::connect(address, connect_timeout, part.acquire_arc().await).await {
             let mut connection = Connection::new(link);
-            if let Err(error) =
-                ask(&mut connection, address, patience, connect_timeout, &mut last, &module).await
-            {
-                log::debug!("bulletin: {error}");
+            let asked = ask(&mut connection, address, patience, connect_timeout, &mut last, &module).await;
+            if let Err(error) = asked.map_err(|error| error.to_string()) {
+                if error != fault {
+                    log::warn!("bulletin: {error}");
+                }
+                fault = error;
             }
         }
-        clock.pass(PAUSE).await;
+        clock.pass(patience.times(0.25)).await;
     }
 }
 
@@ -74,7 +75,9 @@
             if number != *last + 1 && !mark(roster, "complete") {
                 return Err(format!("event {} is missing", *last + 1));
             }
-            let _ = module.send(Event::Listed { roster: roster.clone() }).await;
+            let (read, answer) = async_channel::bounded(1);
+            let _ = module.send(Event::Listed { roster: roster.clone(), read }).await;
+            answer.recv().await.map_err(|_| "no module".to_owned())??;
         }
         *last = number;
     }
--- a/router/src/codec.rs
+++ b/router/src/codec.rs
@@ -9,9 +9,9 @@
 
 use crate::query::Rows;
 
-pub const REQUEST: u8 = 0;
-pub const ANSWER: u8 = 1;
-pub const NOTICE: u8 = 2;
+pub const REQUEST: u32 = 0;
+pub const ANSWER: u32 = 1;
+pub const NOTICE: u32 = 2;
 
 /// What a message is not: whole, of this protocol.
 #[derive(Debug)]
@@ -97,7 +97,7 @@
 }
 
 /// A body, which some clients write as text.
-pub fn body<'a>(message: &mut &'a [u8]) -> Result<&'a [u8]> {
+fn body<'a>(message: &mut &'a [u8]) -> Result<&'a [u8]> {
     let text = decode::read_str_from_slice::<[u8]>(*message);
     if let Ok((found, rest)) = text {
         *message = rest;
@@ -109,13 +109,16 @@
     Ok(found)
 }
 
-/// Each field of a map of texts.
-pub fn fields<'a>(message: &mut &'a [u8], mut field: impl FnMut(&'a str, &'a str)) -> Result<()> {
+/// The parameters of a request: hears each field of a map of texts, and returns the body.
+pub fn parameters<'a>(message: &mut &'a [u8], mut field: impl FnMut(&'a str, &'a str)) -> Result<&'a [u8]> {
+    if array(message)? != 2 {
+        return Err(Malformed);
+    }
     for _ in 0..decode::read_map_len(message)? {
         let name = text(message)?;
         field(name, text(message)?);
     }
-    Ok(())
+    body(message)
 }
 
 /// What answers a request.
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -22,7 +22,7 @@
 pub fn read() -> Result<Given> {
     let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG names no file".to_owned())?;
     let words = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
-    parse(&words, env::var("LB_LISTEN").ok())
+    parse(&words, env::var("LB_LISTEN").ok()).map_err(|fault| format!("{path}: {fault}"))
 }
 
 pub fn parse(words: &str, listen: Option<String>) -> Result<Given> {
--- a/router/src/decide.rs
+++ b/router/src/decide.rs
@@ -2,6 +2,7 @@
 //! in all that is queued, then pulls decisions until there is none.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 
@@ -16,7 +17,7 @@
 use crate::codec::Answer;
 use crate::config::address;
 use crate::engine::{Errand, Ground, Peer};
-use crate::front::Reply;
+use crate::front::{MALFORMED, Reply};
 use crate::query::{Dispatch, Order, Rows, Statement};
 
 pub const MAILBOX: usize = 4096;
@@ -67,8 +68,10 @@
         engine: EngineId,
         outcome: Outcome,
     },
+    /// Changes of the list; the answer tells whether they could be read.
     Listed {
         roster: Value,
+        read: Sender<Result<()>>,
     },
     Stopping {
         by: Moment,
@@ -87,6 +90,17 @@
     out: HashMap<usize, Sender<Order>>,
 }
 
+/// A line of the engine list.
+#[derive(Clone, Copy)]
+struct Line {
+    at: SocketAddr,
+    zone: ZoneId,
+    kind: KindId,
+    cell: CellId,
+    listed: Listed,
+    came_up: Option<Moment>,
+}
+
 pub struct Desk {
     clock: Clock,
     settings: Value,
@@ -95,11 +109,15 @@
     ground: Ground,
     /// For actors that tell the module things.
     module: Sender<Event>,
+    /// The jobs that await an answer, by connection and message; emptied by the answers.
+    asked: HashMap<(u64, u32), JobId>,
     /// Both emptied as the module forgets.
     jobs: HashMap<JobId, Open>,
     peers: HashMap<EngineId, Peer>,
     /// The lines of the list by engine, for a module that begins again; emptied like `peers`.
-    lines: HashMap<EngineId, Value>,
+    lines: HashMap<EngineId, Line>,
+    /// Whether the whole list was told once.
+    listed: bool,
     /// Counts the actors of engines.
     serial: u64,
     wake: Option<Moment>,
@@ -118,9 +136,11 @@
             seed,
             ground,
             module,
+            asked: HashMap::new(),
             jobs: HashMap::new(),
             peers: HashMap::new(),
             lines: HashMap::new(),
+            listed: false,
             serial: 0,
             wake: None,
             last_answer: None,
@@ -169,8 +189,8 @@
                 self.arrive(now, client, statement, group, tenant, key, told, memory, deadline, reply);
             }
             Event::Withdrawn { client, number } => {
-                if let Some(job) = self.instance.jobs.find(&name(client, number)) {
-                    self.withdraw(JobId(job));
+                if let Some(job) = self.asked.get(&(client, number)) {
+                    self.withdraw(*job);
                 }
             }
             Event::ClientGone { client } => {
@@ -179,14 +199,15 @@
                     self.withdraw(job);
                 }
             }
-            Event::Ping { reply } => reply.send(Answer::Pong(self.last_answer.is_none())),
+            Event::Ping { reply } => reply.send(Answer::Pong(self.listed && self.last_answer.is_none())),
             Event::Ended { job, number, outcome, took, told, rows } => {
                 let Some(open) = self.jobs.get_mut(&job) else { return };
                 open.out.remove(&number);
-                if let Some((rows, reply)) = rows.zip(open.reply.take_if(|_| outcome == Outcome::Done)) {
+                let reply = if outcome == Outcome::Done { self.reply_to(job) } else { None };
+                if let Some((reply, rows)) = reply.zip(rows) {
                     reply.send(Answer::Served(rows));
                 }
-                let over = open.reply.is_none();
+                let over = self.jobs[&job].reply.is_none();
                 let told = told.filter(|_| self.instance.costs_told);
                 self.instance.router.dispatch_ended(now, job, number, outcome, took, told, over);
                 if over {
@@ -198,10 +219,8 @@
             }
             Event::Reported { engine, stats } => self.report(now, engine, &stats),
             Event::ProbeEnded { engine, outcome } => self.instance.router.probe_ended(now, engine, outcome),
-            Event::Listed { roster } => {
-                if let Err(fault) = self.follow_list(now, &roster) {
-                    log::error!("bulletin: {fault}");
-                }
+            Event::Listed { roster, read } => {
+                let _ = read.try_send(self.follow_list(now, &roster));
             }
             Event::Stopping { by } => self.last_answer = Some(by),
         }
@@ -211,25 +230,35 @@
         &mut self, now: Moment, client: u64, statement: Rc<Statement>, group: usize, tenant: Option<String>,
         key: Option<String>, told: Option<Span>, memory: f64, deadline: Moment, reply: Reply,
     ) {
-        let name = name(client, reply.number());
         let kind = position(&self.instance.types, &statement.class).map(TypeId);
-        let (Some(kind), None) = (kind, self.instance.jobs.find(&name)) else {
-            return reply.send(Answer::Failed("Malformed"));
+        let asked = (client, reply.number());
+        let is_new = self.instance.jobs.find(&statement.id).is_none() && !self.asked.contains_key(&asked);
+        let (Some(kind), true) = (kind, is_new) else {
+            return reply.send(Answer::Failed(MALFORMED));
         };
         let deadline = self.last_answer.map_or(deadline, |last| deadline.min(last));
-        let job = JobId(self.instance.jobs.admit(&name));
+        let job = JobId(self.instance.jobs.admit(&statement.id));
         let tenant = tenant.and_then(|name| position(&self.instance.tenants, &name)).map(TenantId);
         let key = key.map(|key| KeyId(self.instance.keys.admit(&key)));
         let (router, expires) = (&mut self.instance.router, deadline.since(now));
         router.job_arrived(now, job, kind, tenant, GroupId(group), key, told, memory, expires);
+        self.asked.insert(asked, job);
         let reply = Some(reply);
         let open = Open { client, statement, deadline, reply, dispatches: 0, out: HashMap::new() };
         self.jobs.insert(job, open);
     }
 
+    /// The one right to answer a job, if it is still there.
+    fn reply_to(&mut self, job: JobId) -> Option<Reply> {
+        let open = self.jobs.get_mut(&job)?;
+        let reply = open.reply.take()?;
+        self.asked.remove(&(open.client, reply.number()));
+        Some(reply)
+    }
+
     /// The client waits no longer.
     fn withdraw(&mut self, job: JobId) {
-        if self.jobs.get_mut(&job).and_then(|open| open.reply.take()).is_some() {
+        if self.reply_to(job).is_some() {
             self.instance.router.job_over(job);
             self.call_off(job);
         }
@@ -243,7 +272,7 @@
     }
 
     fn answer(&mut self, job: JobId, answer: Answer) {
-        if let Some(reply) = self.jobs.get_mut(&job).and_then(|open| open.reply.take()) {
+        if let Some(reply) = self.reply_to(job) {
             reply.send(answer);
         }
         self.call_off(job);
@@ -268,21 +297,24 @@
 
     fn report(&mut self, now: Moment, engine: EngineId, stats: &str) {
         let fields = || stats.split(';').filter_map(|field| field.split_once(':'));
-        let names = self.instance.report_names.clone();
-        self.instance.reported(now, engine, |place| {
-            let (_, value) = fields().find(|(name, _)| name.trim() == names[place])?;
+        self.instance.reported(now, engine, |_, wanted| {
+            let (_, value) = fields().find(|(name, _)| name.trim() == wanted)?;
             value.trim().parse().ok()
         });
     }
 
+    /// Takes in all lines or, where one can't be read, none.
     fn follow_list(&mut self, now: Moment, roster: &Value) -> Result<()> {
-        let mut named = Vec::new();
-        for member in rows(roster, "members")? {
-            let engine = EngineId(self.instance.engines.admit(text(member, "id")?));
-            self.list(now, engine, member)?;
+        let lines = rows(roster, "members")?.iter().map(|member| self.read_line(member));
+        let lines = lines.collect::<Result<Vec<_>>>()?;
+        let mut named = Vec::with_capacity(lines.len());
+        for (name, line) in lines {
+            let engine = EngineId(self.instance.engines.admit(&name));
+            self.list(now, engine, line);
             named.push(engine);
         }
         if mark(roster, "complete") {
+            self.listed = true;
             self.instance.router.list_complete(&named);
             for (_, peer) in self.peers.iter().filter(|(engine, _)| !named.contains(engine)) {
                 peer.engine.open.set(false);
@@ -293,7 +325,7 @@
         Ok(())
     }
 
-    fn list(&mut self, now: Moment, engine: EngineId, member: &Value) -> Result<()> {
+    fn read_line(&self, member: &Value) -> Result<(String, Line)> {
         let listed = match text(member, "phase")? {
             "SERVING" => Listed::Live,
             "DRAINING" => Listed::Draining,
@@ -301,18 +333,29 @@
             other => return Err(format!("phase: unknown {other}")),
         };
         let came_up = whole(member, "up_since_ms").ok().filter(|&at| at > 0);
-        let came_up = came_up.map(|at| Moment::from_micros(at * 1000));
-        let (zone, kind) = (text(member, "locality")?, text(member, "flavor")?);
-        let cell = CellId(whole(member, "cell").unwrap_or(0) as usize);
-        let at = address(text(member, "host_port")?)?;
-        self.instance.engine_listed(now, engine, zone, kind, cell, listed, came_up)?;
+        let line = Line {
+            at: address(text(member, "host_port")?)?,
+            zone: ZoneId(place(&self.instance.zones, text(member, "locality")?, "locality")?),
+            kind: KindId(place(&self.instance.kinds, text(member, "flavor")?, "flavor")?),
+            cell: CellId(whole(member, "cell").unwrap_or(0) as usize),
+            listed,
+            came_up: came_up.map(|at| Moment::from_micros(at.saturating_mul(1000))),
+        };
+        Ok((text(member, "id")?.to_owned(), line))
+    }
+
+    fn list(&mut self, now: Moment, engine: EngineId, line: Line) {
+        let Line { at, zone, kind, cell, listed, came_up } = line;
+        self.instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up);
         if self.peers.get(&engine).is_none_or(|peer| peer.engine.address != at) {
             self.serial += 1;
-            self.peers.insert(engine, Peer::start(&self.ground, self.serial, at, self.module.clone()));
+            let new = Peer::start(&self.ground, self.serial, at, self.module.clone());
+            if let Some(old) = self.peers.insert(engine, new) {
+                old.engine.open.set(false);
+            }
         }
         self.peers[&engine].engine.open.set(listed == Listed::Live);
-        self.lines.insert(engine, member.clone());
-        Ok(())
+        self.lines.insert(engine, line);
     }
 
     fn carry_out(&mut self, now: Moment, decision: Decision) {
@@ -387,12 +430,7 @@
         let old = std::mem::replace(&mut self.instance, new);
         (self.instance.jobs, self.instance.keys, self.instance.engines) = (old.jobs, old.keys, old.engines);
         for (engine, line) in self.lines.clone() {
-            let _ = self.list(now, engine, &line);
+            self.list(now, engine, line);
         }
     }
 }
-
-/// The name of a job: message ids run on each connection anew.
-fn name(client: u64, number: u32) -> String {
-    format!("{client}/{number}")
-}
--- a/router/src/front.rs
+++ b/router/src/front.rs
@@ -8,7 +8,7 @@
 use async_channel::{Receiver, Sender};
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{AsyncReadExt, FutureExt};
-use woadhook::Span;
+use woadhook::{Moment, Span};
 
 use crate::clock::Clock;
 use crate::codec::{self, Answer, Malformed};
@@ -22,6 +22,8 @@
 const OPEN: usize = 32 + 8;
 const MESSAGE_BYTES: usize = 256 * 1024;
 const READ_BYTES: usize = 16 * 1024;
+/// The error for what can't be taken, whatever is wrong with it.
+pub const MALFORMED: &str = "Malformed";
 
 /// What all connections of clients are given alike.
 #[derive(Clone)]
@@ -57,6 +59,11 @@
 }
 
 impl Reply {
+    /// The id that the client gave its request.
+    pub fn number(&self) -> u32 {
+        self.number
+    }
+
     /// The outbox has a place for each reply; where the connection is gone, nobody is answered.
     pub fn send(self, answer: Answer) {
         let _ = self.outbox.try_send((self.number, answer, self.owed));
@@ -130,28 +137,37 @@
                 }
                 buffer.resize(filled * 2, 0);
             }
-            match (&link.stream).read(&mut buffer[filled..]).await? {
-                0 => return Ok(()),
-                count => filled += count,
+            match limited(self.hall.longest_wait, (&link.stream).read(&mut buffer[filled..])).await {
+                Ok(0) => return Ok(()),
+                Ok(count) => filled += count,
+                // Threat: clients that vanish, idle or stall in a message would keep their descriptors. None
+                // that awaits an answer is closed.
+                Err(error) if error.kind() == io::ErrorKind::TimedOut && self.owes() => {}
+                Err(error) => return Err(error),
             }
         }
     }
 
+    fn owes(&self) -> bool {
+        let free: Vec<_> = std::iter::from_fn(|| self.places.try_acquire()).collect();
+        free.len() < OPEN
+    }
+
     /// Takes in one whole message.
     async fn take(&self, mut message: &[u8]) -> codec::Result<()> {
-        let message = &mut message;
+        let (arrived, message) = (self.hall.clock.now(), &mut message);
         let parts = codec::array(message)?;
-        match (codec::number(message)? as u8, parts) {
+        match (codec::number(message)?, parts) {
             (codec::REQUEST, 4) => {
-                let number = codec::number(message)?;
-                let method = codec::text(message)?;
-                let parts = codec::array(message)?;
-                let reply = self.reply(number).await;
-                if method == "ping" {
-                    let _ = self.hall.module.send(Event::Ping { reply }).await;
-                    return Ok(());
+                let reply = self.reply(codec::number(message)?).await;
+                match codec::text(message) {
+                    Ok("ping") => {
+                        let _ = self.hall.module.send(Event::Ping { reply }).await;
+                    }
+                    Ok(method) => self.request(arrived, reply, method, message).await,
+                    Err(Malformed) => reply.send(Answer::Failed(MALFORMED)),
                 }
-                self.request(reply, method, parts, message).await
+                Ok(())
             }
             (codec::NOTICE, 3) => {
                 if codec::text(message)? == "abort" && codec::array(message)? > 0 {
@@ -172,29 +188,28 @@
         Reply { number, outbox: self.outbox.clone(), owed }
     }
 
-    async fn request(
-        &self, reply: Reply, method: &str, parts: u32, message: &mut &[u8],
-    ) -> codec::Result<()> {
-        let arrived = self.hall.clock.now();
+    /// A request with a number is answered in any case, if only with an error.
+    async fn request(&self, arrived: Moment, reply: Reply, method: &str, message: &mut &[u8]) {
         let (mut id, mut wait, mut cost, mut ram, mut tenant, mut key) = ("", None, None, 0.0, None, None);
-        if parts != 2 {
-            return Err(Malformed);
-        }
-        codec::fields(message, |name, value| match name {
+        let mut sound = true;
+        let mut amount = |value: &str| {
+            let amount = value.parse::<f64>().ok().filter(|amount| amount.is_finite() && *amount >= 0.0);
+            sound &= amount.is_some();
+            amount
+        };
+        let body = codec::parameters(message, |name, value| match name {
             "id" => id = value,
-            "wait" => wait = value.parse::<f64>().ok(),
-            "cost" => cost = value.parse::<f64>().ok().filter(|cost| cost.is_finite()),
-            "ram" => ram = value.parse::<f64>().ok().filter(|ram| ram.is_finite()).unwrap_or(0.0),
+            "wait" => wait = amount(value),
+            "cost" => cost = amount(value),
+            "ram" => ram = amount(value).unwrap_or(0.0),
             "tenant" => tenant = Some(value.to_owned()),
             "key" => key = Some(value.to_owned()),
             _ => {}
-        })?;
-        let body = codec::body(message)?;
+        });
         // The id goes on in paths and heads.
-        let sound = (1..=64).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_alphanumeric());
-        let (true, Some(wait)) = (sound, wait) else {
-            reply.send(Answer::Failed("Malformed"));
-            return Ok(());
+        sound &= (1..=64).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_alphanumeric());
+        let (true, Ok(body), Some(wait)) = (sound, body, wait) else {
+            return reply.send(Answer::Failed(MALFORMED));
         };
         let group = table_group(&String::from_utf8_lossy(body)).unwrap_or(0);
         let held = self.hall.room.take(body.len()).await;
@@ -211,12 +226,5 @@
             reply,
         };
         let _ = self.hall.module.send(arrival).await;
-        Ok(())
-    }
-}
-
-impl Reply {
-    pub fn number(&self) -> u32 {
-        self.number
     }
 }
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -46,9 +46,10 @@
             if let Some(parsed) = parse(&self.buffer, &mut field)? {
                 break parsed;
             }
-            if self.buffer.len() >= HEAD_BYTES || self.read().await? == 0 {
-                return Err(broken("no whole head"));
+            if self.buffer.len() >= HEAD_BYTES {
+                return Err(broken("head too long"));
             }
+            self.read_more().await?;
         };
         self.buffer.drain(..length);
         let body = match body {
@@ -69,6 +70,10 @@
         count
     }
 
+    async fn read_more(&mut self) -> io::Result<()> {
+        if self.read().await? == 0 { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
+    }
+
     /// The next `length` bytes: those in the buffer, and the rest read straight to their place.
     async fn take(&mut self, length: usize) -> io::Result<Vec<u8>> {
         let here = self.buffer.len().min(length);
@@ -85,7 +90,7 @@
             let (start, size) = loop {
                 match httparse::parse_chunk_size(&self.buffer) {
                     Ok(Status::Complete((start, size))) => break (start, size as usize),
-                    Ok(Status::Partial) if self.buffer.len() < HEAD_BYTES && self.read().await? > 0 => {}
+                    Ok(Status::Partial) if self.buffer.len() < HEAD_BYTES => self.read_more().await?,
                     _ => return Err(broken("chunk")),
                 }
             };
@@ -117,7 +122,7 @@
 fn parse(buffer: &[u8], field: &mut impl FnMut(&str, &str)) -> io::Result<Option<(u16, usize, bool, Body)>> {
     let mut fields = [EMPTY_HEADER; HEAD_FIELDS];
     let mut response = Response::new(&mut fields);
-    let Status::Complete(length) = response.parse(buffer).map_err(io::Error::other)? else {
+    let Status::Complete(length) = response.parse(buffer).map_err(|_| broken("no HTTP"))? else {
         return Ok(None);
     };
     let status = response.code.unwrap_or(0);
--- /dev/null
+++ b/router/src/lib.rs
@@ -0,0 +1,89 @@
+//! A router: clients on one side, sql engines on the other, and the decision module between them.
+//!
+//! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `statement`
+//! finds the table group, `decide` lets the module decide, `engine` and `query` carry dispatches out over
+//! `http` connections of `pool`, and `front` writes the answer. `bulletin` follows the list of engines,
+//! `sockets` and `memory` own what is scarce, `stop` ends it all.
+
+mod bulletin;
+pub mod clock;
+pub mod codec;
+pub mod config;
+mod decide;
+mod engine;
+mod front;
+mod http;
+mod listen;
+pub mod memory;
+mod pool;
+mod query;
+pub mod sockets;
+pub mod statement;
+mod stop;
+pub mod tasks;
+
+use std::cell::Cell;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use async_io::Async;
+use serde_json::Value;
+use woadhook::Span;
+use woadhook_door::fields::*;
+
+use crate::clock::Clock;
+use crate::decide::Desk;
+use crate::engine::Ground;
+use crate::front::Hall;
+use crate::memory::Room;
+use crate::pool::Pool;
+use crate::sockets::Descriptors;
+use crate::tasks::Tasks;
+
+/// Serves until a planned stop is done.
+///
+/// `told_to_stop` comes when a stop is planned.
+pub async fn serve(
+    tasks: Tasks, given: config::Given, listener: TcpListener, told_to_stop: impl Future<Output = ()>,
+) -> Result<()> {
+    let clock = Clock::start();
+    let settings = given.settings;
+    let limits = present(&settings, "limits")?;
+    let connect_timeout = span(limits, "connectTimeoutUs")?;
+    let idle_close = span(limits, "idleCloseUs")?;
+    let grace = span(present(&settings, "obligations")?, "stopSendingWithinUs")?;
+    let reports = text(present(&settings, "feedback")?, "how")? != "none";
+    let deadlines = rows(&settings, "classes")?.iter().map(|class| span(class, "deadlineUs"));
+    let longest = deadlines.collect::<Result<Vec<Span>>>()?.into_iter().max().unwrap_or_default();
+
+    let descriptors = Descriptors::share(given.descriptors);
+    // A quarter of the memory each for statements and for results.
+    let room = || Room::new((given.memory_mb * 1024.0 * 256.0) as usize);
+    let (module, mailbox) = async_channel::bounded(decide::MAILBOX);
+    let ground = Ground {
+        clock,
+        tasks,
+        queries: Pool::new(clock, descriptors.queries, idle_close),
+        errands: Pool::new(clock, descriptors.errands, idle_close),
+        connect_timeout,
+        reports,
+        room: room(),
+    };
+    let desk = Desk::new(clock, given.seed, settings.clone(), ground, module.clone())?;
+    tasks.start(desk.run(mailbox));
+    let mut last = 0;
+    if let Value::Object(_) = given.known {
+        bulletin::pass_on(&given.known, &mut last, &module).await?;
+    }
+    tasks.start(bulletin::follow(clock, given.bulletin, connect_timeout, grace, last, module.clone()));
+
+    let listener = Async::new(listener).map_err(|error| error.to_string())?;
+    let owing = Rc::new(Cell::new(0));
+    let hall =
+        Hall { clock, module: module.clone(), room: room(), longest_wait: longest, owing: owing.clone() };
+    tasks.start(listen::accept(listener, descriptors.clients, tasks, hall));
+    log::info!("serving on {}", given.listen);
+    told_to_stop.await;
+    stop::wait(clock, longest, &owing, module).await;
+    Ok(())
+}
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,50 +1,16 @@
-//! A router: clients on one side, sql engines on the other, and the decision module between them.
-//!
-//! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `statement`
-//! finds the table group, `decide` lets the module decide, `engine` and `query` carry dispatches out over
-//! `http` connections of `pool`, and `front` writes the answer. `bulletin` follows the list of engines,
-//! `sockets` and `memory` own what is scarce, `stop` ends it all.
+//! The program `woadhook`: one router, as `LB_CONFIG` tells it, until SIGTERM.
 
-mod bulletin;
-mod clock;
-mod codec;
-mod config;
-mod decide;
-mod engine;
-mod front;
-mod http;
-mod listen;
-mod memory;
-mod pool;
-mod query;
-mod sockets;
-mod statement;
-mod stop;
-mod tasks;
-
-use std::cell::Cell;
 use std::net::TcpListener;
 use std::process::ExitCode;
-use std::rc::Rc;
-
-use async_io::Async;
-use serde_json::Value;
-use woadhook::Span;
-use woadhook_door::fields::*;
 
-use crate::clock::Clock;
-use crate::decide::Desk;
-use crate::engine::Ground;
-use crate::front::Hall;
-use crate::memory::Room;
-use crate::pool::Pool;
-use crate::sockets::Descriptors;
-use crate::tasks::Tasks;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use woadhook_router::tasks::Tasks;
+use woadhook_router::{config, serve};
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let tasks = Tasks::new();
-    match config::read().and_then(|given| async_io::block_on(tasks.run(serve(tasks, given)))) {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             log::error!("{fault}");
@@ -53,45 +19,13 @@
     }
 }
 
-/// Serves until a planned stop is done.
-async fn serve(tasks: Tasks, given: config::Given) -> Result<()> {
-    let clock = Clock::start();
-    let settings = given.settings;
-    let limits = present(&settings, "limits")?;
-    let connect_timeout = span(limits, "connectTimeoutUs")?;
-    let idle_close = span(limits, "idleCloseUs")?;
-    let grace = span(present(&settings, "obligations")?, "stopSendingWithinUs")?;
-    let reports = text(present(&settings, "feedback")?, "how")? != "none";
-    let deadlines = rows(&settings, "classes")?.iter().map(|class| span(class, "deadlineUs"));
-    let longest = deadlines.collect::<Result<Vec<Span>>>()?.into_iter().max().unwrap_or_default();
-
-    let descriptors = Descriptors::share(given.descriptors);
-    // A quarter of the memory each for statements and for results.
-    let room = || Room::new((given.memory_mb * 1024.0 * 256.0) as usize);
-    let (module, mailbox) = async_channel::bounded(decide::MAILBOX);
-    let ground = Ground {
-        clock,
-        tasks,
-        queries: Pool::new(clock, descriptors.queries, idle_close),
-        errands: Pool::new(clock, descriptors.errands, idle_close),
-        connect_timeout,
-        reports,
-        room: room(),
+fn run() -> Result<(), String> {
+    let given = config::read()?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|error| error.to_string())?;
+    let told_to_stop = async {
+        signals.next().await;
     };
-    let desk = Desk::new(clock, given.seed, settings.clone(), ground, module.clone())?;
-    tasks.start(desk.run(mailbox));
-    let mut last = 0;
-    if let Value::Object(_) = given.known {
-        bulletin::pass_on(&given.known, &mut last, &module).await?;
-    }
-    tasks.start(bulletin::follow(clock, given.bulletin, connect_timeout, grace, last, module.clone()));
-
     let listener = TcpListener::bind(given.listen).map_err(|error| format!("{}: {error}", given.listen))?;
-    let listener = Async::new(listener).map_err(|error| error.to_string())?;
-    let owing = Rc::new(Cell::new(0));
-    let hall =
-        Hall { clock, module: module.clone(), room: room(), longest_wait: longest, owing: owing.clone() };
-    tasks.start(listen::accept(listener, descriptors.clients, tasks, hall));
-    log::info!("serving on {}", given.listen);
-    stop::wait(clock, longest, &owing, module).await.map_err(|error| error.to_string())
+    let tasks = Tasks::default();
+    async_io::block_on(tasks.run(serve(tasks, given, listener, told_to_stop)))
 }
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -1,6 +1,6 @@
 //! Idle connections to engines, in one place, so that those of one engine never starve another.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -13,7 +13,10 @@
 
 use crate::clock::Clock;
 use crate::http::Connection;
-use crate::sockets::Link;
+use crate::sockets::{Link, limited};
+
+/// The error where no descriptor came free in time.
+pub const NO_DESCRIPTOR: io::ErrorKind = io::ErrorKind::QuotaExceeded;
 
 /// Connections that share one part of the descriptors.
 pub struct Pool {
@@ -23,6 +26,8 @@
     longest_idle: Span,
     /// The longest idle first; emptied by age, by use and when the engine's actor ends.
     idle: RefCell<VecDeque<(u64, Connection)>>,
+    /// How many wait for a descriptor; while any does, none is kept idle.
+    waiting: Cell<usize>,
 }
 
 /// A connection in use. Dropped between calls it is idle again, dropped during one it is closed.
@@ -34,11 +39,17 @@
 
 impl Pool {
     pub fn new(clock: Clock, part: Arc<Semaphore>, idle_close: Span) -> Rc<Self> {
-        Rc::new(Self { clock, part, longest_idle: idle_close.times(0.5), idle: RefCell::default() })
+        Rc::new(Self {
+            clock,
+            part,
+            longest_idle: idle_close.times(0.5),
+            idle: RefCell::default(),
+            waiting: Cell::new(0),
+        })
     }
 
     /// An idle connection to this engine that its peer has not closed, or else a new one. Where all
-    /// descriptors are in use, the longest idle of any engine is closed for it.
+    /// descriptors are in use, the longest idle of any engine is closed for it, or one waited for.
     pub async fn lease(self: &Rc<Self>, engine: u64, at: SocketAddr, within: Span) -> io::Result<Lease> {
         let lease = |connection| Lease { pool: self.clone(), engine, connection: Some(connection) };
         self.close_old();
@@ -47,10 +58,16 @@
                 return Ok(lease(connection));
             }
         }
-        if self.part.try_acquire().is_none() {
-            self.idle.borrow_mut().pop_front();
-        }
-        Ok(lease(Connection::new(Link::connect(at, within, &self.part).await?)))
+        let permit = match self.part.try_acquire_arc() {
+            Some(permit) => permit,
+            None => {
+                self.idle.borrow_mut().pop_front();
+                let _waiting = Waiting::new(&self.waiting);
+                let free = async { Ok(self.part.acquire_arc().await) };
+                limited(within, free).await.map_err(|_| io::Error::from(NO_DESCRIPTOR))?
+            }
+        };
+        Ok(lease(Connection::new(Link::connect(at, within, permit).await?)))
     }
 
     fn latest(&self, engine: u64) -> Option<Connection> {
@@ -71,6 +88,21 @@
     }
 }
 
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 impl Deref for Lease {
     type Target = Connection;
     fn deref(&self) -> &Connection {
@@ -86,7 +118,8 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if let Some(mut connection) = self.connection.take().filter(|connection| connection.reusable) {
+        let keeps = |connection: &Connection| connection.reusable && self.pool.waiting.get() == 0;
+        if let Some(mut connection) = self.connection.take().filter(keeps) {
             connection.idle_since = self.pool.clock.now();
             self.pool.idle.borrow_mut().push_back((self.engine, connection));
         }
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -11,7 +11,7 @@
 use crate::decide::Event;
 use crate::engine::{Engine, SMALL_BODY, head};
 use crate::memory::Held;
-use crate::pool::Lease;
+use crate::pool::{Lease, NO_DESCRIPTOR};
 use crate::sockets::limited;
 use crate::tasks::Tasks;
 
@@ -152,7 +152,8 @@
         match answer.status {
             200 => Ok((answer.told, self.collect(answer, lease).await?)),
             503 | 504 if answer.declined => Err(Outcome::TurnedAway),
-            _ => Err(Outcome::Error),
+            500 => Err(Outcome::Error),
+            _ => Err(self.no_sense().await),
         }
     }
 
@@ -160,7 +161,10 @@
     /// connection breaks, what became of the query is asked for too, as it may run.
     async fn begin(&self) -> Result<(Answer, Lease), Outcome> {
         let lease = self.engine.lease(&self.engine.ground.queries).await;
-        let mut lease = lease.map_err(|_| Outcome::NotConnected)?;
+        let mut lease = lease.map_err(|error| match error.kind() {
+            NO_DESCRIPTOR => Outcome::NotIssued,
+            _ => Outcome::NotConnected,
+        })?;
         // Rule 3 is checked once more behind the wait for a connection, right before the first byte.
         if !self.engine.open.get() {
             return Err(Outcome::NotIssued);
@@ -180,20 +184,21 @@
             loop {
                 let asked = self.ask(0, None).await;
                 if !matches!(&asked, Ok((answer, _)) if answer.status == 500) {
-                    return Err(Some(asked));
+                    return Err(asked);
                 }
                 self.pass(NEWS_WAIT).await;
             }
         };
-        let posted = async { post.await.map_err(|_| None) };
-        match posted.or(beside).await {
-            Ok(answer) => Ok((answer, lease)),
-            Err(Some(asked)) => asked,
-            Err(None) if !self.began.get() => Err(Outcome::NotConnected),
-            Err(None) => {
+        let answered = async { Ok(post.await) };
+        match answered.or(beside).await {
+            Ok(Ok(answer)) => Ok((answer, lease)),
+            Ok(Err(_)) if !self.began.get() => Err(Outcome::NotConnected),
+            Ok(Err(error)) if is_nonsense(&error) => Err(self.no_sense().await),
+            Ok(Err(_)) => {
                 let (answer, lease) = self.ask(0, None).await?;
                 if answer.status == 500 { Err(Outcome::Reset) } else { Ok((answer, lease)) }
             }
+            Err(asked) => asked,
         }
     }
 
@@ -209,8 +214,10 @@
             match opened {
                 Ok(mut lease) => {
                     let call = self.call(&mut lease, "GET", &path, &[], &[]);
-                    if let Ok(answer) = limited(ASK_AGAIN, call).await {
-                        return Ok((answer, lease));
+                    match limited(ASK_AGAIN, call).await {
+                        Ok(answer) => return Ok((answer, lease)),
+                        Err(error) if is_nonsense(&error) => return Err(self.no_sense().await),
+                        Err(_) => {}
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Err(Outcome::Reset),
@@ -229,7 +236,8 @@
     ) -> io::Result<Answer> {
         let head = head(method, path, self.engine.address, fields, body.len());
         let mut answer = Answer::default();
-        let (mut note, mut value, mut spent, mut wanted, mut stats) = (None, 0.0, None, None, None);
+        let (mut note, mut value, mut spent, mut wanted, mut stats) = (None, None, None, None, None);
+        let amount = |text: &str| text.parse::<f64>().ok().filter(|amount| amount.is_finite());
         let wrote = || {
             self.began.set(true);
             self.asked.set(self.now());
@@ -239,9 +247,9 @@
             "x-batches" => answer.pages = text.parse().unwrap_or(0),
             "x-batch" => answer.page = text.parse().ok(),
             "x-result" => note = Some(text.to_owned()),
-            "x-num" => value = text.parse().unwrap_or(0.0),
-            "x-spent" => spent = text.parse::<f64>().ok(),
-            "x-wanted" => wanted = text.parse::<f64>().ok(),
+            "x-num" => value = amount(text),
+            "x-spent" => spent = amount(text),
+            "x-wanted" => wanted = amount(text),
             "x-stats" => stats = Some(text.to_owned()),
             _ => {}
         };
@@ -251,11 +259,20 @@
             let _ = self.module.send(Event::Reported { engine: self.dispatch.engine, stats }).await;
         }
         (answer.status, answer.body) = (status, body);
-        answer.note = note.map(|note| (note, value));
+        if note.is_some() && value.is_none() {
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "a note without its number"));
+        }
+        answer.note = note.zip(value);
         answer.told = spent.map(|spent| (Span::from_secs(spent / 1e3), wanted.unwrap_or(0.0)));
         Ok(answer)
     }
 
+    /// What answers nonsense may have run the query, which is given up.
+    async fn no_sense(&self) -> Outcome {
+        self.give_up().await;
+        Outcome::Error
+    }
+
     async fn pass_on(&self, note: &str, value: f64) {
         let progress = match (note, value) {
             ("pct", share) => Progress::Share(share),
@@ -325,3 +342,7 @@
         }
     }
 }
+
+fn is_nonsense(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::InvalidData
+}
--- a/router/src/sockets.rs
+++ b/router/src/sockets.rs
@@ -45,8 +45,7 @@
         Self { stream, _permit: permit }
     }
 
-    pub async fn connect(to: SocketAddr, within: Span, part: &Arc<Semaphore>) -> io::Result<Self> {
-        let permit = part.acquire_arc().await;
+    pub async fn connect(to: SocketAddr, within: Span, permit: SemaphoreGuardArc) -> io::Result<Self> {
         let stream = limited(within, Async::<TcpStream>::connect(to)).await?;
         Ok(Self::accepted(stream, permit))
     }
--- a/router/src/stop.rs
+++ b/router/src/stop.rs
@@ -1,11 +1,8 @@
 //! The end of the process: only after SIGTERM, and only with all answered.
 
 use std::cell::Cell;
-use std::io;
 
 use async_channel::Sender;
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use woadhook::Span;
 
 use crate::clock::Clock;
@@ -19,10 +16,8 @@
 const LAST_WORDS: Span = Span::from_micros(100_000);
 const LOOK: Span = Span::from_micros(10_000);
 
-/// Returns when the process may end.
-pub async fn wait(clock: Clock, longest: Span, owing: &Cell<usize>, module: Sender<Event>) -> io::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-    signals.next().await;
+/// From the word to stop until the process may end.
+pub async fn wait(clock: Clock, longest: Span, owing: &Cell<usize>, module: Sender<Event>) {
     let told = clock.now();
     let by = told + longest.min(LONGEST) + STILL_COMING.less(LAST_WORDS);
     log::info!("stopping");
@@ -31,5 +26,4 @@
     while owing.get() > 0 {
         clock.pass(LOOK).await;
     }
-    Ok(())
 }
--- a/router/src/tasks.rs
+++ b/router/src/tasks.rs
@@ -8,12 +8,14 @@
 #[derive(Clone, Copy)]
 pub struct Tasks(&'static LocalExecutor<'static>);
 
-impl Tasks {
+impl Default for Tasks {
     /// The executor lives as long as the process.
-    pub fn new() -> Self {
+    fn default() -> Self {
         Self(Box::leak(Box::default()))
     }
+}
 
+impl Tasks {
     pub fn start(self, work: impl Future<Output = ()> + 'static) {
         let guarded = AssertUnwindSafe(work).catch_unwind();
         self.0
--- /dev/null
+++ b/router/tests/stories/main.rs
@@ -0,0 +1,330 @@
+//! Short stories on loopback, one for each failure met or feared on sockets.
+
+mod standins;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+
+use futures_lite::future::{block_on, poll_once};
+use standins::*;
+use woadhook_router::memory::Room;
+use woadhook_router::sockets::Descriptors;
+use woadhook_router::statement::table_group;
+
+/// An address at which nothing listens.
+fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn post(call: &Call) -> bool {
+    call.line.starts_with("POST")
+}
+
+#[test]
+fn a_result_of_many_pages_arrives_whole_and_in_order() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n", "d\te\tf\n", "g\th\ti\n"]));
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    // A request may come in pieces.
+    for byte in Client::message(7, "look", "9b1f03aa5c7e2d41", 3_000, "select 'x' from sales_17.orders") {
+        client.0.write_all(&[byte]).unwrap();
+    }
+    assert_eq!(client.hears(), (7, Ok("a\tb\tc\nd\te\tf\ng\th\ti\n".to_owned())));
+    let call = engine.awaits("POST /v2/q ");
+    assert_eq!(call.body, b"select 'x' from sales_17.orders");
+    for field in ["X-Trace: 9b1f03aa5c7e2d41", "X-Profile: look"] {
+        assert!(call.fields.iter().any(|known| known == field), "{field}");
+    }
+}
+
+#[test]
+fn news_are_asked_for_until_the_end() {
+    let mut left = 3;
+    let engine = Standin::start(move |call| {
+        left -= 1;
+        if left > 0 { says(202, &["X-Result: pct", "X-Num: 0.5"], "") } else { pages(call, &["a\tb\tc\n"]) }
+    });
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    client.asks(1, "look", 3_000);
+    assert_eq!(client.hears(), (1, Ok("a\tb\tc\n".to_owned())));
+    engine.awaits("POST");
+    assert_eq!(engine.had("GET /v2/q/0000000000000001/0").len(), 2);
+}
+
+#[test]
+fn a_result_that_is_not_whole_is_never_served() {
+    let broken: [fn(&Call) -> Says; 4] = [
+        |_| says(500, &[], ""),
+        |_| says(200, &["X-Batch: 2"], "d\te\tf\n"),
+        |_| says(200, &["X-Batch: 1"], "d\te"),
+        |_| says(200, &["X-Batch: 1"], &"x\n".repeat(25_000)),
+    ];
+    for (number, second) in broken.into_iter().enumerate() {
+        let engine = Standin::start(move |call| match call.line.split(' ').next() {
+            Some("POST") => says(200, &["X-Batches: 2"], "a\tb\tc\n"),
+            _ => second(call),
+        });
+        let mut client = Client::new(&Running::quiet(&[engine.address]));
+        client.asks(1, "load", 3_000);
+        assert_eq!(client.hears(), (1, Err("Internal".to_owned())), "case {number}");
+    }
+}
+
+#[test]
+fn an_aborted_job_is_deleted_and_gets_no_answer() {
+    let mut first = true;
+    let engine = Standin::start(move |call| {
+        if post(call) && !std::mem::take(&mut first) {
+            return pages(call, &["a\tb\tc\n"]);
+        }
+        says(if call.line.starts_with("DELETE") { 204 } else { 202 }, &[], "")
+    });
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    client.asks(1, "look", 3_000);
+    engine.awaits("POST");
+    client.aborts(1);
+    engine.awaits("DELETE /v2/q/0000000000000001 ");
+    client.asks(2, "look", 3_000);
+    assert_eq!(client.hears().0, 2);
+}
+
+#[test]
+fn a_client_that_leaves_withdraws_its_jobs() {
+    let engine =
+        Standin::start(|call| says(if call.line.starts_with("DELETE") { 204 } else { 202 }, &[], ""));
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    client.asks(1, "load", 3_000);
+    engine.awaits("POST");
+    drop(client);
+    engine.awaits("DELETE");
+}
+
+#[test]
+fn a_silent_query_ends_at_its_time_and_is_deleted() {
+    let engine = Standin::start(|call| if post(call) { Says::Nothing } else { says(204, &[], "") });
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    client.asks(1, "load", 300);
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    engine.awaits("DELETE");
+}
+
+#[test]
+fn what_provably_never_ran_goes_elsewhere_though_it_may_run_once_only() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n"]));
+    let mut full = true;
+    let refusing = Standin::start(move |call| {
+        full = !full;
+        if full {
+            says(503, &["X-Declined: 1"], "")
+        } else {
+            says(504, &["X-Declined: 1"], call.line.get(..0).unwrap())
+        }
+    });
+    for other in [nobody(), refusing.address] {
+        let mut client = Client::new(&Running::quiet(&[other, engine.address]));
+        for number in 1..9 {
+            client.asks(number, "load", 3_000);
+            assert_eq!(client.hears(), (number, Ok("a\tb\tc\n".to_owned())));
+        }
+    }
+    assert!(!refusing.had("POST").is_empty());
+}
+
+#[test]
+fn a_post_cut_off_may_have_run() {
+    let engine = Standin::start(|call| if post(call) { Says::Cut } else { says(500, &[], "") });
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    client.asks(1, "load", 3_000);
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    assert_eq!(engine.had("POST").len(), 1);
+}
+
+#[test]
+fn a_query_outlives_its_connections() {
+    let mut cut = 0;
+    let engine = Standin::start(move |call| {
+        cut += 1;
+        if cut < 4 { Says::Cut } else { pages(call, &["a\tb\tc\n"]) }
+    });
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    client.asks(1, "load", 3_000);
+    assert_eq!(client.hears(), (1, Ok("a\tb\tc\n".to_owned())));
+    assert_eq!(engine.had("POST").len(), 1);
+}
+
+#[test]
+fn nothing_is_written_to_a_connection_that_the_engine_has_closed() {
+    let engine = Standin::start(|_| Says::Last(200, vec!["X-Batches: 1".to_owned()], b"a\tb\tc\n".into()));
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    for number in 1..5 {
+        client.asks(number, "load", 3_000);
+        assert_eq!(client.hears(), (number, Ok("a\tb\tc\n".to_owned())));
+        assert_eq!(engine.awaits("POST").connection, number as usize - 1);
+    }
+}
+
+#[test]
+fn a_connection_serves_call_after_call() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n", "d\te\tf\n"]));
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    for number in 1..5 {
+        client.asks(number, "look", 3_000);
+        assert!(client.hears().1.is_ok());
+        assert_eq!(engine.awaits("POST").connection, 0);
+    }
+}
+
+#[test]
+fn an_engine_heard_draining_gets_nothing_more() {
+    let engines = [0, 1].map(|_| Standin::start(|call| pages(call, &["a\tb\tc\n"])));
+    let (events, [old, new]) = (Events::default(), engines.each_ref().map(|engine| engine.address));
+    let told = events.clone();
+    let bulletin = Standin::start(move |call| told.answer(call));
+    let mut client = Client::new(&Running::start(&[old], bulletin.address));
+    events.add(2, vec![member("s-0", old, "DRAINING"), member("s-1", new, "SERVING")]);
+    bulletin.awaits("GET /bulletins?after=2&");
+    client.asks(1, "load", 3_000);
+    assert!(client.hears().1.is_ok());
+    assert!(engines[0].had("POST").is_empty());
+    engines[1].awaits("POST");
+}
+
+#[test]
+fn a_dispatch_waiting_for_a_descriptor_is_not_sent_once_its_engine_drains() {
+    let engines = [0, 1].map(|_| {
+        Standin::start(|call| {
+            let third = call.fields.iter().any(|field| field == "X-Trace: 0000000000000003");
+            if third { pages(call, &["a\tb\tc\n"]) } else { says(202, &[], "") }
+        })
+    });
+    let (events, [old, new]) = (Events::default(), engines.each_ref().map(|engine| engine.address));
+    let told_events = events.clone();
+    let bulletin = Standin::start(move |call| told_events.answer(call));
+    // Two descriptors for queries.
+    let mut client = Client::new(&Running::with(&told(&[old], bulletin.address, 40)));
+    for number in 1..4 {
+        client.asks(number, "load", 3_000);
+    }
+    engines[0].awaits("POST");
+    engines[0].awaits("POST");
+    events.add(2, vec![member("s-0", old, "DRAINING"), member("s-1", new, "SERVING")]);
+    bulletin.awaits("GET /bulletins?after=2&");
+    client.aborts(1);
+    assert_eq!(client.hears(), (3, Ok("a\tb\tc\n".to_owned())));
+    engines[1].awaits("POST");
+    assert!(engines[0].had("POST").is_empty());
+}
+
+#[test]
+fn no_event_is_lost_when_the_bulletin_leaves_one_out() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n"]));
+    let (events, told) = (Events::default(), Events::default());
+    for number in 2..4 {
+        told.add(number, vec![member(&format!("s-{number}"), engine.address, "SERVING")]);
+    }
+    events.add(3, vec![]);
+    let mut gaps = 2;
+    let bulletin = Standin::start(move |call| {
+        gaps -= usize::from(gaps > 0);
+        if gaps > 0 { events.answer(call) } else { told.answer(call) }
+    });
+    let mut client = Client::new(&Running::start(&[], bulletin.address));
+    let first = bulletin.awaits("GET /bulletins?after=1&");
+    let again = bulletin.awaits("GET /bulletins?after=1&");
+    assert_ne!(first.connection, again.connection);
+    bulletin.awaits("GET /bulletins?after=3&");
+    client.asks(1, "load", 3_000);
+    assert!(client.hears().1.is_ok());
+}
+
+#[test]
+fn told_to_stop_it_takes_and_answers_what_still_comes_and_then_ends() {
+    let engine =
+        Standin::start(|call| match call.fields.iter().any(|field| field == "X-Trace: 0000000000000001") {
+            _ if call.line.starts_with("DELETE") => says(204, &[], ""),
+            true => says(202, &[], ""),
+            false if call.line.contains("/0000000000000001/") => says(202, &[], ""),
+            false => pages(call, &["a\tb\tc\n"]),
+        });
+    let router = Running::quiet(&[engine.address]);
+    let mut client = Client::new(&router);
+    assert!(client.pings(9));
+    client.asks(1, "load", 4_000);
+    engine.awaits("POST");
+    router.stop.send_blocking(()).unwrap();
+    // It says so to the front, and serves on.
+    while client.pings(9) {}
+    let mut late = Client::new(&router);
+    late.asks(2, "look", 3_000);
+    assert_eq!(late.hears(), (2, Ok("a\tb\tc\n".to_owned())));
+    // The first would outlive it.
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    router.ends();
+}
+
+#[test]
+fn a_bad_client_costs_its_own_connection_only() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n"]));
+    let router = Running::quiet(&[engine.address]);
+    let mut good = Client::new(&router);
+    for words in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0xc1], &[0x94, 0x00, 0x01, 0xdf, 0xff, 0xff, 0xff, 0xff]]
+    {
+        let mut bad = Client::new(&router);
+        bad.0.write_all(words).unwrap();
+        bad.0.shutdown(std::net::Shutdown::Write).unwrap();
+        assert_eq!(bad.0.read(&mut [0]).unwrap_or(0), 0);
+    }
+    for (class, id) in [("look", "1 HTTP/1.1\r\nX: y"), ("look", ""), ("nothing", "0000000000000001")] {
+        good.0.write_all(&Client::message(1, class, id, 3_000, "select 1")).unwrap();
+        assert_eq!(good.hears(), (1, Err("Malformed".to_owned())));
+    }
+    good.asks(2, "look", 3_000);
+    assert_eq!(good.hears(), (2, Ok("a\tb\tc\n".to_owned())));
+    assert_eq!(engine.had("POST").len(), 1);
+}
+
+#[test]
+fn the_table_group_is_the_number_of_the_schema() {
+    for (statement, group) in [
+        ("SELECT id, n, note -- was: from mart_1.old\n FROM sales_0.lines LIMIT 500", Some(0)),
+        (
+            "select a.id, 'from lake_0.decoy' as note from mart_6.events a where a.tag = 'it''s x_9.y'",
+            Some(6),
+        ),
+        ("WITH w AS (SELECT * FROM ops_5.stock) SELECT id FROM w", Some(5)),
+        ("INSERT INTO mart_3.events SELECT * FROM staging.batch", Some(3)),
+        (
+            "merge into ops_5.orders d using staging.delta s on d.id = s.id when matched then update set n = s.n",
+            Some(5),
+        ),
+        ("/* from a_1.b /* nested */ */ update \"lake_12\".\"t\" set n = 1", Some(12)),
+        ("select t_9.id from sales_17.orders t_9", Some(17)),
+        ("select t_9.id from staging.x, sales_4.orders t_9", Some(4)),
+        ("select $q$ from a_1.b $q$, 1 from c_2.d", Some(2)),
+        ("select 1 from staging.x", None),
+        ("select 'open", None),
+    ] {
+        assert_eq!(table_group(statement), group, "{statement}");
+    }
+}
+
+#[test]
+fn room_for_bytes_is_waited_for_and_given_back() {
+    block_on(async {
+        let room = Room::new(100);
+        let held = room.take(60).await;
+        let mut second = std::pin::pin!(room.take(60));
+        assert!(poll_once(second.as_mut()).await.is_none());
+        drop(held);
+        assert!(poll_once(second.as_mut()).await.is_some());
+    });
+}
+
+#[test]
+fn clients_hold_a_third_of_the_descriptors_at_most_and_errands_have_their_own() {
+    let parts = Descriptors::share(1024);
+    let count = |part: &std::sync::Arc<async_lock::Semaphore>| {
+        std::iter::from_fn(|| part.try_acquire_arc()).take(2000).collect::<Vec<_>>().len()
+    };
+    let counts = [&parts.clients, &parts.queries, &parts.errands].map(count);
+    assert!(counts[0] <= 1024 / 3 && counts[2] > 0 && counts.iter().sum::<usize>() < 1024, "{counts:?}");
+}
