Give queries up by closing their orders; name nonsense, faults and held-back clients in stories

A full mailbox of priorities could have kept an order to give up out; closing the channel can't be lost. An end without its number of pages is nonsense now. Stories: what failed dispatches held comes back, nonsense from engines and the bulletin, a client that does not read, a faulty configuration, cuts at every byte.

--- a/router/src/decide.rs
+++ b/router/src/decide.rs
@@ -18,10 +18,10 @@
 use crate::config::address;
 use crate::engine::{Errand, Ground, Peer};
 use crate::front::{MALFORMED, Reply};
-use crate::query::{Dispatch, Order, Rows, Statement};
+use crate::query::{Dispatch, Rows, Statement};
 
 pub const MAILBOX: usize = 4096;
-/// Orders to one query that it has not yet taken.
+/// New priorities that one query has not yet taken.
 const ORDERS: usize = 4;
 
 /// What the module's actor is told.
@@ -87,7 +87,7 @@
     reply: Option<Reply>,
     dispatches: usize,
     /// Those that are out; emptied by their ends.
-    out: HashMap<usize, Sender<Order>>,
+    out: HashMap<usize, Sender<u8>>,
 }
 
 /// A line of the engine list.
@@ -267,7 +267,7 @@
     /// Gives up what is still out of a job that is over.
     fn call_off(&mut self, job: JobId) {
         for orders in self.jobs.get(&job).into_iter().flat_map(|open| open.out.values()) {
-            let _ = orders.try_send(Order::GiveUp);
+            orders.close();
         }
     }
 
@@ -365,7 +365,7 @@
             }
             Decision::CancelDispatch { job, number } => {
                 if let Some(orders) = self.jobs.get(&job).and_then(|open| open.out.get(&number)) {
-                    let _ = orders.try_send(Order::GiveUp);
+                    orders.close();
                 }
             }
             Decision::Throttle { job, come_back } => self.answer(job, Answer::Overloaded(come_back)),
@@ -399,7 +399,7 @@
     fn dispatch(&mut self, now: Moment, job: JobId, engine: EngineId, until: Moment, priority: u8) {
         let (Some(open), Some(peer)) = (self.jobs.get_mut(&job), self.peers.get(&engine)) else { return };
         for orders in open.out.values() {
-            let _ = orders.try_send(Order::Priority(priority));
+            let _ = orders.try_send(priority);
         }
         let number = open.dispatches;
         open.dispatches += 1;
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -12,7 +12,7 @@
 use crate::decide::Event;
 use crate::memory::Room;
 use crate::pool::{Lease, Pool};
-use crate::query::{self, Dispatch, Order};
+use crate::query::{self, Dispatch};
 use crate::sockets::limited;
 use crate::tasks::Tasks;
 
@@ -44,7 +44,7 @@
 }
 
 pub enum Errand {
-    Run(Dispatch, Receiver<Order>),
+    Run(Dispatch, Receiver<u8>),
     Probe(EngineId),
 }
 
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -43,11 +43,6 @@
     pub priority: u8,
 }
 
-pub enum Order {
-    GiveUp,
-    Priority(u8),
-}
-
 /// A whole result, and the room it takes.
 pub struct Rows {
     pub pages: Vec<Vec<u8>>,
@@ -105,7 +100,8 @@
     body: Vec<u8>,
 }
 
-pub async fn run(engine: Rc<Engine>, dispatch: Dispatch, orders: Receiver<Order>, module: Sender<Event>) {
+/// `orders` brings new priorities; the query is given up once it closes.
+pub async fn run(engine: Rc<Engine>, dispatch: Dispatch, orders: Receiver<u8>, module: Sender<Event>) {
     let (job, number, decided) = (dispatch.job, dispatch.number, dispatch.decided);
     let (clock, tasks) = (engine.ground.clock, engine.ground.tasks);
     let verdict = Verdict { job, number, tasks, module: Some(module.clone()) };
@@ -150,7 +146,7 @@
             (answer, lease) = self.ask(0, Some(lease)).await?;
         }
         match answer.status {
-            200 => Ok((answer.told, self.collect(answer, lease).await?)),
+            200 if answer.pages > 0 => Ok((answer.told, self.collect(answer, lease).await?)),
             503 | 504 if answer.declined => Err(Outcome::TurnedAway),
             500 => Err(Outcome::Error),
             _ => Err(self.no_sense().await),
@@ -169,6 +165,7 @@
         if !self.engine.open.get() {
             return Err(Outcome::NotIssued);
         }
+        self.heard.set(self.now());
         let statement = &self.dispatch.statement;
         let patience = self.dispatch.until.since(self.now()).micros().div_ceil(1000).to_string();
         let priority = self.dispatch.priority.to_string();
@@ -304,8 +301,8 @@
         if sound { Ok(Rows { pages, _held: held }) } else { Err(Outcome::Error) }
     }
 
-    /// Ends at the time-out or when told to give up.
-    async fn stopped(&self, orders: &Receiver<Order>) -> Outcome {
+    /// Passes on new priorities until the query's time is up or it is given up.
+    async fn stopped(&self, orders: &Receiver<u8>) -> Outcome {
         let late = async {
             self.engine.ground.clock.until(self.dispatch.until).await;
             Outcome::TimedOut
@@ -313,11 +310,11 @@
         let told = async {
             loop {
                 match orders.recv().await {
-                    Ok(Order::Priority(priority)) => {
+                    Ok(priority) if !orders.is_closed() => {
                         let (path, body) = (self.path(), priority.to_string());
                         let _ = self.engine.errand("PUT", &path, &body, |_, _| ()).await;
                     }
-                    Ok(Order::GiveUp) | Err(_) => return Outcome::Cancelled,
+                    _ => return Outcome::Cancelled,
                 }
             }
         };
--- a/router/tests/stories/main.rs
+++ b/router/tests/stories/main.rs
@@ -6,10 +6,12 @@
 use std::net::{SocketAddr, TcpListener};
 
 use futures_lite::future::{block_on, poll_once};
+use serde_json::json;
 use standins::*;
 use woadhook_router::memory::Room;
 use woadhook_router::sockets::Descriptors;
 use woadhook_router::statement::table_group;
+use woadhook_router::{codec, config};
 
 /// An address at which nothing listens.
 fn nobody() -> SocketAddr {
@@ -31,8 +33,8 @@
     assert_eq!(client.hears(), (7, Ok("a\tb\tc\nd\te\tf\ng\th\ti\n".to_owned())));
     let call = engine.awaits("POST /v2/q ");
     assert_eq!(call.body, b"select 'x' from sales_17.orders");
-    for field in ["X-Trace: 9b1f03aa5c7e2d41", "X-Profile: look"] {
-        assert!(call.fields.iter().any(|known| known == field), "{field}");
+    for field in ["X-Trace: 9b1f03aa5c7e2d41", "X-Profile: look", "X-Patience: ", "X-Weight-Class: "] {
+        assert!(call.fields.iter().any(|known| known.starts_with(field)), "{field}");
     }
 }
 
@@ -105,6 +107,132 @@
     client.asks(1, "load", 300);
     assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
     engine.awaits("DELETE");
+    // And it had only this answer.
+    assert!(client.pings(2));
+}
+
+#[test]
+fn what_failed_dispatches_held_comes_back() {
+    let mut step = 0;
+    let engine = Standin::start(move |call| {
+        if !post(call) {
+            return says(if call.line.starts_with("DELETE") { 204 } else { 500 }, &[], "");
+        }
+        step += 1;
+        match step % 4 {
+            0 => says(202, &["X-Result: pct", "X-Num: many"], ""),
+            1 => Says::Nothing,
+            2 => Says::Cut,
+            _ => says(503, &["X-Declined: 1"], ""),
+        }
+    });
+    // Two descriptors for queries, one for errands, and twelve failures of each kind.
+    let events = Events::default();
+    let bulletin = Standin::start(move |call| events.answer(call));
+    let mut client = Client::new(&Running::with(&told(&[engine.address], bulletin.address, 40)));
+    for number in 1..49 {
+        client.asks(number, "load", 100);
+        assert!(client.hears().1.is_err());
+    }
+    assert!(engine.had("POST").len() >= 48);
+}
+
+#[test]
+fn nonsense_ends_a_dispatch_as_may_have_run_and_deletes_it() {
+    let nonsense: [fn() -> Says; 5] = [
+        || says(202, &["X-Result: pct", "X-Num: much"], ""),
+        || says(200, &[], "a\tb\tc\n"),
+        || says(200, &["X-Batches: 1", "Content-Length: x"], "a\tb\tc\n"),
+        || says(302, &[], ""),
+        || Says::Raw(b"SSH-2.0-none\r\n\r\n".to_vec()),
+    ];
+    for (number, nonsense) in nonsense.into_iter().enumerate() {
+        let engine = Standin::start(move |call| if post(call) { nonsense() } else { says(204, &[], "") });
+        let mut client = Client::new(&Running::quiet(&[engine.address]));
+        client.asks(1, "load", 3_000);
+        assert_eq!(client.hears(), (1, Err("Internal".to_owned())), "case {number}");
+        let posts = engine.until("DELETE").iter().filter(|call| post(call)).count();
+        assert_eq!(posts, 1, "case {number}");
+    }
+}
+
+#[test]
+fn a_list_that_cannot_be_read_is_asked_for_again_and_the_old_one_kept() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n"]));
+    let (events, old) = (Events::default(), engine.address);
+    let told = events.clone();
+    let mut asked = 0;
+    let bulletin = Standin::start(move |call| {
+        asked += 1;
+        let draining = |phase: &str| {
+            json!({"no": 2, "items": [{"no": 2, "roster": {"members":
+            [member("s-0", old, "DRAINING"), member("s-1", old, phase)]}}]})
+        };
+        match asked {
+            1 => says(200, &[], "{\"no\":"),
+            2 => says(200, &[], &draining("SLEEPING").to_string()),
+            3 => says(503, &[], ""),
+            _ => told.answer(call),
+        }
+    });
+    let mut client = Client::new(&Running::start(&[old], bulletin.address));
+    for connection in 0..4 {
+        assert_eq!(bulletin.awaits("GET /bulletins?after=1&").connection, connection);
+    }
+    client.asks(1, "load", 3_000);
+    assert!(client.hears().1.is_ok());
+    events.add(2, vec![]);
+    bulletin.awaits("GET /bulletins?after=2&");
+}
+
+#[test]
+fn a_client_that_does_not_read_holds_back_no_other() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n".repeat(900).as_str(); 8]));
+    let router = Running::quiet(&[engine.address]);
+    let (mut idle, mut other) = (Client::new(&router), Client::new(&router));
+    for number in 1..=200 {
+        if idle
+            .0
+            .write_all(&Client::message(number, "look", &format!("f{number:x}"), 3_000, "select 1"))
+            .is_err()
+        {
+            break;
+        }
+    }
+    for number in 1..9 {
+        other.asks(number, "look", 3_000);
+        let (answered, result) = other.hears();
+        assert_eq!((answered, result.map(|rows| rows.len())), (number, Ok(8 * 900 * 6)));
+    }
+}
+
+#[test]
+fn a_fault_of_the_configuration_is_named() {
+    let whole: serde_json::Value = serde_json::from_str(&told(&[], nobody(), 40)).unwrap();
+    for field in ["listen", "seed", "limits", "bulletin"] {
+        let mut lacking = whole.clone();
+        lacking.as_object_mut().unwrap().remove(field);
+        let fault = config::parse(&lacking.to_string(), None).err().unwrap();
+        assert!(fault.contains(field), "{fault}");
+    }
+    let given = config::parse(&whole.to_string(), Some("127.0.0.1:7".to_owned())).ok().unwrap();
+    assert_eq!((given.listen.port(), given.seed), (7, 255));
+}
+
+#[test]
+fn a_message_is_whole_at_its_last_byte_and_nothing_else_panics() {
+    let message = Client::message(70_000, "look", "9b1f03aa5c7e2d41", 3_000, &"x".repeat(300));
+    for length in 0..message.len() {
+        assert!(matches!(codec::whole(&message[..length]), Ok(None)), "{length}");
+    }
+    assert!(
+        matches!(codec::whole(&[message.as_slice(), b"next"].concat()), Ok(Some(n)) if n == message.len())
+    );
+    for (place, byte) in (0..message.len()).flat_map(|place| (0..=255).map(move |byte| (place, byte))) {
+        let mut changed = message.clone();
+        changed[place] = byte;
+        let _ = codec::whole(&changed);
+    }
 }
 
 #[test]
@@ -302,8 +430,13 @@
         ("select $q$ from a_1.b $q$, 1 from c_2.d", Some(2)),
         ("select 1 from staging.x", None),
         ("select 'open", None),
+        ("select 'ž' from \"žito_8\".\"šifra\" /* čas", Some(8)),
+        ("select 1", None),
     ] {
         assert_eq!(table_group(statement), group, "{statement}");
+        for end in (0..statement.len()).filter(|end| statement.is_char_boundary(*end)) {
+            table_group(&statement[..end]);
+        }
     }
 }
 
--- a/router/tests/stories/standins.rs
+++ b/router/tests/stories/standins.rs
@@ -29,6 +29,8 @@
     Answer(u16, Vec<String>, Vec<u8>),
     /// Answers and closes the connection, without a word on it.
     Last(u16, Vec<String>, Vec<u8>),
+    /// Bytes that are no answer.
+    Raw(Vec<u8>),
     Cut,
     Nothing,
 }
@@ -87,6 +89,15 @@
         }
     }
 
+    /// All calls up to the first that starts so.
+    pub fn until(&self, start: &str) -> Vec<Call> {
+        let mut calls = Vec::new();
+        while calls.last().is_none_or(|call: &Call| !call.line.starts_with(start)) {
+            calls.push(self.calls.recv_timeout(LONG).unwrap_or_else(|_| panic!("no call {start}")));
+        }
+        calls
+    }
+
     /// The calls so far that start so.
     pub fn had(&self, start: &str) -> Vec<Call> {
         self.calls.try_iter().filter(|call| call.line.starts_with(start)).collect()
@@ -116,6 +127,7 @@
     let (status, fields, body, goes_on) = match says {
         Says::Answer(status, fields, body) => (status, fields, body, true),
         Says::Last(status, fields, body) => (status, fields, body, false),
+        Says::Raw(bytes) => return stream.write_all(&bytes).is_ok(),
         Says::Cut => return false,
         Says::Nothing => return true,
     };
