--- a/router/examples/toy.rs
+++ b/router/examples/toy.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use rmp::encode;
+use rmp::{Marker, decode, encode};
 
 fn main() -> io::Result<()> {
     let words: Vec<String> = std::env::args().skip(1).collect();
@@ -81,12 +81,20 @@
     encode::write_bin(&mut message, statement.as_bytes())?;
     let mut stream = TcpStream::connect("127.0.0.1:9090")?;
     stream.write_all(&message)?;
-    let mut answer = [0; 64 * 1024];
-    let length = stream.read(&mut answer)?;
-    println!(
-        "{}",
-        String::from_utf8_lossy(&answer[..length])
-            .replace(|c: char| c.is_control() && c != '\n' && c != '\t', " ")
-    );
+    let mut answer = BufReader::new(stream);
+    decode::read_array_len(&mut answer).map_err(io::Error::other)?;
+    for _ in 0..2 {
+        decode::read_int::<u32, _>(&mut answer).map_err(io::Error::other)?;
+    }
+    // An error stands first, or nil and then the result.
+    let served = answer.fill_buf()?.first() == Some(&Marker::Null.to_u8());
+    if served {
+        decode::read_nil(&mut answer).map_err(io::Error::other)?;
+    }
+    decode::read_array_len(&mut answer).map_err(io::Error::other)?;
+    let read = if served { decode::read_bin_len } else { decode::read_str_len };
+    let mut words = vec![0; read(&mut answer).map_err(io::Error::other)? as usize];
+    answer.read_exact(&mut words)?;
+    println!("{}", String::from_utf8_lossy(&words).trim_end());
     Ok(())
 }
