--- a/adapter/src/flint.rs
+++ b/adapter/src/flint.rs
@@ -80,13 +80,15 @@
             let job = JobId(instance.jobs.admit(text(event, "txn")?));
             let bits = whole(event, "bitmap").unwrap_or(0);
             let told = if bits & 1 == 1 { Some(span(event, "costUs")?) } else { None };
+            let kind = TypeId(place(&instance.types, text(event, "class")?, "class")?);
+            let key = text(event, "target").ok().and_then(|key| instance.key(kind, key));
             instance.router.job_arrived(
                 now,
                 job,
-                TypeId(place(&instance.types, text(event, "class")?, "class")?),
+                kind,
                 text(event, "account").ok().and_then(|name| position(&instance.tenants, name)).map(TenantId),
                 GroupId(whole(event, "schemaNo").unwrap_or(0) as usize),
-                text(event, "target").ok().map(|key| KeyId(instance.keys.admit(key))),
+                key,
                 told,
                 number(event, "estMemoryMb").unwrap_or(0.0),
                 span(event, "expiresInUs")?,
--- a/door/src/instance.rs
+++ b/door/src/instance.rs
@@ -13,6 +13,8 @@
     pub keys: Door,
     pub engines: Door,
     pub types: Vec<String>,
+    /// By type: whether it keeps order by key.
+    ordered: Vec<bool>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
@@ -112,12 +114,14 @@
             grants: mark(family, "takesGrants"),
             most_grant: number(family, "maxGrantShare").unwrap_or(1.0),
         };
+        let ordered = types.iter().map(|kind| kind.ordered).collect();
         let router = Router::new(now, seed, types, fleet, cold, further, watching, answers, terms);
         Ok(Self {
             router,
             jobs: Door::default(),
             keys: Door::default(),
             engines: Door::default(),
+            ordered,
             types: classes
                 .iter()
                 .map(|class| text(class, "name").map(str::to_owned))
@@ -133,6 +137,11 @@
         })
     }
 
+    /// The index of a key, where the type keeps order; the module would never let go of another.
+    pub fn key(&mut self, kind: TypeId, name: &str) -> Option<KeyId> {
+        self.ordered[kind.0].then(|| KeyId(self.keys.admit(name)))
+    }
+
     /// One line of the engine list, in the names of the settings.
     pub fn engine_listed(
         &mut self, now: Moment, engine: EngineId, zone: &str, kind: &str, cell: CellId, listed: Listed,
--- a/router/src/decide.rs
+++ b/router/src/decide.rs
@@ -239,13 +239,13 @@
         let deadline = self.last_answer.map_or(deadline, |last| deadline.min(last));
         let job = JobId(self.instance.jobs.admit(&statement.id));
         let tenant = tenant.and_then(|name| position(&self.instance.tenants, &name)).map(TenantId);
-        let key = key.map(|key| KeyId(self.instance.keys.admit(&key)));
-        let (router, expires) = (&mut self.instance.router, deadline.since(now));
-        router.job_arrived(now, job, kind, tenant, GroupId(group), key, told, memory, expires);
+        let key = key.and_then(|key| self.instance.key(kind, &key));
         self.asked.insert(asked, job);
         let reply = Some(reply);
         let open = Open { client, statement, deadline, reply, dispatches: 0, out: HashMap::new() };
         self.jobs.insert(job, open);
+        let (router, expires) = (&mut self.instance.router, deadline.since(now));
+        router.job_arrived(now, job, kind, tenant, GroupId(group), key, told, memory, expires);
     }
 
     /// The one right to answer a job, if it is still there.
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -311,6 +311,9 @@
             loop {
                 match orders.recv().await {
                     Ok(priority) if !orders.is_closed() => {
+                        if !self.began.get() {
+                            continue;
+                        }
                         let (path, body) = (self.path(), priority.to_string());
                         let _ = self.engine.errand("PUT", &path, &body, |_, _| ()).await;
                     }
--- a/router/tests/stories/main.rs
+++ b/router/tests/stories/main.rs
@@ -13,6 +13,7 @@
 use woadhook_router::memory::Room;
 use woadhook_router::sockets::Descriptors;
 use woadhook_router::statement::table_group;
+use woadhook_router::tasks::Tasks;
 use woadhook_router::{codec, config};
 
 /// An address at which nothing listens.
@@ -91,6 +92,33 @@
     assert_eq!(client.hears().0, 2);
 }
 
+#[test]
+fn a_copy_tells_the_first_dispatch_the_new_priority() {
+    let (first, second) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicBool::new(false)));
+    let engines = [0, 1].map(|_| {
+        let (first, second) = (first.clone(), second.clone());
+        Standin::start(move |call| {
+            if call.line.starts_with("PUT /v2/q/0000000000000001 ") {
+                second.store(call.body.len() == 1 && call.body[0].is_ascii_digit(), Ordering::Relaxed);
+                return says(204, &[], "");
+            }
+            let slow = post(call) && first.swap(false, Ordering::Relaxed);
+            if slow || !second.load(Ordering::Relaxed) {
+                says(202, &[], "")
+            } else {
+                pages(call, &["a\tb\tc\n"])
+            }
+        })
+    });
+    let events = Events::default();
+    let bulletin = Standin::start(move |call| events.answer(call));
+    let told = told(&engines.each_ref().map(|engine| engine.address), bulletin.address, 1024)
+        .replace("\"cancelling\":true", "\"cancelling\":false,\"secondCopies\":true");
+    let mut client = Client::new(&Running::with(&told));
+    client.asks(1, "look", 10_000);
+    assert_eq!(client.hears(), (1, Ok("a\tb\tc\n".to_owned())));
+}
+
 #[test]
 fn a_client_that_leaves_withdraws_its_jobs() {
     let engine =
@@ -466,6 +494,15 @@
     }
 }
 
+#[test]
+fn a_task_that_panics_ends_alone() {
+    let tasks = Tasks::default();
+    let (told, heard) = async_channel::bounded(1);
+    tasks.start(async { panic!("as told") });
+    tasks.start(async move { told.send(7).await.unwrap() });
+    assert_eq!(block_on(tasks.run(heard.recv())), Ok(7));
+}
+
 #[test]
 fn room_for_bytes_is_waited_for_and_given_back() {
     block_on(async {
