Answer requests that are too long and go on; bound the clients' buffers in sum

A request over 128 KiB closed its connection and lost the other requests on it; now it is answered by its number and passed over. Buffers of all clients with the rooms for statements and results stay under the smallest router's memory by count: 341 of 128 KiB, and a quarter each.

--- a/router/src/codec.rs
+++ b/router/src/codec.rs
@@ -31,55 +31,82 @@
 
 pub type Result<T> = std::result::Result<T, Malformed>;
 
-/// The length of the value that `bytes` start with, once it is there whole.
-pub fn whole(bytes: &[u8]) -> Result<Option<usize>> {
-    let (mut at, mut left) = (0_usize, 1_u64);
-    let big = |at: usize, width: usize| {
-        let digits = bytes.get(at..at + width)?;
-        Some(digits.iter().fold(0_u64, |sum, digit| sum << 8 | u64::from(*digit)))
-    };
-    while left > 0 {
-        let Some(&first) = bytes.get(at) else { return Ok(None) };
-        at += 1;
-        left -= 1;
-        // Bytes of a length, bytes beside what it counts, and values in it for each that it counts.
-        let (width, fixed, values) = match Marker::from_u8(first) {
-            Marker::Null | Marker::True | Marker::False | Marker::FixPos(_) | Marker::FixNeg(_) => (0, 0, 0),
-            Marker::U8 | Marker::I8 => (0, 1, 0),
-            Marker::U16 | Marker::I16 => (0, 2, 0),
-            Marker::U32 | Marker::I32 | Marker::F32 => (0, 4, 0),
-            Marker::U64 | Marker::I64 | Marker::F64 => (0, 8, 0),
-            Marker::FixStr(length) => (0, usize::from(length), 0),
-            Marker::Str8 | Marker::Bin8 => (1, 0, 0),
-            Marker::Str16 | Marker::Bin16 => (2, 0, 0),
-            Marker::Str32 | Marker::Bin32 => (4, 0, 0),
-            Marker::FixArray(count) => (0, 0, u64::from(count)),
-            Marker::FixMap(count) => (0, 0, 2 * u64::from(count)),
-            Marker::Array16 | Marker::Map16 => (2, 0, 1),
-            Marker::Array32 | Marker::Map32 => (4, 0, 1),
-            Marker::FixExt1 => (0, 2, 0),
-            Marker::FixExt2 => (0, 3, 0),
-            Marker::FixExt4 => (0, 5, 0),
-            Marker::FixExt8 => (0, 9, 0),
-            Marker::FixExt16 => (0, 17, 0),
-            Marker::Ext8 => (1, 1, 0),
-            Marker::Ext16 => (2, 1, 0),
-            Marker::Ext32 => (4, 1, 0),
-            Marker::Reserved => return Err(Malformed),
-        };
-        if width == 0 {
-            (at, left) = (at + fixed, left + values);
-            continue;
-        }
-        let Some(count) = big(at, width) else { return Ok(None) };
-        at += width + fixed;
-        match (values, Marker::from_u8(first)) {
-            (0, _) => at += count as usize,
-            (_, Marker::Map16 | Marker::Map32) => left += 2 * count,
-            _ => left += count,
+/// Finds where a message ends, over as many pieces as it comes in.
+pub struct Scan {
+    /// Values still to begin, and bytes of the last one still to pass over.
+    values: u64,
+    bytes: u64,
+}
+
+impl Default for Scan {
+    fn default() -> Self {
+        Self { values: 1, bytes: 0 }
+    }
+}
+
+impl Scan {
+    pub fn is_done(&self) -> bool {
+        self.values == 0 && self.bytes == 0
+    }
+
+    /// Passes over what of the message stands in `piece`, and returns how many bytes that is: all up to its
+    /// end, or up to a head of a value that is not there whole.
+    pub fn pass(&mut self, piece: &[u8]) -> Result<usize> {
+        let mut at = 0;
+        loop {
+            let passed = self.bytes.min((piece.len() - at) as u64);
+            (at, self.bytes) = (at + passed as usize, self.bytes - passed);
+            if self.values == 0 || self.bytes > 0 {
+                return Ok(at);
+            }
+            let Some((length, bytes, values)) = head(&piece[at..])? else { return Ok(at) };
+            (at, self.bytes, self.values) = (at + length, bytes, self.values - 1 + values);
         }
     }
-    Ok((at <= bytes.len()).then_some(at))
+}
+
+/// The length of the head of a value, and how many bytes and values it says to follow; `None` if it is not there
+/// whole.
+fn head(bytes: &[u8]) -> Result<Option<(usize, u64, u64)>> {
+    let Some(&first) = bytes.first() else { return Ok(None) };
+    let fixed = |follow: u64| Ok(Some((1, follow, 0)));
+    let marker = Marker::from_u8(first);
+    let width = match marker {
+        Marker::Null | Marker::True | Marker::False | Marker::FixPos(_) | Marker::FixNeg(_) => {
+            return fixed(0);
+        }
+        Marker::U8 | Marker::I8 => return fixed(1),
+        Marker::U16 | Marker::I16 | Marker::FixExt1 => return fixed(2),
+        Marker::FixExt2 => return fixed(3),
+        Marker::U32 | Marker::I32 | Marker::F32 => return fixed(4),
+        Marker::FixExt4 => return fixed(5),
+        Marker::U64 | Marker::I64 | Marker::F64 => return fixed(8),
+        Marker::FixExt8 => return fixed(9),
+        Marker::FixExt16 => return fixed(17),
+        Marker::FixStr(length) => return fixed(length.into()),
+        Marker::FixArray(count) => return Ok(Some((1, 0, count.into()))),
+        Marker::FixMap(count) => return Ok(Some((1, 0, 2 * u64::from(count)))),
+        Marker::Str8 | Marker::Bin8 | Marker::Ext8 => 1,
+        Marker::Str16 | Marker::Bin16 | Marker::Ext16 | Marker::Array16 | Marker::Map16 => 2,
+        Marker::Str32 | Marker::Bin32 | Marker::Ext32 | Marker::Array32 | Marker::Map32 => 4,
+        Marker::Reserved => return Err(Malformed),
+    };
+    let Some(digits) = bytes.get(1..1 + width) else { return Ok(None) };
+    let count = digits.iter().fold(0_u64, |sum, digit| sum << 8 | u64::from(*digit));
+    let (bytes, values) = match marker {
+        Marker::Array16 | Marker::Array32 => (0, count),
+        Marker::Map16 | Marker::Map32 => (0, 2 * count),
+        Marker::Ext8 | Marker::Ext16 | Marker::Ext32 => (count + 1, 0),
+        _ => (count, 0),
+    };
+    Ok(Some((1 + width, bytes, values)))
+}
+
+/// The length of the message that `bytes` start with, once it is there whole.
+pub fn whole(bytes: &[u8]) -> Result<Option<usize>> {
+    let mut scan = Scan::default();
+    let length = scan.pass(bytes)?;
+    Ok(scan.is_done().then_some(length))
 }
 
 pub fn array(message: &mut &[u8]) -> Result<u32> {
--- a/router/src/front.rs
+++ b/router/src/front.rs
@@ -11,7 +11,7 @@
 use woadhook::{Moment, Span};
 
 use crate::clock::Clock;
-use crate::codec::{self, Answer, Malformed};
+use crate::codec::{self, Answer, Malformed, Scan};
 use crate::decide::Event;
 use crate::memory::Room;
 use crate::query::Statement;
@@ -20,7 +20,9 @@
 
 /// The most open requests of a connection, and pings beside them.
 const OPEN: usize = 32 + 8;
-const MESSAGE_BYTES: usize = 256 * 1024;
+/// With all of the clients' descriptors in use, such buffers and the rooms for statements and results stay within
+/// the memory of the smallest router.
+const MESSAGE_BYTES: usize = 128 * 1024;
 const READ_BYTES: usize = 16 * 1024;
 /// The error for what can't be taken, whatever is wrong with it.
 pub const MALFORMED: &str = "Malformed";
@@ -123,19 +125,31 @@
     async fn read(&self, link: &Link) -> io::Result<()> {
         let malformed = |_: Malformed| io::Error::from(io::ErrorKind::InvalidData);
         let (mut buffer, mut filled) = (vec![0; READ_BYTES], 0);
+        // The rest of a message too long to be held.
+        let mut passing: Option<Scan> = None;
         loop {
             let mut start = 0;
-            while let Some(length) = codec::whole(&buffer[start..filled]).map_err(malformed)? {
+            if let Some(scan) = &mut passing {
+                start = scan.pass(&buffer[..filled]).map_err(malformed)?;
+                passing = passing.filter(|scan| !scan.is_done());
+            }
+            while passing.is_none()
+                && let Some(length) = codec::whole(&buffer[start..filled]).map_err(malformed)?
+            {
                 self.take(&buffer[start..start + length]).await.map_err(malformed)?;
                 start += length;
             }
             buffer.copy_within(start..filled, 0);
             filled -= start;
+            if filled >= MESSAGE_BYTES {
+                self.refuse(&buffer).await.map_err(malformed)?;
+                passing = Some(Scan::default());
+                continue;
+            }
             if filled == buffer.len() {
-                if filled >= MESSAGE_BYTES {
-                    return Err(io::ErrorKind::InvalidData.into());
-                }
                 buffer.resize(filled * 2, 0);
+            } else if filled == 0 && buffer.len() > READ_BYTES {
+                buffer = vec![0; READ_BYTES];
             }
             match limited(self.hall.longest_wait, (&link.stream).read(&mut buffer[filled..])).await {
                 Ok(0) => return Ok(()),
@@ -148,6 +162,15 @@
         }
     }
 
+    /// Answers a request that is too long, where its start tells the number.
+    async fn refuse(&self, mut message: &[u8]) -> codec::Result<()> {
+        let message = &mut message;
+        if (codec::array(message)?, codec::number(message)?) == (4, codec::REQUEST) {
+            self.reply(codec::number(message)?).await.send(Answer::Failed(MALFORMED));
+        }
+        Ok(())
+    }
+
     fn owes(&self) -> bool {
         let free: Vec<_> = std::iter::from_fn(|| self.places.try_acquire()).collect();
         free.len() < OPEN
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -257,6 +257,7 @@
         }
         (answer.status, answer.body) = (status, body);
         if note.is_some() && value.is_none() {
+            lease.reusable = false;
             return Err(io::Error::new(io::ErrorKind::InvalidData, "a note without its number"));
         }
         answer.note = note.zip(value);
--- a/router/tests/stories/main.rs
+++ b/router/tests/stories/main.rs
@@ -459,6 +459,13 @@
         good.0.write_all(&Client::message(1, class, id, 3_000, "select 1")).unwrap();
         assert_eq!(good.hears(), (1, Err("Malformed".to_owned())));
     }
+    // One too long, and one too deep for a client's fields.
+    let long = "x".repeat(700_000);
+    let deep = [&[0x94, 0x00, 0x03, 0xa4][..], b"look", &[0x92], &[0x91; 2_000], &[0xc0, 0xc0]].concat();
+    for (number, words) in [(1, Client::message(1, "look", "0000000000000001", 3_000, &long)), (3, deep)] {
+        good.0.write_all(&words).unwrap();
+        assert_eq!(good.hears(), (number, Err("Malformed".to_owned())));
+    }
     good.asks(2, "look", 3_000);
     assert_eq!(good.hears(), (2, Ok("a\tb\tc\n".to_owned())));
     assert_eq!(engine.had("POST").len(), 1);
