--- a/router/src/tasks.rs
+++ b/router/src/tasks.rs
@@ -1,9 +1,7 @@
-//! The tasks of the one thread. A task that panics costs what it was at work on, and nothing else.
-
-use std::panic::AssertUnwindSafe;
+//! The tasks of the one thread. The executor keeps the panic of a task to that task: it costs what the task was at
+//! work on, which tells of its end by what it owned, and nothing else.
 
 use async_executor::LocalExecutor;
-use futures_lite::FutureExt;
 
 #[derive(Clone, Copy)]
 pub struct Tasks(&'static LocalExecutor<'static>);
@@ -17,14 +15,7 @@
 
 impl Tasks {
     pub fn start(self, work: impl Future<Output = ()> + 'static) {
-        let guarded = AssertUnwindSafe(work).catch_unwind();
-        self.0
-            .spawn(async move {
-                if guarded.await.is_err() {
-                    log::error!("a task panicked");
-                }
-            })
-            .detach();
+        self.0.spawn(work).detach();
     }
 
     pub async fn run<T>(self, main: impl Future<Output = T>) -> T {
--- a/router/tests/stories/main.rs
+++ b/router/tests/stories/main.rs
@@ -173,6 +173,30 @@
     assert_eq!(client.hears(), (49, Ok("a\tb\tc\n".to_owned())));
 }
 
+#[test]
+fn bodies_in_chunks_or_up_to_the_close_are_read_whole_and_others_not() {
+    let served = Ok("a\tb\tc\nd\te\tf\n".to_owned());
+    for (words, result) in [
+        ("HTTP/1.1 200 x\r\nX-Batches: 1\r\n\r\na\tb\tc\nd\te\tf\n", served.clone()),
+        (
+            "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\nX-Batches: 1\r\n\r\n\
+             6\r\na\tb\tc\n\r\n6;x=y\r\nd\te\tf\n\r\n0\r\n\r\n",
+            served,
+        ),
+        (
+            "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\nX-Batches: 1\r\n\r\n6\r\na\tb\tc\n\r\n",
+            Err("Internal".to_owned()),
+        ),
+        ("HTTP/1.1 200 x\r\nContent-Length: 9\r\nX-Batches: 1\r\n\r\na\tb\tc\n", Err("Internal".to_owned())),
+    ] {
+        let engine =
+            Standin::start(move |call| if post(call) { Says::Raw(words) } else { says(500, &[], "") });
+        let mut client = Client::new(&Running::quiet(&[engine.address]));
+        client.asks(1, "load", 20_000);
+        assert_eq!(client.hears(), (1, result), "{words}");
+    }
+}
+
 #[test]
 fn nonsense_ends_a_dispatch_as_may_have_run_and_deletes_it() {
     let nonsense: [fn() -> Says; 5] = [
@@ -180,7 +204,7 @@
         || says(200, &[], "a\tb\tc\n"),
         || says(200, &["X-Batches: 1", "Content-Length: x"], "a\tb\tc\n"),
         || says(302, &[], ""),
-        || Says::Raw(b"SSH-2.0-none\r\n\r\n".to_vec()),
+        || Says::Raw("SSH-2.0-none\r\n\r\n"),
     ];
     for (number, nonsense) in nonsense.into_iter().enumerate() {
         let engine =
--- a/router/tests/stories/standins.rs
+++ b/router/tests/stories/standins.rs
@@ -29,8 +29,8 @@
     Answer(u16, Vec<String>, Vec<u8>),
     /// Answers and closes the connection, without a word on it.
     Last(u16, Vec<String>, Vec<u8>),
-    /// Bytes that are no answer.
-    Raw(Vec<u8>),
+    /// Such bytes and no more, with which the connection ends.
+    Raw(&'static str),
     Cut,
     Nothing,
 }
@@ -123,7 +123,10 @@
     let (status, fields, body, goes_on) = match says {
         Says::Answer(status, fields, body) => (status, fields, body, true),
         Says::Last(status, fields, body) => (status, fields, body, false),
-        Says::Raw(bytes) => return stream.write_all(&bytes).is_ok(),
+        Says::Raw(words) => {
+            let _ = stream.write_all(words.as_bytes());
+            return false;
+        }
         Says::Cut => return false,
         Says::Nothing => return true,
     };
