--- a/router/src/statement.rs
+++ b/router/src/statement.rs
@@ -73,6 +73,18 @@
         }
     }
 
+    /// Skips a string in which a backslash escapes what follows it.
+    fn skip_escaped(&mut self) {
+        let mut escaped = false;
+        let ends = |(_, c): &(usize, char)| {
+            let end = *c == '\'' && !escaped;
+            escaped = *c == '\\' && !escaped;
+            end
+        };
+        let end = self.rest.char_indices().skip(1).find(ends);
+        self.rest = end.map_or("", |(place, _)| &self.rest[place + 1..]);
+    }
+
     /// Skips a string between dollar signs, where one starts here.
     fn skip_dollars(&mut self) -> bool {
         let Some(end) = self.rest[1..].find('$') else { return false };
@@ -111,7 +123,10 @@
                 let end = self.rest.find(|c| !in_name(c)).unwrap_or(self.rest.len());
                 let (name, rest) = self.rest.split_at(end);
                 self.rest = rest;
-                return Some(Word::Name(name));
+                if !(name.eq_ignore_ascii_case("e") && rest.starts_with('\'')) {
+                    return Some(Word::Name(name));
+                }
+                self.skip_escaped();
             } else {
                 self.rest = &self.rest[first.len_utf8()..];
                 return Some(Word::Mark(first));
--- a/router/tests/stories/main.rs
+++ b/router/tests/stories/main.rs
@@ -519,6 +519,7 @@
         ("select t_9.id from staging.x, sales_4.orders t_9", Some(4)),
         ("select $q$ from a_1.b $q$, 1 from c_2.d", Some(2)),
         ("select 1 from staging.x", None),
+        (r"select e'it\'s from a_1.b', e, 'x\' from c_2.d", Some(2)),
         ("select 'open", None),
         ("select 'ž' from \"žito_8\".\"šifra\" /* čas", Some(8)),
         ("select 1", None),
