Keep one map of engines, one timer and no copies of field names in the router

Read again as a whole. Lines and actors of engines stood in two maps that were filled and emptied alike; now in one. That mends a fault seen while reading: an engine that a whole list left out kept its old line, and a module that begins again would have been told that it serves. That path has no story still.

No decision and nothing on the wire differs otherwise: letting a span pass is one function, which needed no clock; a wrapper for lines of the list, which the adapter alone used, is gone, and the adapter's faults name the wire's own fields again, as before; the front counts what it owes by the holders of its places; the end of a client's connection is told from where it is served; names of header fields are compared without copies, and room that is free is taken without a listener; the settings are moved, not copied. Stories share one way to start a bulletin, their assertions are as they were.

The text of the module is unchanged.

--- a/adapter/src/flint.rs
+++ b/adapter/src/flint.rs
@@ -160,9 +160,10 @@
             other => return Err(format!("phase: unknown {other}")),
         };
         let came_up = whole(item, "cameUpUs").ok().filter(|&at| at > 0).map(Moment::from_micros);
-        let (zone, kind) = (text(item, "area")?, text(item, "familyType")?);
-        let cell = whole(item, "stripe").unwrap_or(0) as usize;
-        instance.engine_listed(now, engine, zone, kind, CellId(cell), listed, came_up)?;
+        let zone = ZoneId(place(&instance.zones, text(item, "area")?, "area")?);
+        let kind = KindId(place(&instance.kinds, text(item, "familyType")?, "familyType")?);
+        let cell = CellId(whole(item, "stripe").unwrap_or(0) as usize);
+        instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up);
         named.push(engine);
     }
     match mode {
--- a/door/src/instance.rs
+++ b/door/src/instance.rs
@@ -142,17 +142,6 @@
         self.ordered[kind.0].then(|| KeyId(self.keys.admit(name)))
     }
 
-    /// One line of the engine list, in the names of the settings.
-    pub fn engine_listed(
-        &mut self, now: Moment, engine: EngineId, zone: &str, kind: &str, cell: CellId, listed: Listed,
-        came_up: Option<Moment>,
-    ) -> Result<()> {
-        let zone = ZoneId(place(&self.zones, zone, "zone")?);
-        let kind = KindId(place(&self.kinds, kind, "kind")?);
-        self.router.engine_listed(now, engine, zone, kind, cell, listed, came_up);
-        Ok(())
-    }
-
     /// A load report; `value` finds what it holds for a name, by its place among `report_names` or by itself.
     pub fn reported(&mut self, now: Moment, engine: EngineId, value: impl Fn(usize, &str) -> Option<f64>) {
         let value = |name| position(&self.report_names, name).and_then(|place| value(place, name));
--- a/router/src/bulletin.rs
+++ b/router/src/bulletin.rs
@@ -10,7 +10,7 @@
 use woadhook::Span;
 use woadhook_door::fields::*;
 
-use crate::clock::Clock;
+use crate::clock::pass;
 use crate::decide::Event;
 use crate::engine::head;
 use crate::http::Connection;
@@ -20,11 +20,10 @@
 /// The longest patience that a bulletin grants.
 const LONGEST: Span = Span::from_micros(5_000_000);
 /// `last` is the number of the last event known. A change is to be heard within `grace` even over a connection
-/// that went silent, so each call waits for a quarter of it only; after a
-/// fault it asks again on a new connection soon.
+/// that went silent, so each call waits for a quarter of it only; after a fault it asks again
+/// on a new connection soon.
 pub async fn follow(
-    clock: Clock, address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64,
-    module: Sender<Event>,
+    address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64, module: Sender<Event>,
 ) {
     let part = Arc::new(Semaphore::new(1));
     let patience = grace.times(0.25).min(LONGEST);
@@ -40,7 +39,7 @@
                 fault = error;
             }
         }
-        clock.pass(patience.times(0.25)).await;
+        pass(patience.times(0.25)).await;
     }
 }
 
--- a/router/src/clock.rs
+++ b/router/src/clock.rs
@@ -26,8 +26,8 @@
         let ahead = moment.since(self.unix);
         Timer::at(self.started + Duration::from_micros(ahead.micros())).await;
     }
+}
 
-    pub async fn pass(self, span: Span) {
-        Timer::after(Duration::from_micros(span.micros())).await;
-    }
+pub async fn pass(span: Span) {
+    Timer::after(Duration::from_micros(span.micros())).await;
 }
--- a/router/src/decide.rs
+++ b/router/src/decide.rs
@@ -101,6 +101,19 @@
     came_up: Option<Moment>,
 }
 
+/// An engine: its actor, and its line for a module that begins again.
+struct Known {
+    peer: Peer,
+    line: Line,
+}
+
+impl Known {
+    fn list(&mut self, line: Line) {
+        self.line = line;
+        self.peer.engine.open.set(line.listed == Listed::Live);
+    }
+}
+
 pub struct Desk {
     clock: Clock,
     settings: Value,
@@ -113,9 +126,7 @@
     asked: HashMap<(u64, u32), JobId>,
     /// Both emptied as the module forgets.
     jobs: HashMap<JobId, Open>,
-    peers: HashMap<EngineId, Peer>,
-    /// The lines of the list by engine, for a module that begins again; emptied like `peers`.
-    lines: HashMap<EngineId, Line>,
+    engines: HashMap<EngineId, Known>,
     /// Whether the whole list was told once.
     listed: bool,
     /// Counts the actors of engines.
@@ -138,8 +149,7 @@
             module,
             asked: HashMap::new(),
             jobs: HashMap::new(),
-            peers: HashMap::new(),
-            lines: HashMap::new(),
+            engines: HashMap::new(),
             listed: false,
             serial: 0,
             wake: None,
@@ -316,8 +326,8 @@
         if mark(roster, "complete") {
             self.listed = true;
             self.instance.router.list_complete(&named);
-            for (_, peer) in self.peers.iter().filter(|(engine, _)| !named.contains(engine)) {
-                peer.engine.open.set(false);
+            for (_, known) in self.engines.iter_mut().filter(|(engine, _)| !named.contains(engine)) {
+                known.list(Line { listed: Listed::Gone, ..known.line });
             }
         } else {
             self.instance.router.list_changed();
@@ -347,15 +357,16 @@
     fn list(&mut self, now: Moment, engine: EngineId, line: Line) {
         let Line { at, zone, kind, cell, listed, came_up } = line;
         self.instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up);
-        if self.peers.get(&engine).is_none_or(|peer| peer.engine.address != at) {
-            self.serial += 1;
-            let new = Peer::start(&self.ground, self.serial, at, self.module.clone());
-            if let Some(old) = self.peers.insert(engine, new) {
-                old.engine.open.set(false);
-            }
+        if let Some(known) = self.engines.get_mut(&engine).filter(|known| known.line.at == at) {
+            return known.list(line);
+        }
+        self.serial += 1;
+        let peer = Peer::start(&self.ground, self.serial, at, self.module.clone());
+        let mut new = Known { peer, line };
+        new.list(line);
+        if let Some(old) = self.engines.insert(engine, new) {
+            old.peer.engine.open.set(false);
         }
-        self.peers[&engine].engine.open.set(listed == Listed::Live);
-        self.lines.insert(engine, line);
     }
 
     fn carry_out(&mut self, now: Moment, decision: Decision) {
@@ -371,8 +382,8 @@
             Decision::Throttle { job, come_back } => self.answer(job, Answer::Overloaded(come_back)),
             Decision::CancelForGood { job } => self.answer(job, Answer::Failed("Internal")),
             Decision::Probe { engine } => {
-                let sent = self.peers.get(&engine).map(|peer| peer.send(Errand::Probe(engine)));
-                if !matches!(sent, Some(Ok(()))) {
+                let known = self.engines.get(&engine);
+                if !known.is_some_and(|known| known.peer.send(Errand::Probe(engine))) {
                     self.instance.router.probe_ended(now, engine, Outcome::NotIssued);
                 }
             }
@@ -389,15 +400,14 @@
             }
             Decision::Forget(Forgotten::Key(key)) => self.instance.keys.forget(key.0),
             Decision::Forget(Forgotten::Engine(engine)) => {
-                self.peers.remove(&engine);
-                self.lines.remove(&engine);
+                self.engines.remove(&engine);
                 self.instance.engines.forget(engine.0);
             }
         }
     }
 
     fn dispatch(&mut self, now: Moment, job: JobId, engine: EngineId, until: Moment, priority: u8) {
-        let (Some(open), Some(peer)) = (self.jobs.get_mut(&job), self.peers.get(&engine)) else { return };
+        let (Some(open), Some(known)) = (self.jobs.get_mut(&job), self.engines.get(&engine)) else { return };
         for orders in open.out.values() {
             let _ = orders.try_send(priority);
         }
@@ -407,14 +417,11 @@
         let until = until.min(open.deadline);
         let dispatch = Dispatch { job, number, engine, statement, decided: now, until, priority };
         let (orders, taken) = async_channel::bounded(ORDERS);
-        match peer.send(Errand::Run(dispatch, taken)) {
-            Ok(()) => {
-                open.out.insert(number, orders);
-            }
-            Err(_) => {
-                let (outcome, router) = (Outcome::NotIssued, &mut self.instance.router);
-                router.dispatch_ended(now, job, number, outcome, Span::ZERO, None, false);
-            }
+        if known.peer.send(Errand::Run(dispatch, taken)) {
+            open.out.insert(number, orders);
+        } else {
+            let (outcome, router) = (Outcome::NotIssued, &mut self.instance.router);
+            router.dispatch_ended(now, job, number, outcome, Span::ZERO, None, false);
         }
     }
 
@@ -429,8 +436,9 @@
         let Ok(new) = Instance::start(now, self.seed, &self.settings) else { return };
         let old = std::mem::replace(&mut self.instance, new);
         (self.instance.jobs, self.instance.keys, self.instance.engines) = (old.jobs, old.keys, old.engines);
-        for (engine, line) in self.lines.clone() {
-            self.list(now, engine, line);
+        for (engine, Known { line, .. }) in &self.engines {
+            let Line { zone, kind, cell, listed, came_up, .. } = *line;
+            self.instance.router.engine_listed(now, *engine, zone, kind, cell, listed, came_up);
         }
     }
 }
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -17,8 +17,8 @@
 use crate::tasks::Tasks;
 
 const MAILBOX: usize = 1024;
-/// Answers other than pages of a result hold next to nothing.
-pub const SMALL_BODY: usize = 64 * 1024;
+/// No answer of an engine holds more; a page of a result is far smaller.
+pub const BODY_BYTES: usize = 64 * 1024;
 
 /// What all engines' actors are given alike.
 #[derive(Clone)]
@@ -62,9 +62,9 @@
         Self { engine, mailbox }
     }
 
-    /// Gives the errand back where the mailbox is full.
-    pub fn send(&self, errand: Errand) -> Result<(), Errand> {
-        self.mailbox.try_send(errand).map_err(|error| error.into_inner())
+    /// Whether the mailbox had room for it.
+    pub fn send(&self, errand: Errand) -> bool {
+        self.mailbox.try_send(errand).is_ok()
     }
 }
 
@@ -93,7 +93,7 @@
     ) -> io::Result<u16> {
         let mut connection = self.lease(&self.ground.errands).await?;
         let head = head(method, path, self.address, &[], body.len());
-        let call = connection.call(&head, body.as_bytes(), SMALL_BODY, || (), field);
+        let call = connection.call(&head, body.as_bytes(), BODY_BYTES, || (), field);
         let (status, _) = limited(self.ground.connect_timeout, call).await?;
         Ok(status)
     }
--- a/router/src/front.rs
+++ b/router/src/front.rs
@@ -17,6 +17,7 @@
 use crate::query::Statement;
 use crate::sockets::{Link, limited, write_gathered};
 use crate::statement::table_group;
+use crate::tasks::Tasks;
 
 /// The most open requests of a connection, and pings beside them.
 const OPEN: usize = 32 + 8;
@@ -31,6 +32,7 @@
 #[derive(Clone)]
 pub struct Hall {
     pub clock: Clock,
+    pub tasks: Tasks,
     pub module: Sender<Event>,
     /// For statements.
     pub room: Room,
@@ -74,6 +76,7 @@
 
 /// Serves one connection until either side ends it, then withdraws its jobs.
 pub async fn serve(link: Link, client: u64, hall: Hall) {
+    let _leave = Leave { client, module: hall.module.clone(), tasks: hall.tasks };
     let (outbox, answers) = async_channel::bounded(OPEN);
     let reader = Reader { client, places: Arc::new(Semaphore::new(OPEN)), outbox, hall: hall.clone() };
     let end = reader.read(&link).or(write(&link, answers, hall.longest_wait)).await;
@@ -83,10 +86,10 @@
 }
 
 /// Tells the module when a connection ends, however it does.
-pub struct Leave {
-    pub client: u64,
-    pub module: Sender<Event>,
-    pub tasks: crate::tasks::Tasks,
+struct Leave {
+    client: u64,
+    module: Sender<Event>,
+    tasks: Tasks,
 }
 
 impl Drop for Leave {
@@ -171,9 +174,9 @@
         Ok(())
     }
 
+    /// Each place taken holds on to the semaphore.
     fn owes(&self) -> bool {
-        let free: Vec<_> = std::iter::from_fn(|| self.places.try_acquire()).collect();
-        free.len() < OPEN
+        Arc::strong_count(&self.places) > 1
     }
 
     /// Takes in one whole message.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -40,9 +40,7 @@
 use crate::sockets::Descriptors;
 use crate::tasks::Tasks;
 
-/// Serves until a planned stop is done.
-///
-/// `told_to_stop` comes when a stop is planned.
+/// Serves until a planned stop is done; `told_to_stop` comes when it is planned.
 pub async fn serve(
     tasks: Tasks, given: config::Given, listener: TcpListener, told_to_stop: impl Future<Output = ()>,
 ) -> Result<()> {
@@ -69,19 +67,25 @@
         reports,
         room: room(),
     };
-    let desk = Desk::new(clock, given.seed, settings.clone(), ground, module.clone())?;
+    let desk = Desk::new(clock, given.seed, settings, ground, module.clone())?;
     tasks.start(desk.run(mailbox));
     let mut last = 0;
     if let Value::Object(_) = given.known {
         bulletin::pass_on(&given.known, &mut last, &module).await?;
     }
-    tasks.start(bulletin::follow(clock, given.bulletin, connect_timeout, grace, last, module.clone()));
+    tasks.start(bulletin::follow(given.bulletin, connect_timeout, grace, last, module.clone()));
 
     let listener = Async::new(listener).map_err(|error| error.to_string())?;
     let owing = Rc::new(Cell::new(0));
-    let hall =
-        Hall { clock, module: module.clone(), room: room(), longest_wait: longest, owing: owing.clone() };
-    tasks.start(listen::accept(listener, descriptors.clients, tasks, hall));
+    let hall = Hall {
+        clock,
+        tasks,
+        module: module.clone(),
+        room: room(),
+        longest_wait: longest,
+        owing: owing.clone(),
+    };
+    tasks.start(listen::accept(listener, descriptors.clients, hall));
     log::info!("serving on {}", given.listen);
     told_to_stop.await;
     stop::wait(clock, longest, &owing, module).await;
--- a/router/src/memory.rs
+++ b/router/src/memory.rs
@@ -28,12 +28,11 @@
 
     pub async fn take(&self, bytes: usize) -> Held {
         loop {
-            let listener = self.0.given_back.listen();
             if let Some(free) = self.0.free.get().checked_sub(bytes) {
                 self.0.free.set(free);
                 return Held { room: self.clone(), bytes };
             }
-            listener.await;
+            self.0.given_back.listen().await;
         }
     }
 }
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -8,8 +8,9 @@
 use futures_lite::FutureExt;
 use woadhook::{EngineId, JobId, Moment, Outcome, Progress, Span};
 
+use crate::clock::pass;
 use crate::decide::Event;
-use crate::engine::{Engine, SMALL_BODY, head};
+use crate::engine::{BODY_BYTES, Engine, head};
 use crate::memory::Held;
 use crate::pool::{Lease, NO_DESCRIPTOR};
 use crate::sockets::limited;
@@ -125,10 +126,6 @@
         self.engine.ground.clock.now()
     }
 
-    async fn pass(&self, span: Span) {
-        self.engine.ground.clock.pass(span).await;
-    }
-
     async fn work(&self) -> End {
         match self.follow().await {
             Ok((told, rows)) => (Outcome::Done, told, Some(rows)),
@@ -177,13 +174,13 @@
         ];
         let post = self.call(&mut lease, "POST", "/v2/q", &fields, &statement.text);
         let beside = async {
-            self.pass(ASK_AGAIN).await;
+            pass(ASK_AGAIN).await;
             loop {
                 let asked = self.ask(0, None).await;
                 if !matches!(&asked, Ok((answer, _)) if answer.status == 500) {
                     return Err(asked);
                 }
-                self.pass(NEWS_WAIT).await;
+                pass(NEWS_WAIT).await;
             }
         };
         let answered = async { Ok(post.await) };
@@ -224,7 +221,7 @@
                 self.give_up().await;
                 return Err(Outcome::Reset);
             }
-            self.pass(PAUSE).await;
+            pass(PAUSE).await;
         }
     }
 
@@ -239,18 +236,27 @@
             self.began.set(true);
             self.asked.set(self.now());
         };
-        let hear = |name: &str, text: &str| match name.to_ascii_lowercase().as_str() {
-            "x-declined" => answer.declined = text == "1",
-            "x-batches" => answer.pages = text.parse().unwrap_or(0),
-            "x-batch" => answer.page = text.parse().ok(),
-            "x-result" => note = Some(text.to_owned()),
-            "x-num" => value = amount(text),
-            "x-spent" => spent = amount(text),
-            "x-wanted" => wanted = amount(text),
-            "x-stats" => stats = Some(text.to_owned()),
-            _ => {}
+        let hear = |name: &str, text: &str| {
+            let is = |known| name.eq_ignore_ascii_case(known);
+            if is("X-Declined") {
+                answer.declined = text == "1";
+            } else if is("X-Batches") {
+                answer.pages = text.parse().unwrap_or(0);
+            } else if is("X-Batch") {
+                answer.page = text.parse().ok();
+            } else if is("X-Result") {
+                note = Some(text.to_owned());
+            } else if is("X-Num") {
+                value = amount(text);
+            } else if is("X-Spent") {
+                spent = amount(text);
+            } else if is("X-Wanted") {
+                wanted = amount(text);
+            } else if is("X-Stats") {
+                stats = Some(text.to_owned());
+            }
         };
-        let (status, body) = lease.call(&head, body, SMALL_BODY, wrote, hear).await?;
+        let (status, body) = lease.call(&head, body, BODY_BYTES, wrote, hear).await?;
         self.heard.set(self.now());
         if let Some(stats) = stats {
             let _ = self.module.send(Event::Reported { engine: self.dispatch.engine, stats }).await;
@@ -338,7 +344,7 @@
                 Ok(_) => return,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return,
                 Err(_) if self.now() >= ended => return,
-                Err(_) => self.pass(PAUSE).await,
+                Err(_) => pass(PAUSE).await,
             }
         }
     }
--- a/router/src/sockets.rs
+++ b/router/src/sockets.rs
@@ -3,18 +3,18 @@
 use std::io::{self, IoSlice};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
 
-use async_io::{Async, Timer};
+use async_io::Async;
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{AsyncWrite, FutureExt, future};
 use woadhook::Span;
 
+use crate::clock::pass;
+
 /// Descriptors that are no sockets of peers: standard streams, poller, signals, listener, bulletin.
 const OWN: usize = 24;
 
 /// The descriptor limit in parts that cannot starve each other.
-#[derive(Clone)]
 pub struct Descriptors {
     pub clients: Arc<Semaphore>,
     /// Starting queries, their news and pages.
@@ -60,7 +60,7 @@
 /// The outcome of `work`, or an error once the span has passed.
 pub async fn limited<T>(span: Span, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let late = async {
-        Timer::after(Duration::from_micros(span.micros())).await;
+        pass(span).await;
         Err(io::ErrorKind::TimedOut.into())
     };
     work.or(late).await
--- a/router/src/stop.rs
+++ b/router/src/stop.rs
@@ -5,7 +5,7 @@
 use async_channel::Sender;
 use woadhook::Span;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, pass};
 use crate::decide::Event;
 
 /// Requests may come for so long after SIGTERM.
@@ -24,6 +24,6 @@
     let _ = module.send(Event::Stopping { by }).await;
     clock.until(told + STILL_COMING + LAST_WORDS).await;
     while owing.get() > 0 {
-        clock.pass(LOOK).await;
+        pass(LOOK).await;
     }
 }
--- a/router/tests/stories/main.rs
+++ b/router/tests/stories/main.rs
@@ -110,8 +110,7 @@
             }
         })
     });
-    let events = Events::default();
-    let bulletin = Standin::start(move |call| events.answer(call));
+    let bulletin = Events::default().serve();
     let told = told(&engines.each_ref().map(|engine| engine.address), bulletin.address, 1024)
         .replace("\"cancelling\":true", "\"cancelling\":false,\"secondCopies\":true");
     let mut client = Client::new(&Running::with(&told));
@@ -181,8 +180,7 @@
         }
     });
     // Two descriptors for queries, one for errands, and twelve failures of each kind.
-    let events = Events::default();
-    let bulletin = Standin::start(move |call| events.answer(call));
+    let bulletin = Events::default().serve();
     let mut client = Client::new(&Running::with(&told(&[engine.address], bulletin.address, 40)));
     for number in 1..49 {
         client.asks(number, "load", 100);
@@ -385,8 +383,7 @@
 fn an_engine_heard_draining_gets_nothing_more() {
     let engines = [0, 1].map(|_| Standin::start(|call| pages(call, &["a\tb\tc\n"])));
     let (events, [old, new]) = (Events::default(), engines.each_ref().map(|engine| engine.address));
-    let told = events.clone();
-    let bulletin = Standin::start(move |call| told.answer(call));
+    let bulletin = events.serve();
     let mut client = Client::new(&Running::start(&[old], bulletin.address));
     events.add(2, vec![member("s-0", old, "DRAINING"), member("s-1", new, "SERVING")]);
     bulletin.awaits("GET /bulletins?after=2&");
@@ -405,8 +402,7 @@
         })
     });
     let (events, [old, new]) = (Events::default(), engines.each_ref().map(|engine| engine.address));
-    let told_events = events.clone();
-    let bulletin = Standin::start(move |call| told_events.answer(call));
+    let bulletin = events.serve();
     // Two descriptors for queries.
     let mut client = Client::new(&Running::with(&told(&[old], bulletin.address, 40)));
     for number in 1..4 {
@@ -478,8 +474,7 @@
     let engine = Standin::start(move |call| {
         if end.load(Ordering::Relaxed) { pages(call, &["a\tb\tc\n"]) } else { says(202, &[], "") }
     });
-    let events = Events::default();
-    let bulletin = Standin::start(move |call| events.answer(call));
+    let bulletin = Events::default().serve();
     let told = told(&[engine.address], bulletin.address, 1024).replace("60000000", "200000");
     let router = Running::with(&told);
     let mut waiting = Client::new(&router);
--- a/router/tests/stories/standins.rs
+++ b/router/tests/stories/standins.rs
@@ -140,6 +140,12 @@
 pub struct Events(Arc<(Mutex<Vec<Value>>, Condvar)>);
 
 impl Events {
+    /// A bulletin that tells them.
+    pub fn serve(&self) -> Standin {
+        let events = self.clone();
+        Standin::start(move |call| events.answer(call))
+    }
+
     pub fn add(&self, number: u64, members: Vec<Value>) {
         let roster = json!({"revision": number, "complete": number == 1, "members": members});
         self.0.0.lock().unwrap().push(json!({"no": number, "roster": roster}));
@@ -205,8 +211,7 @@
 
     /// One whose bulletin tells nothing new.
     pub fn quiet(engines: &[SocketAddr]) -> Self {
-        let events = Events::default();
-        Self::start(engines, Standin::start(move |call| events.answer(call)).address)
+        Self::start(engines, Events::default().serve().address)
     }
 
     pub fn with(told: &str) -> Self {
