--- a/router/src/bulletin.rs
+++ b/router/src/bulletin.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 use async_lock::Semaphore;
+use futures_lite::{FutureExt, future};
 use serde_json::Value;
 use woadhook::Span;
 use woadhook_door::fields::*;
@@ -19,48 +20,85 @@
 const LIST_BYTES: usize = 4 * 1024 * 1024;
 /// The longest patience that a bulletin grants.
 const LONGEST: Span = Span::from_micros(5_000_000);
-/// `last` is the number of the last event known. A change is to be heard within `grace` even over a connection
-/// that went silent, so each call waits for a quarter of it only; after a fault it asks again
-/// on a new connection soon.
+
+/// Where the bulletin is from now on, and the events that were known with that.
+pub struct Move {
+    pub to: SocketAddr,
+    pub known: Value,
+}
+
+enum Heard {
+    Told(io::Result<Value>),
+    Moved(Move),
+}
+
+/// `last` is the number of the last event known, which goes on at a new address. A change is to be heard within
+/// `grace` even over a connection that went silent, so each call waits for a quarter of it only; after a fault
+/// it asks again on a new connection soon.
 pub async fn follow(
-    address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64, module: Sender<Event>,
+    mut address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64, moves: Receiver<Move>,
+    module: Sender<Event>,
 ) {
     let part = Arc::new(Semaphore::new(1));
     let patience = grace.times(0.25).min(LONGEST);
-    let mut fault = String::new();
+    let mut connection = None;
+    let (mut fault, mut faulty) = (String::new(), false);
     while !module.is_closed() {
-        if let Ok(link) = Link::connect(address, connect_timeout, part.acquire_arc().await).await {
-            let mut connection = Connection::new(link);
-            let asked = ask(&mut connection, address, patience, connect_timeout, &mut last, &module).await;
-            if let Err(error) = asked.map_err(|error| error.to_string()) {
-                if error != fault {
-                    log::warn!("bulletin: {error}");
+        let asked = async {
+            if faulty {
+                pass(patience.times(0.25)).await;
+            }
+            let path = format!("/bulletins?after={last}&patience={}", patience.micros() / 1000);
+            Heard::Told(ask(&mut connection, &part, address, &path, patience, connect_timeout).await)
+        };
+        let moved = async {
+            match moves.recv().await {
+                Ok(to) => Heard::Moved(to),
+                Err(_) => future::pending().await,
+            }
+        };
+        // Passing on is never cut short, so that each event is told whole and its number kept.
+        let passed = match moved.or(asked).await {
+            Heard::Told(Ok(told)) => pass_on(&told, &mut last, &module).await,
+            Heard::Told(Err(error)) => Err(error.to_string()),
+            Heard::Moved(Move { to, known }) => {
+                log::info!("the bulletin is at {to}");
+                (address, connection) = (to, None);
+                match known {
+                    Value::Object(_) => pass_on(&known, &mut last, &module).await,
+                    _ => Ok(()),
                 }
-                fault = error;
             }
+        };
+        faulty = passed.is_err();
+        if let Err(error) = passed {
+            connection = None;
+            if error != fault {
+                log::warn!("bulletin: {error}");
+            }
+            fault = error;
         }
-        pass(patience.times(0.25)).await;
     }
 }
 
+/// One call, over the connection of the last one if that can be used again.
 async fn ask(
-    connection: &mut Connection, address: SocketAddr, patience: Span, slack: Span, last: &mut u64,
-    module: &Sender<Event>,
-) -> io::Result<()> {
-    loop {
-        let path = format!("/bulletins?after={last}&patience={}", patience.micros() / 1000);
-        let head = head("GET", &path, address, &[], 0);
-        let call = connection.call(&head, &[], LIST_BYTES, || (), |_, _| ());
-        let (status, body) = limited(patience + slack, call).await?;
-        if status != 200 {
-            return Err(io::Error::other(format!("status {status}")));
-        }
-        let told: Value = serde_json::from_slice(&body)?;
-        pass_on(&told, last, module).await.map_err(io::Error::other)?;
-        if !connection.reusable {
-            return Ok(());
-        }
+    connection: &mut Option<Connection>, part: &Arc<Semaphore>, address: SocketAddr, path: &str,
+    patience: Span, connect_timeout: Span,
+) -> io::Result<Value> {
+    if connection.as_ref().is_none_or(|kept| !kept.reusable || !kept.link.is_quiet()) {
+        *connection = None;
+        let link = Link::connect(address, connect_timeout, part.acquire_arc().await).await?;
+        *connection = Some(Connection::new(link));
+    }
+    let Some(connection) = connection else { return Err(io::ErrorKind::NotConnected.into()) };
+    let head = head("GET", path, address, &[], 0);
+    let call = connection.call(&head, &[], LIST_BYTES, || (), |_, _| ());
+    let (status, body) = limited(patience + connect_timeout, call).await?;
+    if status != 200 {
+        return Err(io::Error::other(format!("status {status}")));
     }
+    Ok(serde_json::from_slice(&body)?)
 }
 
 /// Passes on the events behind `last`. After a gap only a whole list will do.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -3,7 +3,7 @@
 //! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `statement`
 //! finds the table group, `decide` lets the module decide, `engine` and `query` carry dispatches out over
 //! `http` connections of `pool`, and `front` writes the answer. `bulletin` follows the list of engines,
-//! `sockets` and `memory` own what is scarce, `stop` ends it all.
+//! `sockets` and `memory` own what is scarce, `stop` heeds what the operators order.
 
 mod bulletin;
 pub mod clock;
@@ -19,7 +19,7 @@
 mod query;
 pub mod sockets;
 pub mod statement;
-mod stop;
+pub mod stop;
 pub mod tasks;
 
 use std::cell::Cell;
@@ -27,6 +27,7 @@
 use std::rc::Rc;
 
 use async_io::Async;
+use futures_lite::Stream;
 use serde_json::Value;
 use woadhook::Span;
 use woadhook_door::fields::*;
@@ -38,11 +39,12 @@
 use crate::memory::Room;
 use crate::pool::Pool;
 use crate::sockets::Descriptors;
+use crate::stop::Order;
 use crate::tasks::Tasks;
 
-/// Serves until a planned stop is done; `told_to_stop` comes when it is planned.
+/// Serves until a planned stop is done, which `orders` hold some time.
 pub async fn serve(
-    tasks: Tasks, given: config::Given, listener: TcpListener, told_to_stop: impl Future<Output = ()>,
+    tasks: Tasks, given: config::Given, listener: TcpListener, orders: impl Stream<Item = Order> + 'static,
 ) -> Result<()> {
     let clock = Clock::start();
     let settings = given.settings;
@@ -73,7 +75,10 @@
     if let Value::Object(_) = given.known {
         bulletin::pass_on(&given.known, &mut last, &module).await?;
     }
-    tasks.start(bulletin::follow(given.bulletin, connect_timeout, grace, last, module.clone()));
+    let (moves, moved) = async_channel::bounded(1);
+    tasks.start(bulletin::follow(given.bulletin, connect_timeout, grace, last, moved, module.clone()));
+    let (stop, told_to_stop) = async_channel::bounded(1);
+    tasks.start(stop::heed(orders, moves, stop));
 
     let listener = Async::new(listener).map_err(|error| error.to_string())?;
     let owing = Rc::new(Cell::new(0));
@@ -87,7 +92,9 @@
     };
     tasks.start(listen::accept(listener, descriptors.clients, hall));
     log::info!("serving on {}", given.listen);
-    told_to_stop.await;
+    if told_to_stop.recv().await.is_err() {
+        std::future::pending().await
+    }
     stop::wait(clock, longest, &owing, module).await;
     Ok(())
 }
--- a/router/src/stop.rs
+++ b/router/src/stop.rs
@@ -1,11 +1,16 @@
-//! The end of the process: only after SIGTERM, and only with all answered.
+//! What the operators order: to read the configuration again, and to stop. The process ends only after SIGTERM, and
+//! only with all answered.
 
 use std::cell::Cell;
 
 use async_channel::Sender;
+use futures_lite::{Stream, StreamExt};
 use woadhook::Span;
+use woadhook_door::fields::Result;
 
+use crate::bulletin::Move;
 use crate::clock::{Clock, pass};
+use crate::config::Given;
 use crate::decide::Event;
 
 /// Requests may come for so long after SIGTERM.
@@ -16,6 +21,29 @@
 const LAST_WORDS: Span = Span::from_micros(100_000);
 const LOOK: Span = Span::from_micros(10_000);
 
+pub enum Order {
+    /// What was read, or what is wrong with it.
+    Reload(Result<Given>),
+    Stop,
+}
+
+/// Carries orders out as they come; `stop` hears of the one to stop, and reloads go on behind it.
+pub async fn heed(orders: impl Stream<Item = Order>, moves: Sender<Move>, stop: Sender<()>) {
+    let mut orders = std::pin::pin!(orders);
+    while let Some(order) = orders.next().await {
+        match order {
+            // The latest counts, as it holds what an earlier one told.
+            Order::Reload(Ok(given)) => {
+                let _ = moves.force_send(Move { to: given.bulletin, known: given.known });
+            }
+            Order::Reload(Err(fault)) => log::error!("the old configuration stays: {fault}"),
+            Order::Stop => {
+                let _ = stop.try_send(());
+            }
+        }
+    }
+}
+
 /// From the word to stop until the process may end.
 pub async fn wait(clock: Clock, longest: Span, owing: &Cell<usize>, module: Sender<Event>) {
     let told = clock.now();
--- a/router/tests/stories/main.rs
+++ b/router/tests/stories/main.rs
@@ -13,6 +13,7 @@
 use woadhook_router::memory::Room;
 use woadhook_router::sockets::Descriptors;
 use woadhook_router::statement::table_group;
+use woadhook_router::stop::Order;
 use woadhook_router::tasks::Tasks;
 use woadhook_router::{codec, config};
 
@@ -440,6 +441,31 @@
     assert!(client.hears().1.is_ok());
 }
 
+#[test]
+fn a_reload_moves_to_the_new_bulletin_and_loses_no_number() {
+    let engines = [0, 1].map(|_| Standin::start(|call| pages(call, &["a\tb\tc\n"])));
+    let [old, new] = engines.each_ref().map(|engine| engine.address);
+    // The first bulletin keeps its calls open and tells nothing more.
+    let (first, second) = (Standin::start(|_| Says::Nothing), Events::default());
+    let router = Running::start(&[old], first.address);
+    first.awaits("GET /bulletins?after=1&");
+    let mut client = Client::new(&router);
+    second.add(2, vec![member("s-0", old, "DRAINING"), member("s-1", new, "SERVING")]);
+    let bulletin = second.serve();
+    let reload = |told: &str| router.orders.send_blocking(Order::Reload(config::parse(told, None))).unwrap();
+    reload("{");
+    reload(&told(&[old], nobody(), 1024));
+    reload(&told(&[old], bulletin.address, 1024));
+    bulletin.awaits("GET /bulletins?after=1&");
+    bulletin.awaits("GET /bulletins?after=2&");
+    client.asks(1, "load", 20_000);
+    assert!(client.hears().1.is_ok());
+    engines[1].awaits("POST");
+    // A stop is still heeded.
+    router.orders.send_blocking(Order::Stop).unwrap();
+    router.ends();
+}
+
 #[test]
 fn told_to_stop_it_takes_and_answers_what_still_comes_and_then_ends() {
     let engine =
@@ -454,7 +480,7 @@
     assert!(client.pings(9));
     client.asks(1, "load", 60_000);
     engine.awaits("POST");
-    router.stop.send_blocking(()).unwrap();
+    router.orders.send_blocking(Order::Stop).unwrap();
     // It says so to the front, and serves on.
     while client.pings(9) {}
     let mut late = Client::new(&router);
--- a/router/tests/stories/standins.rs
+++ b/router/tests/stories/standins.rs
@@ -9,6 +9,7 @@
 
 use rmp::{Marker, decode};
 use serde_json::{Value, json};
+use woadhook_router::stop::Order;
 use woadhook_router::tasks::Tasks;
 use woadhook_router::{config, serve};
 
@@ -200,7 +201,7 @@
 /// A router on a thread of its own.
 pub struct Running {
     pub address: SocketAddr,
-    pub stop: async_channel::Sender<()>,
+    pub orders: async_channel::Sender<Order>,
     ended: Receiver<Result<(), String>>,
 }
 
@@ -218,18 +219,13 @@
         let given = config::parse(told, None).unwrap();
         let listener = TcpListener::bind(given.listen).unwrap();
         let address = listener.local_addr().unwrap();
-        let (stop, told_to_stop) = async_channel::bounded(1);
+        let (orders, heard) = async_channel::bounded(4);
         let (end, ended) = mpsc::channel();
         thread::spawn(move || {
             let tasks = Tasks::default();
-            let told_to_stop = async move {
-                if told_to_stop.recv().await.is_err() {
-                    std::future::pending().await
-                }
-            };
-            let _ = end.send(async_io::block_on(tasks.run(serve(tasks, given, listener, told_to_stop))));
+            let _ = end.send(async_io::block_on(tasks.run(serve(tasks, given, listener, heard))));
         });
-        Self { address, stop, ended }
+        Self { address, orders, ended }
     }
 
     pub fn ends(&self) {
