--- a/router/src/codec.rs
+++ b/router/src/codec.rs
@@ -49,6 +49,11 @@
         self.values == 0 && self.bytes == 0
     }
 
+    /// The least number of bytes that are still to come, as each value has one.
+    pub fn least_left(&self) -> u64 {
+        self.bytes.saturating_add(self.values)
+    }
+
     /// Passes over what of the message stands in `piece`, and returns how many bytes that is: all up to its
     /// end, or up to a head of a value that is not there whole.
     pub fn pass(&mut self, piece: &[u8]) -> Result<usize> {
@@ -60,7 +65,7 @@
                 return Ok(at);
             }
             let Some((length, bytes, values)) = head(&piece[at..])? else { return Ok(at) };
-            (at, self.bytes, self.values) = (at + length, bytes, self.values - 1 + values);
+            (at, self.bytes, self.values) = (at + length, bytes, (self.values - 1).saturating_add(values));
         }
     }
 }
@@ -102,11 +107,11 @@
     Ok(Some((1 + width, bytes, values)))
 }
 
-/// The length of the message that `bytes` start with, once it is there whole.
-pub fn whole(bytes: &[u8]) -> Result<Option<usize>> {
-    let mut scan = Scan::default();
-    let length = scan.pass(bytes)?;
-    Ok(scan.is_done().then_some(length))
+/// The length of the message that `bytes` start with, once it is there whole; `scan` keeps what was passed over
+/// before, as `scanned` bytes of it.
+pub fn whole(bytes: &[u8], scan: &mut Scan, scanned: &mut usize) -> Result<Option<usize>> {
+    *scanned += scan.pass(&bytes[*scanned..])?;
+    Ok(scan.is_done().then_some(*scanned))
 }
 
 pub fn array(message: &mut &[u8]) -> Result<u32> {
@@ -136,7 +141,7 @@
     Ok(found)
 }
 
-/// The parameters of a request: hears each field of a map of texts, and returns the body.
+/// The parameters of a request: hears each field of a map of texts, and returns the body behind it.
 pub fn parameters<'a>(message: &mut &'a [u8], mut field: impl FnMut(&'a str, &'a str)) -> Result<&'a [u8]> {
     if array(message)? != 2 {
         return Err(Malformed);
--- a/router/src/decide.rs
+++ b/router/src/decide.rs
@@ -18,7 +18,7 @@
 use crate::config::address;
 use crate::engine::{Errand, Ground, Peer};
 use crate::front::{MALFORMED, Reply};
-use crate::query::{Dispatch, Rows, Statement};
+use crate::query::{Dispatch, Rows, Statement, measure};
 
 pub const MAILBOX: usize = 4096;
 /// New priorities that one query has not yet taken.
@@ -29,10 +29,11 @@
     Arrived {
         client: u64,
         statement: Rc<Statement>,
-        group: usize,
+        kind: TypeId,
+        group: GroupId,
         tenant: Option<String>,
         key: Option<String>,
-        told: Option<Span>,
+        told: Span,
         memory: f64,
         deadline: Moment,
         reply: Reply,
@@ -195,8 +196,8 @@
 
     fn take_in(&mut self, now: Moment, event: Event) {
         match event {
-            Event::Arrived { client, statement, group, tenant, key, told, memory, deadline, reply } => {
-                self.arrive(now, client, statement, group, tenant, key, told, memory, deadline, reply);
+            Event::Arrived { client, statement, kind, group, tenant, key, told, memory, deadline, reply } => {
+                self.arrive(now, client, statement, kind, group, tenant, key, told, memory, deadline, reply);
             }
             Event::Withdrawn { client, number } => {
                 if let Some(job) = self.asked.get(&(client, number)) {
@@ -237,15 +238,13 @@
     }
 
     fn arrive(
-        &mut self, now: Moment, client: u64, statement: Rc<Statement>, group: usize, tenant: Option<String>,
-        key: Option<String>, told: Option<Span>, memory: f64, deadline: Moment, reply: Reply,
+        &mut self, now: Moment, client: u64, statement: Rc<Statement>, kind: TypeId, group: GroupId,
+        tenant: Option<String>, key: Option<String>, told: Span, memory: f64, deadline: Moment, reply: Reply,
     ) {
-        let kind = position(&self.instance.types, &statement.class).map(TypeId);
         let asked = (client, reply.number());
-        let is_new = self.instance.jobs.find(&statement.id).is_none() && !self.asked.contains_key(&asked);
-        let (Some(kind), true) = (kind, is_new) else {
+        if self.instance.jobs.find(&statement.id).is_some() || self.asked.contains_key(&asked) {
             return reply.send(Answer::Failed(MALFORMED));
-        };
+        }
         let deadline = self.last_answer.map_or(deadline, |last| deadline.min(last));
         let job = JobId(self.instance.jobs.admit(&statement.id));
         let tenant = tenant.and_then(|name| position(&self.instance.tenants, &name)).map(TenantId);
@@ -255,7 +254,7 @@
         let open = Open { client, statement, deadline, reply, dispatches: 0, out: HashMap::new() };
         self.jobs.insert(job, open);
         let (router, expires) = (&mut self.instance.router, deadline.since(now));
-        router.job_arrived(now, job, kind, tenant, GroupId(group), key, told, memory, expires);
+        router.job_arrived(now, job, kind, tenant, group, key, Some(told), memory, expires);
     }
 
     /// The one right to answer a job, if it is still there.
@@ -309,7 +308,7 @@
         let fields = || stats.split(';').filter_map(|field| field.split_once(':'));
         self.instance.reported(now, engine, |_, wanted| {
             let (_, value) = fields().find(|(name, _)| name.trim() == wanted)?;
-            value.trim().parse().ok()
+            measure(value)
         });
     }
 
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -17,8 +17,10 @@
 use crate::tasks::Tasks;
 
 const MAILBOX: usize = 1024;
-/// No answer of an engine holds more; a page of a result is far smaller.
-pub const BODY_BYTES: usize = 64 * 1024;
+/// No answer to an errand holds more.
+const BODY_BYTES: usize = 4 * 1024;
+/// A probe that breaks, makes no sense or hears nothing is made again so often, as that may be noise on the connection.
+const PROBES: usize = 3;
 
 /// What all engines' actors are given alike.
 #[derive(Clone)]
@@ -112,6 +114,24 @@
 }
 
 async fn probe(engine: Rc<Engine>, id: EngineId, module: Sender<Event>) {
+    let mut outcome = Outcome::NotConnected;
+    for _ in 0..PROBES {
+        let (ended, stats) = probe_once(&engine).await;
+        outcome = ended;
+        if matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
+            if let Some(stats) = stats {
+                let _ = module.send(Event::Reported { engine: id, stats }).await;
+            }
+            break;
+        }
+        if outcome == Outcome::NotConnected {
+            break;
+        }
+    }
+    let _ = module.send(Event::ProbeEnded { engine: id, outcome }).await;
+}
+
+async fn probe_once(engine: &Engine) -> (Outcome, Option<String>) {
     let mut stats = None;
     let path = if engine.ground.reports { "/load" } else { "/-/ok" };
     let hear = |name: &str, value: &str| {
@@ -123,11 +143,11 @@
         Ok(200) => Outcome::Done,
         Ok(503) => Outcome::TurnedAway,
         Ok(_) => Outcome::Error,
-        Err(error) if error.kind() == io::ErrorKind::TimedOut => Outcome::TimedOut,
-        Err(_) => Outcome::NotConnected,
+        Err(error) => match error.kind() {
+            io::ErrorKind::ConnectionRefused => Outcome::NotConnected,
+            io::ErrorKind::TimedOut => Outcome::TimedOut,
+            _ => Outcome::Reset,
+        },
     };
-    if let Some(stats) = stats {
-        let _ = module.send(Event::Reported { engine: id, stats }).await;
-    }
-    let _ = module.send(Event::ProbeEnded { engine: id, outcome }).await;
+    (outcome, stats)
 }
--- a/router/src/front.rs
+++ b/router/src/front.rs
@@ -7,24 +7,36 @@
 
 use async_channel::{Receiver, Sender};
 use async_lock::{Semaphore, SemaphoreGuardArc};
-use futures_lite::{AsyncReadExt, FutureExt};
+use futures_lite::{AsyncReadExt, FutureExt, future};
 use woadhook::{Moment, Span};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, pass};
 use crate::codec::{self, Answer, Malformed, Scan};
 use crate::decide::Event;
-use crate::memory::Room;
+use crate::listen::{Guest, Stay};
+use crate::memory::{Held, Room};
 use crate::query::Statement;
+use crate::request::Range;
 use crate::sockets::{Link, limited, write_gathered};
-use crate::statement::table_group;
 use crate::tasks::Tasks;
 
-/// The most open requests of a connection, and pings beside them.
+/// The most open requests of a connection, and some whose withdrawal is on its way.
 const OPEN: usize = 32 + 8;
-/// With all of the clients' descriptors in use, such buffers and the rooms for statements and results stay within
-/// the memory of the smallest router.
+/// Answers of the door itself, pongs and refusals, that a client has not taken; it is read no further meanwhile.
+const ASIDE: usize = 32;
+/// No message holds more. What is longer than `READ_BYTES` is read into room that all clients share.
 const MESSAGE_BYTES: usize = 128 * 1024;
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 4 * 1024;
+/// A connection's first message, and each one that has begun, is to be there whole within this.
+const MESSAGE_WITHIN: Span = Span::from_micros(1_500_000);
+/// Clients close idle connections after 4 s.
+const IDLE: Span = Span::from_micros(5_000_000);
+/// A client that takes nothing for so long has given up all it asked for.
+const TAKE_WITHIN: Span = Span::from_micros(5_000_000);
+/// For each request that the door turned away, before the client is read again.
+const PACE: Span = Span::from_micros(2_000);
+/// What a job takes beside its statement, in all tables and tasks.
+pub const JOB_BYTES: usize = 8 * 1024;
 /// The error for what can't be taken, whatever is wrong with it.
 pub const MALFORMED: &str = "Malformed";
 
@@ -34,10 +46,12 @@
     pub clock: Clock,
     pub tasks: Tasks,
     pub module: Sender<Event>,
-    /// For statements.
+    pub range: Rc<Range>,
+    /// For statements with their jobs, and for messages on their way in.
     pub room: Room,
-    /// A client that takes nothing for so long has given up all it asked for.
-    pub longest_wait: Span,
+    pub messages: Room,
+    /// What a client is told that is turned away here.
+    pub come_back: Option<Span>,
     /// How many answers are owed on all connections.
     pub owing: Rc<Cell<usize>>,
 }
@@ -54,11 +68,13 @@
 struct Owed {
     _place: SemaphoreGuardArc,
     owing: Rc<Cell<usize>>,
+    guest: Rc<Guest>,
 }
 
 impl Drop for Owed {
     fn drop(&mut self) {
         self.owing.set(self.owing.get() - 1);
+        self.guest.open.set(self.guest.open.get() - 1);
     }
 }
 
@@ -74,15 +90,28 @@
     }
 }
 
-/// Serves one connection until either side ends it, then withdraws its jobs.
-pub async fn serve(link: Link, client: u64, hall: Hall) {
+/// Serves one connection until either side ends it or its place is needed, then withdraws its jobs.
+pub async fn serve(link: Link, client: u64, stay: Stay, hall: Hall) {
     let _leave = Leave { client, module: hall.module.clone(), tasks: hall.tasks };
-    let (outbox, answers) = async_channel::bounded(OPEN);
-    let reader = Reader { client, places: Arc::new(Semaphore::new(OPEN)), outbox, hall: hall.clone() };
-    let end = reader.read(&link).or(write(&link, answers, hall.longest_wait)).await;
-    if let Err(error) = end {
-        log::debug!("client {client}: {error}");
-    }
+    let (outbox, answers) = async_channel::bounded(OPEN + ASIDE);
+    let (places, aside) = (Arc::new(Semaphore::new(OPEN)), Arc::new(Semaphore::new(ASIDE)));
+    let (guest, clock) = (stay.guest.clone(), hall.clock);
+    let reader = Reader { client, places, aside, outbox, guest: guest.clone(), last: Cell::new(0), hall };
+    // What was answered before the reading ended is still written.
+    let read = async {
+        let end = reader.read(&link).await;
+        reader.outbox.close();
+        if let Err(error) = end {
+            log::debug!("client {client}: {error}");
+        }
+        future::pending().await
+    };
+    let written = async {
+        if let Err(error) = write(&link, answers, &guest, clock).await {
+            log::debug!("client {client}: {error}");
+        }
+    };
+    read.or(written).or(guest.sent_off()).await;
 }
 
 /// Tells the module when a connection ends, however it does.
@@ -101,7 +130,9 @@
     }
 }
 
-async fn write(link: &Link, answers: Receiver<(u32, Answer, Owed)>, patience: Span) -> io::Result<()> {
+async fn write(
+    link: &Link, answers: Receiver<(u32, Answer, Owed)>, guest: &Guest, clock: Clock,
+) -> io::Result<()> {
     let (mut head, mut tail) = (Vec::new(), Vec::new());
     while let Ok((number, answer, _owed)) = answers.recv().await {
         head.clear();
@@ -112,7 +143,8 @@
         parts.push(head.as_slice());
         parts.extend(pages.iter().map(Vec::as_slice));
         parts.push(&tail);
-        limited(patience, write_gathered(&link.stream, &parts, || ())).await?;
+        limited(TAKE_WITHIN, write_gathered(&link.stream, &parts, || ())).await?;
+        guest.quiet_since.set(clock.now());
     }
     Ok(())
 }
@@ -120,7 +152,11 @@
 struct Reader {
     client: u64,
     places: Arc<Semaphore>,
+    aside: Arc<Semaphore>,
     outbox: Sender<(u32, Answer, Owed)>,
+    guest: Rc<Guest>,
+    /// The number of the last request: they rise, so that no two answers can be mistaken.
+    last: Cell<u32>,
     hall: Hall,
 }
 
@@ -128,39 +164,61 @@
     async fn read(&self, link: &Link) -> io::Result<()> {
         let malformed = |_: Malformed| io::Error::from(io::ErrorKind::InvalidData);
         let (mut buffer, mut filled) = (vec![0; READ_BYTES], 0);
-        // The rest of a message too long to be held.
-        let mut passing: Option<Scan> = None;
+        let mut room: Option<Held> = None;
+        let (mut scan, mut scanned) = (Scan::default(), 0);
+        // Until when the message under way is to be whole; the first is under way from the start.
+        let mut due = Some(self.hall.clock.now() + MESSAGE_WITHIN);
         loop {
-            let mut start = 0;
-            if let Some(scan) = &mut passing {
-                start = scan.pass(&buffer[..filled]).map_err(malformed)?;
-                passing = passing.filter(|scan| !scan.is_done());
-            }
-            while passing.is_none()
-                && let Some(length) = codec::whole(&buffer[start..filled]).map_err(malformed)?
+            let (mut start, mut turned_away) = (0, 0);
+            while let Some(length) =
+                codec::whole(&buffer[start..filled], &mut scan, &mut scanned).map_err(malformed)?
             {
-                self.take(&buffer[start..start + length]).await.map_err(malformed)?;
+                turned_away += self.take(&buffer[start..start + length]).await.map_err(malformed)?;
                 start += length;
+                (scan, scanned, due) = (Scan::default(), 0, None);
+            }
+            if scan.least_left().saturating_add(scanned as u64) > MESSAGE_BYTES as u64 {
+                self.refuse(&buffer[start..filled]).await.map_err(malformed)?;
+                return Err(io::Error::other("a message too long"));
             }
             buffer.copy_within(start..filled, 0);
             filled -= start;
-            if filled >= MESSAGE_BYTES {
-                self.refuse(&buffer).await.map_err(malformed)?;
-                passing = Some(Scan::default());
-                continue;
-            }
             if filled == buffer.len() {
+                // Threat: many clients with long messages. Those that find no room are closed when theirs is due.
+                let more = limited(MESSAGE_WITHIN, async { Ok(self.hall.messages.take(filled * 2).await) });
+                room = Some(more.await?);
                 buffer.resize(filled * 2, 0);
-            } else if filled == 0 && buffer.len() > READ_BYTES {
+            } else if filled == 0 && room.take().is_some() {
                 buffer = vec![0; READ_BYTES];
             }
-            match limited(self.hall.longest_wait, (&link.stream).read(&mut buffer[filled..])).await {
-                Ok(0) => return Ok(()),
-                Ok(count) => filled += count,
-                // Threat: clients that vanish, idle or stall in a message would keep their descriptors. None
-                // that awaits an answer is closed.
-                Err(error) if error.kind() == io::ErrorKind::TimedOut && self.owes() => {}
-                Err(error) => return Err(error),
+            if filled > 0 && due.is_none() {
+                due = Some(self.hall.clock.now() + MESSAGE_WITHIN);
+            }
+            if turned_away > 0 {
+                pass(PACE.times(turned_away as f64)).await;
+            }
+            filled += match self.read_some(link, &mut buffer[filled..], due).await? {
+                0 => return Ok(()),
+                count => count,
+            };
+            self.guest.quiet_since.set(self.hall.clock.now());
+        }
+    }
+
+    /// Threat: clients that vanish, idle, or stall in a message would keep their descriptors. None that awaits an
+    /// answer is closed between messages.
+    async fn read_some(&self, link: &Link, buffer: &mut [u8], due: Option<Moment>) -> io::Result<usize> {
+        let clock = self.hall.clock;
+        loop {
+            let until = due.unwrap_or_else(|| self.guest.quiet_since.get() + IDLE);
+            let left = until.since(clock.now());
+            if left == Span::ZERO && (due.is_some() || self.guest.open.get() == 0) {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            let left = if left == Span::ZERO { IDLE } else { left };
+            match limited(left, (&link.stream).read(buffer)).await {
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => {}
+                other => return other,
             }
         }
     }
@@ -169,88 +227,83 @@
     async fn refuse(&self, mut message: &[u8]) -> codec::Result<()> {
         let message = &mut message;
         if (codec::array(message)?, codec::number(message)?) == (4, codec::REQUEST) {
-            self.reply(codec::number(message)?).await.send(Answer::Failed(MALFORMED));
+            self.aside(codec::number(message)?).await.send(Answer::Failed(MALFORMED));
         }
         Ok(())
     }
 
-    /// Each place taken holds on to the semaphore.
-    fn owes(&self) -> bool {
-        Arc::strong_count(&self.places) > 1
-    }
-
-    /// Takes in one whole message.
-    async fn take(&self, mut message: &[u8]) -> codec::Result<()> {
+    /// Takes in one whole message, and returns how many requests it turned away.
+    async fn take(&self, mut message: &[u8]) -> codec::Result<usize> {
         let (arrived, message) = (self.hall.clock.now(), &mut message);
         let parts = codec::array(message)?;
         match (codec::number(message)?, parts) {
             (codec::REQUEST, 4) => {
-                let reply = self.reply(codec::number(message)?).await;
-                match codec::text(message) {
-                    Ok("ping") => {
-                        let _ = self.hall.module.send(Event::Ping { reply }).await;
-                    }
-                    Ok(method) => self.request(arrived, reply, method, message).await,
-                    Err(Malformed) => reply.send(Answer::Failed(MALFORMED)),
+                let number = codec::number(message)?;
+                let method = codec::text(message);
+                if let Ok("ping") = method {
+                    let _ = self.hall.module.send(Event::Ping { reply: self.aside(number).await }).await;
+                    return Ok(0);
+                }
+                if number <= self.last.replace(number) {
+                    return Err(Malformed);
                 }
-                Ok(())
+                let turned_away = match method {
+                    Ok(method) => self.request(arrived, number, method, message).await.err(),
+                    Err(Malformed) => Some(Answer::Failed(MALFORMED)),
+                };
+                let Some(answer) = turned_away else { return Ok(0) };
+                self.aside(number).await.send(answer);
+                Ok(1)
             }
             (codec::NOTICE, 3) => {
                 if codec::text(message)? == "abort" && codec::array(message)? > 0 {
                     let number = codec::number(message)?;
                     let _ = self.hall.module.send(Event::Withdrawn { client: self.client, number }).await;
                 }
-                Ok(())
+                Ok(0)
             }
             _ => Err(Malformed),
         }
     }
 
-    /// Waits where too many answers are open: such a client is held back.
-    async fn reply(&self, number: u32) -> Reply {
-        let (place, owing) = (self.places.acquire_arc().await, self.hall.owing.clone());
+    /// The right to an answer that the door gives at once. Waits where the client takes none: it is held back.
+    async fn aside(&self, number: u32) -> Reply {
+        let place = self.aside.acquire_arc().await;
+        self.reply(number, place)
+    }
+
+    fn reply(&self, number: u32, place: SemaphoreGuardArc) -> Reply {
+        let (guest, owing) = (self.guest.clone(), self.hall.owing.clone());
         owing.set(owing.get() + 1);
-        let owed = Owed { _place: place, owing };
+        guest.open.set(guest.open.get() + 1);
+        let owed = Owed { _place: place, owing, guest };
         Reply { number, outbox: self.outbox.clone(), owed }
     }
 
-    /// A request with a number is answered in any case, if only with an error.
-    async fn request(&self, arrived: Moment, reply: Reply, method: &str, message: &mut &[u8]) {
-        let (mut id, mut wait, mut cost, mut ram, mut tenant, mut key) = ("", None, None, 0.0, None, None);
-        let mut sound = true;
-        let mut amount = |value: &str| {
-            let amount = value.parse::<f64>().ok().filter(|amount| amount.is_finite() && *amount >= 0.0);
-            sound &= amount.is_some();
-            amount
-        };
-        let body = codec::parameters(message, |name, value| match name {
-            "id" => id = value,
-            "wait" => wait = amount(value),
-            "cost" => cost = amount(value),
-            "ram" => ram = amount(value).unwrap_or(0.0),
-            "tenant" => tenant = Some(value.to_owned()),
-            "key" => key = Some(value.to_owned()),
-            _ => {}
-        });
-        // The id goes on in paths and heads.
-        sound &= (1..=64).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_alphanumeric());
-        let (true, Ok(body), Some(wait)) = (sound, body, wait) else {
-            return reply.send(Answer::Failed(MALFORMED));
-        };
-        let group = table_group(&String::from_utf8_lossy(body)).unwrap_or(0);
-        let held = self.hall.room.take(body.len()).await;
-        let statement = Statement { id: id.into(), class: method.into(), text: body.into(), _held: held };
+    /// A request with a number is answered in any case, if only with an error or a refusal.
+    async fn request(
+        &self, arrived: Moment, number: u32, method: &str, message: &mut &[u8],
+    ) -> Result<(), Answer> {
+        let malformed = |_: Malformed| Answer::Failed(MALFORMED);
+        let asked = self.hall.range.request(method, message).map_err(malformed)?;
+        let full = || Answer::Overloaded(self.hall.come_back);
+        let place = self.places.try_acquire_arc().ok_or_else(full)?;
+        let held = self.hall.room.try_take(asked.text.len() + JOB_BYTES).ok_or_else(full)?;
+        let statement =
+            Statement { id: asked.id.into(), class: method.into(), text: asked.text.into(), _held: held };
         let arrival = Event::Arrived {
             client: self.client,
             statement: Rc::new(statement),
-            group,
-            tenant,
-            key,
-            told: cost.map(|cost| Span::from_secs(cost / 1e3)),
-            memory: ram,
-            deadline: arrived + Span::from_secs(wait / 1e3),
-            reply,
+            kind: asked.kind,
+            group: asked.group,
+            tenant: asked.tenant.map(str::to_owned),
+            key: asked.key.map(str::to_owned),
+            told: asked.told,
+            memory: asked.memory,
+            deadline: arrived + asked.wait,
+            reply: self.reply(number, place),
         };
         let _ = self.hall.module.send(arrival).await;
+        Ok(())
     }
 }
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -6,15 +6,18 @@
 use httparse::{EMPTY_HEADER, Response, Status};
 use woadhook::Moment;
 
-use crate::sockets::{Link, write_gathered};
+use crate::sockets::{Link, Waiting, write_gathered};
 
-const HEAD_BYTES: usize = 16 * 1024;
+const HEAD_BYTES: usize = 4 * 1024;
 const HEAD_FIELDS: usize = 48;
-const READ_BYTES: usize = 8 * 1024;
+const READ_BYTES: usize = 4 * 1024;
+/// Answers of the 1xx kind that one answer may follow.
+const INTERIM: usize = 8;
 
 /// A connection that calls one peer.
 pub struct Connection {
     pub link: Link,
+    /// What was read and not used yet; empty and without memory between calls.
     buffer: Vec<u8>,
     /// No call is under way and the peer will take another.
     pub reusable: bool,
@@ -25,7 +28,15 @@
 enum Body {
     Length(usize),
     Chunked,
-    UntilClose,
+}
+
+struct Head {
+    status: u16,
+    /// How many bytes of the buffer it takes.
+    length: usize,
+    /// Whether the peer leaves the connection open.
+    kept: bool,
+    body: Body,
 }
 
 impl Connection {
@@ -34,44 +45,48 @@
     }
 
     /// Makes one call and returns the status and the body of its answer, of at most `most` bytes; `field`
-    /// hears each field of the answer's head, and `wrote` of each write.
+    /// hears each field of the answer's head, and `wrote` of each write. An answer that comes with more than is
+    /// its own is in doubt, as its length may not be the true one.
     pub async fn call(
         &mut self, head: &str, body: &[u8], most: usize, wrote: impl FnMut(),
         mut field: impl FnMut(&str, &str),
     ) -> io::Result<(u16, Vec<u8>)> {
         self.reusable = false;
-        self.buffer.clear();
         write_gathered(&self.link.stream, &[head.as_bytes(), body], wrote).await?;
-        let (status, length, kept, body) = loop {
-            if let Some(parsed) = parse(&self.buffer, &mut field)? {
-                break parsed;
-            }
-            if self.buffer.len() >= HEAD_BYTES {
-                return Err(broken("head too long"));
+        let mut interim = 0;
+        let head = loop {
+            match parse(&self.buffer, &mut field)? {
+                Some(head) if head.status >= 200 => break head,
+                Some(head) if interim < INTERIM => {
+                    self.buffer.drain(..head.length);
+                    interim += 1;
+                }
+                Some(_) => return Err(broken("interim answers")),
+                None if self.buffer.len() >= HEAD_BYTES => return Err(broken("head too long")),
+                None => self.read_more().await?,
             }
-            self.read_more().await?;
         };
-        self.buffer.drain(..length);
-        let body = match body {
+        self.buffer.drain(..head.length);
+        let body = match head.body {
             Body::Length(length) if length > most => return Err(broken("body too long")),
             Body::Length(length) => self.take(length).await?,
             Body::Chunked => self.chunks(most).await?,
-            Body::UntilClose => self.rest(most).await?,
         };
-        self.reusable = kept && self.buffer.is_empty();
-        Ok((status, body))
+        let ended = self.link.waiting();
+        if !self.buffer.is_empty() || matches!(ended, Waiting::Bytes) {
+            return Err(broken("more than the answer"));
+        }
+        self.buffer = Vec::new();
+        self.reusable = head.kept && matches!(ended, Waiting::Nothing);
+        Ok((head.status, body))
     }
 
-    async fn read(&mut self) -> io::Result<usize> {
+    async fn read_more(&mut self) -> io::Result<()> {
         let filled = self.buffer.len();
         self.buffer.resize(filled + READ_BYTES, 0);
         let count = (&self.link.stream).read(&mut self.buffer[filled..]).await;
         self.buffer.truncate(filled + count.as_ref().copied().unwrap_or(0));
-        count
-    }
-
-    async fn read_more(&mut self) -> io::Result<()> {
-        if self.read().await? == 0 { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
+        if count? == 0 { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
     }
 
     /// The next `length` bytes: those in the buffer, and the rest read straight to their place.
@@ -107,41 +122,46 @@
             }
         }
     }
-
-    async fn rest(&mut self, most: usize) -> io::Result<Vec<u8>> {
-        while self.read().await? > 0 {
-            if self.buffer.len() > most {
-                return Err(broken("body too long"));
-            }
-        }
-        Ok(std::mem::take(&mut self.buffer))
-    }
 }
 
-/// Status, length of the head, whether the connection stays open, and how the body is counted.
-fn parse(buffer: &[u8], field: &mut impl FnMut(&str, &str)) -> io::Result<Option<(u16, usize, bool, Body)>> {
+/// `None` until the head is there whole. Without a length or chunks, as up to the close of the connection, nobody
+/// could tell whether a body is whole.
+fn parse(buffer: &[u8], field: &mut impl FnMut(&str, &str)) -> io::Result<Option<Head>> {
     let mut fields = [EMPTY_HEADER; HEAD_FIELDS];
     let mut response = Response::new(&mut fields);
     let Status::Complete(length) = response.parse(buffer).map_err(|_| broken("no HTTP"))? else {
         return Ok(None);
     };
     let status = response.code.unwrap_or(0);
+    let bare = status < 200 || status == 204;
     let mut kept = response.version == Some(1);
-    let mut body = if status == 204 { Body::Length(0) } else { Body::UntilClose };
+    let (mut told, mut chunked) = (None, false);
     for found in response.headers.iter() {
-        let value = str::from_utf8(found.value).unwrap_or("").trim();
+        let value = str::from_utf8(found.value).map_err(|_| broken("a field"))?.trim();
         if found.name.eq_ignore_ascii_case("content-length") {
-            body = Body::Length(value.parse().map_err(|_| broken("content length"))?);
+            let digits = !value.is_empty() && value.bytes().all(|byte| byte.is_ascii_digit());
+            let length = value.parse().ok().filter(|_| digits).ok_or_else(|| broken("content length"))?;
+            if told.replace(length).is_some_and(|before| before != length) {
+                return Err(broken("two lengths"));
+            }
         } else if found.name.eq_ignore_ascii_case("transfer-encoding") {
-            body = Body::Chunked;
+            chunked = true;
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(broken("transfer encoding"));
+            }
         } else if found.name.eq_ignore_ascii_case("connection") {
             kept &= !value.eq_ignore_ascii_case("close");
-        } else {
+        } else if status >= 200 {
             field(found.name, value);
         }
     }
-    kept &= !matches!(body, Body::UntilClose);
-    Ok(Some((status, length, kept, body)))
+    let body = match (told, chunked) {
+        _ if bare => Body::Length(0),
+        (Some(length), false) => Body::Length(length),
+        (None, true) => Body::Chunked,
+        _ => return Err(broken("no length")),
+    };
+    Ok(Some(Head { status, length, kept, body }))
 }
 
 fn broken(what: &str) -> io::Error {
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,7 +1,7 @@
 //! A router: clients on one side, sql engines on the other, and the decision module between them.
 //!
-//! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `statement`
-//! finds the table group, `decide` lets the module decide, `engine` and `query` carry dispatches out over
+//! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `request` checks
+//! them, `statement` finds the table group, `decide` lets the module decide, `engine` and `query` carry dispatches out over
 //! `http` connections of `pool`, and `front` writes the answer. `bulletin` follows the list of engines,
 //! `sockets` and `memory` own what is scarce, `stop` heeds what the operators order.
 
@@ -17,6 +17,7 @@
 pub mod memory;
 mod pool;
 mod query;
+mod request;
 pub mod sockets;
 pub mod statement;
 pub mod stop;
@@ -29,7 +30,6 @@
 use async_io::Async;
 use futures_lite::Stream;
 use serde_json::Value;
-use woadhook::Span;
 use woadhook_door::fields::*;
 
 use crate::clock::Clock;
@@ -38,6 +38,7 @@
 use crate::front::Hall;
 use crate::memory::Room;
 use crate::pool::Pool;
+use crate::request::Range;
 use crate::sockets::Descriptors;
 use crate::stop::Order;
 use crate::tasks::Tasks;
@@ -53,12 +54,21 @@
     let idle_close = span(limits, "idleCloseUs")?;
     let grace = span(present(&settings, "obligations")?, "stopSendingWithinUs")?;
     let reports = text(present(&settings, "feedback")?, "how")? != "none";
-    let deadlines = rows(&settings, "classes")?.iter().map(|class| span(class, "deadlineUs"));
-    let longest = deadlines.collect::<Result<Vec<Span>>>()?.into_iter().max().unwrap_or_default();
+    let family = present(&settings, "familyInfo")?;
+    let classes = rows(&settings, "classes")?;
+    let types = classes.iter().map(|class| Ok((text(class, "name")?.to_owned(), span(class, "deadlineUs")?)));
+    let most = |field| numbers(family, field).map(|each| each.into_iter().fold(1.0, f64::max));
+    let range = Range {
+        types: types.collect::<Result<_>>()?,
+        cores: most("coresByKind")?,
+        memory: most("ramOfKindMb")?,
+    };
+    let longest = range.types.iter().map(|(_, timeout)| *timeout).max().unwrap_or_default();
+    let come_back = mark(limits, "retryAfter").then(|| span(limits, "maxRetryAfterUs")).transpose()?;
 
     let descriptors = Descriptors::share(given.descriptors);
-    // A quarter of the memory each for statements and for results.
-    let room = || Room::new((given.memory_mb * 1024.0 * 256.0) as usize);
+    // A quarter of the memory each for jobs and for results, an eighth for messages on their way in.
+    let room = |part: f64| Room::new((given.memory_mb * 1024.0 * 1024.0 * part) as usize);
     let (module, mailbox) = async_channel::bounded(decide::MAILBOX);
     let ground = Ground {
         clock,
@@ -67,7 +77,7 @@
         errands: Pool::new(clock, descriptors.errands, idle_close),
         connect_timeout,
         reports,
-        room: room(),
+        room: room(0.25),
     };
     let desk = Desk::new(clock, given.seed, settings, ground, module.clone())?;
     tasks.start(desk.run(mailbox));
@@ -86,11 +96,13 @@
         clock,
         tasks,
         module: module.clone(),
-        room: room(),
-        longest_wait: longest,
+        range: Rc::new(range),
+        room: room(0.25),
+        messages: room(0.125),
+        come_back,
         owing: owing.clone(),
     };
-    tasks.start(listen::accept(listener, descriptors.clients, hall));
+    tasks.start(listen::accept(listener, descriptors.clients, clock, hall));
     log::info!("serving on {}", given.listen);
     if told_to_stop.recv().await.is_err() {
         std::future::pending().await
--- a/router/src/listen.rs
+++ b/router/src/listen.rs
@@ -1,30 +1,103 @@
 //! Takes in the connections of clients, as many as their part of the descriptors allows.
 
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use async_io::Async;
 use async_lock::Semaphore;
-use woadhook::Span;
+use event_listener::Event;
+use futures_lite::future::yield_now;
+use woadhook::{Moment, Span};
 
-use crate::clock::pass;
+use crate::clock::{Clock, pass};
 use crate::front::{self, Hall};
-use crate::sockets::Link;
+use crate::sockets::{Link, limited};
 
-/// After a failed accept, as when descriptors run out beyond this process.
+/// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
 const PAUSE: Span = Span::from_micros(20_000);
 
-pub async fn accept(listener: Async<TcpListener>, part: Arc<Semaphore>, hall: Hall) {
+/// The connections that are taken in; each is emptied from it as it ends.
+#[derive(Clone, Default)]
+pub struct Guests(Rc<RefCell<BTreeMap<u64, Rc<Guest>>>>);
+
+/// One connection, as far as the choice of the one to close goes.
+pub struct Guest {
+    /// Since when nothing passed on it.
+    pub quiet_since: Cell<Moment>,
+    /// How many of its requests are open.
+    pub open: Cell<usize>,
+    told_to_leave: Cell<bool>,
+    leave: Event,
+}
+
+impl Guest {
+    pub async fn sent_off(&self) {
+        while !self.told_to_leave.get() {
+            self.leave.listen().await;
+        }
+    }
+}
+
+/// A guest's place in the list.
+pub struct Stay {
+    pub guest: Rc<Guest>,
+    guests: Guests,
+    client: u64,
+}
+
+impl Drop for Stay {
+    fn drop(&mut self) {
+        self.guests.0.borrow_mut().remove(&self.client);
+    }
+}
+
+impl Guests {
+    pub fn enter(&self, client: u64, now: Moment) -> Stay {
+        let guest = Rc::new(Guest {
+            quiet_since: Cell::new(now),
+            open: Cell::new(0),
+            told_to_leave: Cell::new(false),
+            leave: Event::new(),
+        });
+        self.0.borrow_mut().insert(client, guest.clone());
+        Stay { guest, guests: self.clone(), client }
+    }
+
+    /// Threat: connections held for good, or opened by hundreds, would keep usual clients out. The longest quiet one
+    /// without an open request goes, which a client opens anew at worst.
+    fn send_off_one(&self) {
+        let guests = self.0.borrow();
+        let quiet = guests.values().filter(|guest| guest.open.get() == 0 && !guest.told_to_leave.get());
+        if let Some(guest) = quiet.min_by_key(|guest| guest.quiet_since.get()) {
+            guest.told_to_leave.set(true);
+            guest.leave.notify(1);
+        }
+    }
+}
+
+pub async fn accept(listener: Async<TcpListener>, part: Arc<Semaphore>, clock: Clock, hall: Hall) {
+    let guests = Guests::default();
     for client in 0.. {
-        let permit = part.acquire_arc().await;
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                hall.tasks.start(front::serve(Link::accepted(stream, permit), client, hall.clone()));
-            }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("accept: {error}");
                 pass(PAUSE).await;
+                continue;
             }
+        };
+        let mut permit = part.try_acquire_arc();
+        while permit.is_none() {
+            guests.send_off_one();
+            permit = limited(PAUSE, async { Ok(part.acquire_arc().await) }).await.ok();
         }
+        let Some(permit) = permit else { continue };
+        let stay = guests.enter(client, clock.now());
+        hall.tasks.start(front::serve(Link::accepted(stream, permit), client, stay, hall.clone()));
+        // Those taken in before are heard first.
+        yield_now().await;
     }
 }
--- a/router/src/memory.rs
+++ b/router/src/memory.rs
@@ -1,5 +1,5 @@
-//! Room for bytes that the router holds for others: statements and results. Who wants more than is free waits,
-//! so that slow readers are held back and nothing grows with them.
+//! Room for bytes that the router holds for others: statements, results, and messages on their way in. Who wants
+//! more than is free waits or is turned away, so that slow readers are held back and nothing grows with them.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -26,11 +26,16 @@
         Self(Rc::new(Inner { free: Cell::new(bytes), given_back: Event::new() }))
     }
 
+    /// `None` where too little is free now.
+    pub fn try_take(&self, bytes: usize) -> Option<Held> {
+        self.0.free.set(self.0.free.get().checked_sub(bytes)?);
+        Some(Held { room: self.clone(), bytes })
+    }
+
     pub async fn take(&self, bytes: usize) -> Held {
         loop {
-            if let Some(free) = self.0.free.get().checked_sub(bytes) {
-                self.0.free.set(free);
-                return Held { room: self.clone(), bytes };
+            if let Some(held) = self.try_take(bytes) {
+                return held;
             }
             self.0.given_back.listen().await;
         }
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -10,27 +10,32 @@
 
 use crate::clock::pass;
 use crate::decide::Event;
-use crate::engine::{BODY_BYTES, Engine, head};
+use crate::engine::{Engine, head};
 use crate::memory::Held;
 use crate::pool::{Lease, NO_DESCRIPTOR};
 use crate::sockets::limited;
 use crate::tasks::Tasks;
 
-/// A result holds at most so many bytes.
+/// A result holds at most so many bytes, in pages of at most so many each.
 const RESULT_BYTES: usize = 48_000;
+const PAGE_BYTES: usize = 6_000;
+const PAGES: usize = 48;
+const COLUMNS: usize = 3;
 /// An engine ends a query that was not asked for so long; news take up to `NEWS_WAIT`.
 const ASK_WITHIN: Span = Span::from_micros(2_000_000);
 const NEWS_WAIT: Span = Span::from_micros(250_000);
 /// Between calls that fail at once.
 const PAUSE: Span = Span::from_micros(20_000);
 /// A call without an answer for so long is made again on another connection.
-const ASK_AGAIN: Span = Span::from_micros(1_000_000);
+const ASK_AGAIN: Span = Span::from_micros(500_000);
+/// So many answers in a row that make no sense leave no hope for a good one.
+const DOUBTS: usize = 8;
 
 /// What a client asked for, unchanged.
 pub struct Statement {
     pub id: String,
     pub class: String,
-    pub text: Vec<u8>,
+    pub text: String,
     pub _held: Held,
 }
 
@@ -143,63 +148,64 @@
             (answer, lease) = self.ask(0, Some(lease)).await?;
         }
         match answer.status {
-            200 if answer.pages > 0 => Ok((answer.told, self.collect(answer, lease).await?)),
-            503 | 504 if answer.declined => Err(Outcome::TurnedAway),
-            500 => Err(Outcome::Error),
-            _ => Err(self.no_sense().await),
+            200 => Ok((answer.told, self.collect(answer, lease).await?)),
+            503 | 504 => Err(Outcome::TurnedAway),
+            _ => Err(Outcome::Error),
         }
     }
 
-    /// The POST and its answer. Where the answer stays away, the query is asked for beside it; where the
-    /// connection breaks, what became of the query is asked for too, as it may run.
+    /// The POST and its answer. Where the answer stays away, breaks or makes no sense, the query is asked for, as it
+    /// may run. A connection that breaks before a byte was written proves nothing of the engine and is replaced.
     async fn begin(&self) -> Result<(Answer, Lease), Outcome> {
-        let lease = self.engine.lease(&self.engine.ground.queries).await;
-        let mut lease = lease.map_err(|error| match error.kind() {
-            NO_DESCRIPTOR => Outcome::NotIssued,
-            _ => Outcome::NotConnected,
-        })?;
-        // Rule 3 is checked once more behind the wait for a connection, right before the first byte.
-        if !self.engine.open.get() {
-            return Err(Outcome::NotIssued);
-        }
-        self.heard.set(self.now());
+        let connect_timeout = self.engine.ground.connect_timeout;
         let statement = &self.dispatch.statement;
-        let patience = self.dispatch.until.since(self.now()).micros().div_ceil(1000).to_string();
-        let priority = self.dispatch.priority.to_string();
-        let fields = [
-            ("X-Trace", statement.id.as_str()),
-            ("X-Profile", &statement.class),
-            ("X-Patience", &patience),
-            ("X-Weight-Class", &priority),
-        ];
-        let post = self.call(&mut lease, "POST", "/v2/q", &fields, &statement.text);
-        let beside = async {
-            pass(ASK_AGAIN).await;
-            loop {
-                let asked = self.ask(0, None).await;
-                if !matches!(&asked, Ok((answer, _)) if answer.status == 500) {
-                    return Err(asked);
+        let (began, priority) = (self.now(), self.dispatch.priority.to_string());
+        loop {
+            let in_time = self.now().since(began) < connect_timeout;
+            let mut lease = match self.engine.lease(&self.engine.ground.queries).await {
+                Ok(lease) => lease,
+                Err(error) if error.kind() == NO_DESCRIPTOR => return Err(Outcome::NotIssued),
+                Err(error) if in_time && is_noise(&error) => {
+                    pass(PAUSE.times(0.25)).await;
+                    continue;
                 }
-                pass(NEWS_WAIT).await;
+                Err(_) => return Err(Outcome::NotConnected),
+            };
+            // Rule 3 is checked once more behind the wait for a connection, right before the first byte.
+            if !self.engine.open.get() {
+                return Err(Outcome::NotIssued);
             }
-        };
-        let answered = async { Ok(post.await) };
-        match answered.or(beside).await {
-            Ok(Ok(answer)) => Ok((answer, lease)),
-            Ok(Err(_)) if !self.began.get() => Err(Outcome::NotConnected),
-            Ok(Err(error)) if is_nonsense(&error) => Err(self.no_sense().await),
-            Ok(Err(_)) => {
-                let (answer, lease) = self.ask(0, None).await?;
-                if answer.status == 500 { Err(Outcome::Reset) } else { Ok((answer, lease)) }
+            self.heard.set(self.now());
+            let patience = self.dispatch.until.since(self.now()).micros().div_ceil(1000).to_string();
+            let fields = [
+                ("X-Trace", statement.id.as_str()),
+                ("X-Profile", &statement.class),
+                ("X-Patience", &patience),
+                ("X-Weight-Class", &priority),
+            ];
+            let post = self.call(&mut lease, "POST", "/v2/q", &fields, statement.text.as_bytes(), 0);
+            match limited(ASK_AGAIN, post).await {
+                Ok(answer) => return Ok((answer, lease)),
+                Err(_) if !self.began.get() && in_time => continue,
+                Err(_) if !self.began.get() => return Err(Outcome::NotConnected),
+                Err(_) => drop(lease),
+            }
+            let (answer, lease) = self.ask(0, None).await?;
+            if answer.status == 500 {
+                // The POST may still be on its way in.
+                self.give_up().await;
             }
-            Err(asked) => asked,
+            return Ok((answer, lease));
         }
     }
 
-    /// Asks for news (0) or a page, on another connection where one breaks or stays silent.
+    /// Asks for news (0) or a page, again on another connection where one breaks, stays silent or brings what makes
+    /// no sense: the engine gives the same answer again. It is heard from as long as it answers at all, so that
+    /// noise on connections is not taken for its end.
     async fn ask(&self, page: usize, mut lease: Option<Lease>) -> Result<(Answer, Lease), Outcome> {
         let path = format!("/v2/q/{}/{page}", self.dispatch.statement.id);
-        loop {
+        let mut doubts = 0;
+        while doubts < DOUBTS {
             let kept = lease.take().filter(|lease| lease.reusable && lease.link.is_quiet());
             let opened = match kept {
                 Some(lease) => Ok(lease),
@@ -207,10 +213,14 @@
             };
             match opened {
                 Ok(mut lease) => {
-                    let call = self.call(&mut lease, "GET", &path, &[], &[]);
+                    let call = self.call(&mut lease, "GET", &path, &[], &[], page);
                     match limited(ASK_AGAIN, call).await {
                         Ok(answer) => return Ok((answer, lease)),
-                        Err(error) if is_nonsense(&error) => return Err(self.no_sense().await),
+                        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                            doubts += 1;
+                            self.heard.set(self.now());
+                            continue;
+                        }
                         Err(_) => {}
                     }
                 }
@@ -223,15 +233,24 @@
             }
             pass(PAUSE).await;
         }
+        // What answers nonsense may have run the query, which is given up.
+        self.give_up().await;
+        Err(Outcome::Error)
     }
 
+    /// One call for what page 0 or a further page answers; it may be any of the ends, and must make sense.
     async fn call(
-        &self, lease: &mut Lease, method: &str, path: &str, fields: &[(&str, &str)], body: &[u8],
+        &self, lease: &mut Lease, method: &str, path: &str, fields: &[(&str, &str)], body: &[u8], page: usize,
     ) -> io::Result<Answer> {
         let head = head(method, path, self.engine.address, fields, body.len());
         let mut answer = Answer::default();
         let (mut note, mut value, mut spent, mut wanted, mut stats) = (None, None, None, None, None);
-        let amount = |text: &str| text.parse::<f64>().ok().filter(|amount| amount.is_finite());
+        let mut sound = true;
+        let mut number = |text: &str| {
+            let number = measure(text);
+            sound &= number.is_some();
+            number
+        };
         let wrote = || {
             self.began.set(true);
             self.asked.set(self.now());
@@ -247,39 +266,33 @@
             } else if is("X-Result") {
                 note = Some(text.to_owned());
             } else if is("X-Num") {
-                value = amount(text);
+                value = number(text);
             } else if is("X-Spent") {
-                spent = amount(text);
+                spent = number(text);
             } else if is("X-Wanted") {
-                wanted = amount(text);
+                wanted = number(text);
             } else if is("X-Stats") {
                 stats = Some(text.to_owned());
             }
         };
-        let (status, body) = lease.call(&head, body, BODY_BYTES, wrote, hear).await?;
+        let (status, body) = lease.call(&head, body, PAGE_BYTES, wrote, hear).await?;
         self.heard.set(self.now());
-        if let Some(stats) = stats {
-            let _ = self.module.send(Event::Reported { engine: self.dispatch.engine, stats }).await;
-        }
         (answer.status, answer.body) = (status, body);
-        if note.is_some() && value.is_none() {
+        if !sound || note.is_some() != value.is_some() || !answer.makes_sense(page) {
             lease.reusable = false;
-            return Err(io::Error::new(io::ErrorKind::InvalidData, "a note without its number"));
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "no sense"));
+        }
+        if let Some(stats) = stats {
+            let _ = self.module.send(Event::Reported { engine: self.dispatch.engine, stats }).await;
         }
         answer.note = note.zip(value);
         answer.told = spent.map(|spent| (Span::from_secs(spent / 1e3), wanted.unwrap_or(0.0)));
         Ok(answer)
     }
 
-    /// What answers nonsense may have run the query, which is given up.
-    async fn no_sense(&self) -> Outcome {
-        self.give_up().await;
-        Outcome::Error
-    }
-
     async fn pass_on(&self, note: &str, value: f64) {
         let progress = match (note, value) {
-            ("pct", share) => Progress::Share(share),
+            ("pct", share) => Progress::Share(share.min(1.0)),
             ("overflow", missing) => Progress::Spills(missing),
             ("queued", 1.0) => Progress::WaitsForMemory,
             ("queued", _) => Progress::WaitsForLoad,
@@ -291,21 +304,19 @@
 
     /// Every page of the result, each whole and in its place.
     async fn collect(&self, first: Answer, mut lease: Lease) -> Result<Rows, Outcome> {
-        let whole = |page: &[u8]| page.is_empty() || page.ends_with(b"\n");
         let most = if first.pages > 1 { RESULT_BYTES } else { first.body.len() };
         let held = self.engine.ground.room.take(most).await;
-        let (count, mut pages, mut bytes) = (first.pages, vec![first.body], 0);
-        while pages.len() < count && bytes <= RESULT_BYTES {
+        let (count, mut bytes, mut pages) = (first.pages, first.body.len(), vec![first.body]);
+        while pages.len() < count {
             let (answer, same) = self.ask(pages.len(), Some(lease)).await?;
-            if answer.status != 200 || answer.page != Some(pages.len()) {
+            bytes += answer.body.len();
+            if answer.status != 200 || bytes > RESULT_BYTES {
                 return Err(Outcome::Error);
             }
             lease = same;
             pages.push(answer.body);
-            bytes = pages.iter().map(Vec::len).sum();
         }
-        let sound = bytes <= RESULT_BYTES && pages.iter().all(|page| whole(page));
-        if sound { Ok(Rows { pages, _held: held }) } else { Err(Outcome::Error) }
+        Ok(Rows { pages, _held: held })
     }
 
     /// Passes on new priorities until the query's time is up or it is given up.
@@ -350,6 +361,41 @@
     }
 }
 
-fn is_nonsense(error: &io::Error) -> bool {
-    error.kind() == io::ErrorKind::InvalidData
+impl Answer {
+    /// Whether it can be the answer to a call for this page.
+    fn makes_sense(&self, page: usize) -> bool {
+        match self.status {
+            202 => page == 0,
+            200 if page == 0 => {
+                let own = self.page.is_none_or(|told| told == 0);
+                own && (1..=PAGES).contains(&self.pages) && whole_rows(&self.body)
+            }
+            200 => self.page == Some(page) && whole_rows(&self.body),
+            503 | 504 => self.declined,
+            500 => true,
+            _ => false,
+        }
+    }
+}
+
+/// A figure that a peer tells, if it can be one.
+pub fn measure(text: &str) -> Option<f64> {
+    text.trim().parse().ok().filter(|figure| (0.0..1e12).contains(figure))
+}
+
+/// Whether these are rows of text, each with all its columns and its end.
+fn whole_rows(page: &[u8]) -> bool {
+    let whole = |row: &str| {
+        row.split('\t').count() == COLUMNS && !row.contains(|c: char| c.is_control() && c != '\t')
+    };
+    match str::from_utf8(page).ok().map(|text| text.strip_suffix('\n')) {
+        Some(Some(rows)) => rows.split('\n').all(whole),
+        Some(None) => page.is_empty(),
+        None => false,
+    }
+}
+
+/// Whether a connection came to nothing that may come up all the same.
+fn is_noise(error: &io::Error) -> bool {
+    !matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::TimedOut)
 }
--- /dev/null
+++ b/router/src/request.rs
@@ -0,0 +1,84 @@
+//! The one door for what clients ask: each field of a request is checked here, once, by its form in the protocol
+//! and the range that the settings give it. What comes out can't harm what it is handed to.
+
+use woadhook::{GroupId, Span, TypeId};
+
+use crate::codec::{self, Malformed, Result};
+use crate::statement::table_group;
+
+/// The digits of an id.
+const ID_DIGITS: usize = 16;
+/// A name of a tenant or a key.
+const NAME_BYTES: usize = 64;
+
+/// What the settings allow.
+pub struct Range {
+    /// The reservation types with their job timeouts.
+    pub types: Vec<(String, Span)>,
+    /// Of the largest kind of engine: cores, and memory in megabytes.
+    pub cores: f64,
+    pub memory: f64,
+}
+
+/// A request whose fields can be used.
+pub struct Request<'a> {
+    pub id: &'a str,
+    pub kind: TypeId,
+    pub wait: Span,
+    pub told: Span,
+    pub memory: f64,
+    pub tenant: Option<&'a str>,
+    pub key: Option<&'a str>,
+    pub text: &'a str,
+    pub group: GroupId,
+}
+
+impl Range {
+    /// Reads the parameters of a request, which `message` holds and nothing else.
+    pub fn request<'a>(&self, method: &str, message: &mut &'a [u8]) -> Result<Request<'a>> {
+        let place = self.types.iter().position(|(name, _)| name == method).ok_or(Malformed)?;
+        let timeout = self.types[place].1;
+        let names = ["id", "wait", "cost", "ram", "retry", "tenant", "key"];
+        let mut values = [None; 7];
+        let mut twice = false;
+        let body = codec::parameters(message, |name, value| {
+            if let Some(place) = names.iter().position(|known| *known == name) {
+                twice |= values[place].replace(value).is_some();
+            }
+        })?;
+        let [id, wait, cost, ram, retry, tenant, key] = values;
+        let id = id.filter(|id| id.len() == ID_DIGITS && id.bytes().all(|byte| byte.is_ascii_hexdigit()));
+        let wait = wait.filter(|wait| !wait.contains('.')).ok_or(Malformed)?;
+        // No engine could do more than that in time, all of its cores at work.
+        let most = timeout.times(self.cores);
+        let text = str::from_utf8(body).map_err(|_| Malformed)?;
+        let name = |name: &&str| (1..=NAME_BYTES).contains(&name.len());
+        let sound = !twice
+            && message.is_empty()
+            && !text.trim().is_empty()
+            && retry.is_none_or(|mark| mark == "1")
+            && [tenant, key].iter().flatten().all(name);
+        if !sound {
+            return Err(Malformed);
+        }
+        let millis = |value: f64| Span::from_secs(value / 1e3);
+        let within = |span: Span, most: Span| (span <= most).then_some(span).ok_or(Malformed);
+        Ok(Request {
+            id: id.ok_or(Malformed)?,
+            kind: TypeId(place),
+            wait: within(millis(amount(wait)?), timeout)?,
+            told: within(millis(amount(cost.ok_or(Malformed)?)?), most)?,
+            memory: amount(ram.ok_or(Malformed)?).ok().filter(|ram| *ram <= self.memory).ok_or(Malformed)?,
+            tenant,
+            key,
+            text,
+            group: GroupId(table_group(text).unwrap_or(0)),
+        })
+    }
+}
+
+/// A number in plain digits, with a point at most: no sign, exponent or word.
+pub fn amount(digits: &str) -> Result<f64> {
+    let plain = digits.len() <= 32 && digits.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    digits.parse().ok().filter(|_| plain).ok_or(Malformed)
+}
--- a/router/src/sockets.rs
+++ b/router/src/sockets.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// What stands to be read.
+pub enum Waiting {
+    Nothing,
+    Bytes,
+    /// The end of the connection, in order or not.
+    Close,
+}
+
 /// A connected socket; dropping it closes it and then gives its descriptor back.
 pub struct Link {
     pub stream: Async<TcpStream>,
@@ -52,8 +60,15 @@
 
     /// Whether the peer has neither closed it nor sent what nobody asked for.
     pub fn is_quiet(&self) -> bool {
-        let peeked = self.stream.get_ref().peek(&mut [0]);
-        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        matches!(self.waiting(), Waiting::Nothing)
+    }
+
+    pub fn waiting(&self) -> Waiting {
+        match self.stream.get_ref().peek(&mut [0]) {
+            Ok(1..) => Waiting::Bytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Waiting::Nothing,
+            _ => Waiting::Close,
+        }
     }
 }
 
