Give probes descriptors of their own and tell the module of a planned stop

Seen in reading: errands share their descriptors, so DELETEs at an engine that vanished could keep probes from well ones, which the module then set aside (engine.rs probe, logic.rs probe_ended took not issued for not answered); the host ended jobs of a stop by a rule of its own. Changed: probes have a part of their own, a probe never sent tells nothing, and the module hears by when its host ends (stopping): open jobs are throttled or cancelled as ever, those that can't be done at once. Memory: half of the limit in rooms, the rest for connections and the program.

--- a/router/src/decide.rs
+++ b/router/src/decide.rs
@@ -188,7 +188,6 @@
         if self.wake.is_some_and(|wake| wake <= now) {
             self.wake = None;
         }
-        self.end_at_the_last(now);
         while let Some(decision) = self.instance.router.next_decision(now) {
             self.carry_out(now, decision);
         }
@@ -233,7 +232,10 @@
             Event::Listed { roster, read } => {
                 let _ = read.try_send(self.follow_list(now, &roster));
             }
-            Event::Stopping { by } => self.last_answer = Some(by),
+            Event::Stopping { by } => {
+                self.last_answer = Some(by);
+                self.instance.router.stopping(by);
+            }
         }
     }
 
@@ -287,23 +289,6 @@
         self.call_off(job);
     }
 
-    /// Once the router is stopping, jobs that would outlive it end with it: those sent nowhere yet as
-    /// refused, the others as failed.
-    fn end_at_the_last(&mut self, now: Moment) {
-        if self.last_answer.is_none_or(|last| now < last) {
-            return;
-        }
-        let owed = |(_, open): &(&JobId, &Open)| open.reply.is_some();
-        let owed: Vec<_> = self.jobs.iter().filter(owed).map(|(job, open)| (*job, open.dispatches)).collect();
-        for (job, dispatches) in owed {
-            self.instance.router.job_over(job);
-            self.answer(
-                job,
-                if dispatches == 0 { Answer::Overloaded(None) } else { Answer::Failed("Internal") },
-            );
-        }
-    }
-
     fn report(&mut self, now: Moment, engine: EngineId, stats: &str) {
         let fields = || stats.split(';').filter_map(|field| field.split_once(':'));
         self.instance.reported(now, engine, |_, wanted| {
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -11,7 +11,7 @@
 use crate::clock::Clock;
 use crate::decide::Event;
 use crate::memory::Room;
-use crate::pool::{Lease, Pool};
+use crate::pool::{Lease, NO_DESCRIPTOR, Pool};
 use crate::query::{self, Dispatch};
 use crate::sockets::limited;
 use crate::tasks::Tasks;
@@ -29,6 +29,7 @@
     pub tasks: Tasks,
     pub queries: Rc<Pool>,
     pub errands: Rc<Pool>,
+    pub probes: Rc<Pool>,
     pub connect_timeout: Span,
     /// Whether probes ask for a load report.
     pub reports: bool,
@@ -82,6 +83,7 @@
     }
     engine.ground.queries.close_all(engine.serial);
     engine.ground.errands.close_all(engine.serial);
+    engine.ground.probes.close_all(engine.serial);
 }
 
 impl Engine {
@@ -89,11 +91,15 @@
         pool.lease(self.serial, self.address, self.ground.connect_timeout).await
     }
 
-    /// A short call beside the queries' own: giving up, a new priority, a probe.
-    pub async fn errand(
-        &self, method: &str, path: &str, body: &str, field: impl FnMut(&str, &str),
+    /// A short call beside the queries' own: giving up or a new priority.
+    pub async fn errand(&self, method: &str, path: &str, body: &str) -> io::Result<u16> {
+        self.short_call(&self.ground.errands, method, path, body, |_, _| ()).await
+    }
+
+    async fn short_call(
+        &self, pool: &Rc<Pool>, method: &str, path: &str, body: &str, field: impl FnMut(&str, &str),
     ) -> io::Result<u16> {
-        let mut connection = self.lease(&self.ground.errands).await?;
+        let mut connection = self.lease(pool).await?;
         let head = head(method, path, self.address, &[], body.len());
         let call = connection.call(&head, body.as_bytes(), BODY_BYTES, || (), field);
         let (status, _) = limited(self.ground.connect_timeout, call).await?;
@@ -124,7 +130,7 @@
             }
             break;
         }
-        if outcome == Outcome::NotConnected {
+        if matches!(outcome, Outcome::NotConnected | Outcome::NotIssued) {
             break;
         }
     }
@@ -139,11 +145,12 @@
             stats = Some(value.to_owned());
         }
     };
-    let outcome = match engine.errand("GET", path, "", hear).await {
+    let outcome = match engine.short_call(&engine.ground.probes, "GET", path, "", hear).await {
         Ok(200) => Outcome::Done,
         Ok(503) => Outcome::TurnedAway,
         Ok(_) => Outcome::Error,
         Err(error) => match error.kind() {
+            NO_DESCRIPTOR => Outcome::NotIssued,
             io::ErrorKind::ConnectionRefused => Outcome::NotConnected,
             io::ErrorKind::TimedOut => Outcome::TimedOut,
             _ => Outcome::Reset,
--- a/router/src/front.rs
+++ b/router/src/front.rs
@@ -26,7 +26,7 @@
 const ASIDE: usize = 32;
 /// No message holds more. What is longer than `READ_BYTES` is read into room that all clients share.
 const MESSAGE_BYTES: usize = 128 * 1024;
-const READ_BYTES: usize = 4 * 1024;
+const READ_BYTES: usize = 2 * 1024;
 /// A connection's first message, and each one that has begun, is to be there whole within this.
 const MESSAGE_WITHIN: Span = Span::from_micros(1_500_000);
 /// Clients close idle connections after 4 s.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -67,7 +67,7 @@
     let come_back = mark(limits, "retryAfter").then(|| span(limits, "maxRetryAfterUs")).transpose()?;
 
     let descriptors = Descriptors::share(given.descriptors);
-    // A quarter of the memory each for jobs and for results, an eighth for messages on their way in.
+    // Half of the memory in all; the other half is for what each connection and the program itself take.
     let room = |part: f64| Room::new((given.memory_mb * 1024.0 * 1024.0 * part) as usize);
     let (module, mailbox) = async_channel::bounded(decide::MAILBOX);
     let ground = Ground {
@@ -75,9 +75,10 @@
         tasks,
         queries: Pool::new(clock, descriptors.queries, idle_close),
         errands: Pool::new(clock, descriptors.errands, idle_close),
+        probes: Pool::new(clock, descriptors.probes, idle_close),
         connect_timeout,
         reports,
-        room: room(0.25),
+        room: room(0.15),
     };
     let desk = Desk::new(clock, given.seed, settings, ground, module.clone())?;
     tasks.start(desk.run(mailbox));
@@ -98,7 +99,7 @@
         module: module.clone(),
         range: Rc::new(range),
         room: room(0.25),
-        messages: room(0.125),
+        messages: room(0.1),
         come_back,
         owing: owing.clone(),
     };
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -333,7 +333,7 @@
                             continue;
                         }
                         let (path, body) = (self.path(), priority.to_string());
-                        let _ = self.engine.errand("PUT", &path, &body, |_, _| ()).await;
+                        let _ = self.engine.errand("PUT", &path, &body).await;
                     }
                     _ => return Outcome::Cancelled,
                 }
@@ -351,7 +351,7 @@
     async fn give_up(&self) {
         let ended = self.asked.get() + NEWS_WAIT + ASK_WITHIN;
         loop {
-            match self.engine.errand("DELETE", &self.path(), "", |_, _| ()).await {
+            match self.engine.errand("DELETE", &self.path(), "").await {
                 Ok(_) => return,
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return,
                 Err(_) if self.now() >= ended => return,
--- a/router/src/sockets.rs
+++ b/router/src/sockets.rs
@@ -19,17 +19,24 @@
     pub clients: Arc<Semaphore>,
     /// Starting queries, their news and pages.
     pub queries: Arc<Semaphore>,
-    /// Giving queries up, priorities and probes.
+    /// Giving queries up and priorities.
     pub errands: Arc<Semaphore>,
+    pub probes: Arc<Semaphore>,
 }
 
 impl Descriptors {
     pub fn share(limit: usize) -> Self {
         let clients = limit / 3;
         let rest = limit.saturating_sub(clients + OWN).max(2);
-        let errands = (rest / 4).max(1);
+        let (errands, probes) = ((rest / 5).max(1), (rest / 20).max(1));
+        let queries = rest.saturating_sub(errands + probes).max(1);
         let part = |count| Arc::new(Semaphore::new(count));
-        Self { clients: part(clients.max(1)), queries: part(rest - errands), errands: part(errands) }
+        Self {
+            clients: part(clients.max(1)),
+            queries: part(queries),
+            errands: part(errands),
+            probes: part(probes),
+        }
     }
 }
 
--- a/router/tests/stories/main.rs
+++ b/router/tests/stories/main.rs
@@ -182,7 +182,7 @@
     });
     // Two descriptors for queries, one for errands, and twelve failures of each kind.
     let bulletin = Events::default().serve();
-    let mut client = Client::new(&Running::with(&told(&[engine.address], bulletin.address, 40)));
+    let mut client = Client::new(&Running::with(&told(&[engine.address], bulletin.address, 41)));
     for number in 1..49 {
         client.asks(number, "load", 100);
         assert!(client.hears().1.is_err());
@@ -481,7 +481,7 @@
     let (events, [old, new]) = (Events::default(), engines.each_ref().map(|engine| engine.address));
     let bulletin = events.serve();
     // Two descriptors for queries.
-    let mut client = Client::new(&Running::with(&told(&[old], bulletin.address, 40)));
+    let mut client = Client::new(&Running::with(&told(&[old], bulletin.address, 41)));
     for number in 1..4 {
         client.asks(number, "load", 20_000);
     }
@@ -692,7 +692,7 @@
     let engine = Standin::start(|call| pages(call, &["a\tb\tc\n"]));
     let bulletin = Events::default().serve();
     // Thirteen descriptors for clients.
-    let router = Running::with(&told(&[engine.address], bulletin.address, 40));
+    let router = Running::with(&told(&[engine.address], bulletin.address, 41));
     let mut clients: Vec<_> = (0..13).map(|_| Client::new(&router)).collect();
     for (number, client) in clients.iter_mut().enumerate() {
         client.asks(1, "load", 20_000);
@@ -767,6 +767,11 @@
     let count = |part: &Arc<async_lock::Semaphore>| {
         std::iter::from_fn(|| part.try_acquire_arc()).take(2000).collect::<Vec<_>>().len()
     };
-    let counts = [&parts.clients, &parts.queries, &parts.errands].map(count);
-    assert!(counts[0] <= 1024 / 3 && counts[2] > 0 && counts.iter().sum::<usize>() < 1024, "{counts:?}");
+    let counts = [&parts.clients, &parts.queries, &parts.errands, &parts.probes].map(count);
+    assert!(
+        counts[0] <= 1024 / 3
+            && counts[2..].iter().all(|count| *count > 0)
+            && counts.iter().sum::<usize>() < 1024,
+        "{counts:?}"
+    );
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
-use crate::records::{Dispatch, Job, Mean, Report, Sent, Turns};
+use crate::records::{Dispatch, Engine, Job, Mean, Report, Sent, Turns};
 use crate::time::{Moment, Span};
 
 /// Samples that a mean remembers.
@@ -105,43 +105,6 @@
     }
 }
 
-/// One engine of the list; dropped when gone and nothing is out there.
-#[derive(Default)]
-struct Engine {
-    zone: ZoneId,
-    kind: KindId,
-    cell: CellId,
-    listed: Listed,
-    came_up: Option<Moment>,
-    cold_since: Option<Moment>,
-    report: Option<Report>,
-    /// When each table group was last sent there; emptied of those past the warm lifetime.
-    groups: BTreeMap<GroupId, Moment>,
-    /// Until when a table group seems held by a load of another router; emptied of what is past.
-    holds: BTreeMap<GroupId, Moment>,
-    /// Own dispatches that are out; emptied by their outcomes.
-    out: BTreeMap<(JobId, usize), Sent>,
-    /// Usual work sent lately; emptied of what has left the cold-start window.
-    sent: Vec<(Moment, f64)>,
-    heard: Moment,
-    probe_out: bool,
-    probed: Option<Moment>,
-    /// While set aside: probes still to answer in a row.
-    aside: Option<u32>,
-}
-
-impl Engine {
-    fn threads_out(&self) -> f64 {
-        self.out.values().map(|sent| sent.threads).sum()
-    }
-
-    /// Whether it had work out, and gave no word, for longer than `span`.
-    fn silent(&self, now: Moment, span: Span) -> bool {
-        let first = self.out.values().map(|sent| sent.at).min();
-        first.is_some_and(|first| now.since(first.max(self.heard)) > span)
-    }
-}
-
 /// The decisions of one router.
 pub struct Router {
     chance: Pcg32,
@@ -243,6 +206,11 @@
         self.drop_if_spent(job);
     }
 
+    /// The host ends by then, and with it what it still holds.
+    pub fn stopping(&mut self, by: Moment) {
+        self.jobs.values_mut().for_each(|job| job.deadline = job.deadline.min(by));
+    }
+
     /// `told` is the true work and memory, where the answer tells them; `over` holds when the job has its
     /// final answer.
     pub fn dispatch_ended(
@@ -344,6 +312,9 @@
     pub fn probe_ended(&mut self, now: Moment, id: EngineId, outcome: Outcome) {
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.probe_out = false;
+        if outcome == Outcome::NotIssued {
+            return;
+        }
         if !matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
             engine.aside = engine.aside.map(|_| ANSWERS_TO_RETURN);
             return self.set_aside(id, "probe not answered");
--- a/src/records.rs
+++ b/src/records.rs
@@ -1,6 +1,6 @@
-//! What the decision module notes down of jobs and dispatches: plain records, which decide nothing.
+//! What the decision module notes down of jobs, dispatches and engines: plain records, which decide nothing.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
 use crate::time::{Moment, Span};
@@ -66,6 +66,43 @@
     pub(crate) threads: f64,
 }
 
+/// One engine of the list; dropped when gone and nothing is out there.
+#[derive(Default)]
+pub(crate) struct Engine {
+    pub(crate) zone: ZoneId,
+    pub(crate) kind: KindId,
+    pub(crate) cell: CellId,
+    pub(crate) listed: Listed,
+    pub(crate) came_up: Option<Moment>,
+    pub(crate) cold_since: Option<Moment>,
+    pub(crate) report: Option<Report>,
+    /// When each table group was last sent there; emptied of those past the warm lifetime.
+    pub(crate) groups: BTreeMap<GroupId, Moment>,
+    /// Until when a table group seems held by a load of another router; emptied of what is past.
+    pub(crate) holds: BTreeMap<GroupId, Moment>,
+    /// Own dispatches that are out; emptied by their outcomes.
+    pub(crate) out: BTreeMap<(JobId, usize), Sent>,
+    /// Usual work sent lately; emptied of what has left the cold-start window.
+    pub(crate) sent: Vec<(Moment, f64)>,
+    pub(crate) heard: Moment,
+    pub(crate) probe_out: bool,
+    pub(crate) probed: Option<Moment>,
+    /// While set aside: probes still to answer in a row.
+    pub(crate) aside: Option<u32>,
+}
+
+impl Engine {
+    pub(crate) fn threads_out(&self) -> f64 {
+        self.out.values().map(|sent| sent.threads).sum()
+    }
+
+    /// Whether it had work out, and gave no word, for longer than `span`.
+    pub(crate) fn silent(&self, now: Moment, span: Span) -> bool {
+        let first = self.out.values().map(|sent| sent.at).min();
+        first.is_some_and(|first| now.since(first.max(self.heard)) > span)
+    }
+}
+
 /// The jobs of one key in the order taken.
 #[derive(Default)]
 pub(crate) struct Turns {
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -245,6 +245,35 @@
     assert!(sent < 10, "{sent} jobs on a cold engine");
 }
 
+#[test]
+fn a_probe_that_was_never_sent_tells_nothing_of_its_engine() {
+    let mut host = Host::new(|_| ());
+    for outcome in [Outcome::NotIssued, Outcome::TimedOut] {
+        let job = host.job(LOOKUP, 1);
+        host.pull();
+        let engine = host.engines_of(job)[0];
+        host.router.probe_ended(host.now, engine, outcome);
+        host.pull();
+        // One set aside has its dispatches called off.
+        assert_eq!(host.called_off.contains(&(job, 0)), outcome == Outcome::TimedOut);
+    }
+}
+
+#[test]
+fn a_host_that_stops_has_its_jobs_answered_before() {
+    let mut host = Host::new(|_| ());
+    let [light, load, heavy] = [(LOOKUP, 100), (LOAD, 100), (LOOKUP, 6_000)].map(|(kind, work)| {
+        let job = host.job_of(kind, 1, None, None, work);
+        host.pull();
+        job
+    });
+    host.router.stopping(host.now + ms(500));
+    host.pull();
+    assert!(host.throttled.is_empty() && host.cancelled.is_empty());
+    host.pass(540);
+    assert_eq!((host.throttled, host.cancelled), (vec![light, heavy], vec![load]));
+}
+
 #[test]
 fn an_engine_that_came_up_again_has_no_warm_groups() {
     let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
