Leave half of the engines to what is not a load, for each table group

Checked: a line twice a second of what the module believes beside the reports. Ruled out: the engines' health (none set aside), spoilt answers (83 in all), load (idle engines). Loads chose the engine where nothing held their group, so they spread over all and queued there; the limit did not shrink, as dispatches that stood are not judged (logic.rs wait_and_run, judge). Changed: loads of a group keep to half of the engines, drawn alike by all routers, one of each router's at a time there; the others wait here. It belongs to the first mechanism, what an engine may take.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,8 @@
 //! engines that lately got its table group costed optimistically (`wait_and_run`).
 //! Beside it stand six mechanisms, and one legality check that every dispatch passes (`legal`):
 //!
-//! 1. a limit on the threads in flight, of which each engine gets a part; the rest waits here (`judge`),
+//! 1. a limit on the threads in flight, of which each engine gets a part, and loads of a table group half
+//!    of the engines; the rest waits here (`judge`, `leaves_group`),
 //! 2. engines set aside on silence, resets or failed connects, back after probes (`watch`),
 //! 3. a budget of work for cold engines, at which the routers take turns (`warm_enough`),
 //! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
@@ -627,6 +628,18 @@
         own.chain(engine.holds.get(&group).copied()).max().map_or(0.0, |until| until.since(now).secs())
     }
 
+    /// The part of the engines that loads get: those of a table group keep to half, drawn by its number and
+    /// theirs and so alike at routers told the same list, and one of this router's is out at each. Threat: loads
+    /// that queue for a group everywhere, while all else of it stands behind them and the engines idle. It also
+    /// keeps a burst of loads from filling all memory; it may hurt where loads are most of the work.
+    fn leaves_group(&self, job: &Job, id: EngineId, engine: &Engine, usable: &[(EngineId, &Engine)]) -> bool {
+        let is_load = |kind: TypeId| self.types[kind.0].is_load;
+        let draw = |id: EngineId| Pcg32::new(job.group.0 as u64, id.0 as u64).random::<u32>();
+        let before = || usable.iter().filter(|(other, _)| draw(*other) < draw(id)).count();
+        let held = || engine.out.values().any(|sent| sent.group == job.group && is_load(sent.kind));
+        !is_load(job.kind) || (!held() && before() < usable.len().div_ceil(2))
+    }
+
     /// Billed value per second of work, as far as it can still be earned.
     fn density(&self, job: &Job, now: Moment) -> f64 {
         let t = &self.types[job.kind.0];
@@ -669,7 +682,8 @@
             let room = out == 0.0 || out + threads <= most;
             let fits = |e: &Engine| room && (e.out.is_empty() || e.threads_out() + threads <= part);
             let may = |e: &Engine| fits(e) && self.legal(*id, job, e, now);
-            let allowed = engines.iter().filter(|(id, e)| may(e) && !here(*id));
+            let open = |id: EngineId, e: &Engine| !here(id) && self.leaves_group(job, id, e, &engines);
+            let allowed = engines.iter().filter(|(id, e)| may(e) && open(*id, e));
             let costs = allowed.map(|(id, e)| (self.wait_and_run(job, *id, e, heard.0 / heard.1, now), *id));
             costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
         })?;
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -259,6 +259,27 @@
     }
 }
 
+#[test]
+fn loads_of_a_group_leave_half_of_the_engines_to_all_else_of_it() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    host.list(2, Listed::Live, None);
+    host.list(3, Listed::Live, None);
+    let loads = [(); 6].map(|()| host.job(LOAD, 1));
+    host.pull();
+    let mut homes: Vec<EngineId> = host.sent.iter().map(|(_, engine, _)| *engine).collect();
+    homes.sort();
+    homes.dedup();
+    assert_eq!((host.sent.len(), homes.len()), (2, 2));
+    let lookups = [(); 8].map(|()| host.job(LOOKUP, 1));
+    host.pull();
+    assert!(lookups.iter().all(|job| host.engines_of(*job).iter().all(|engine| !homes.contains(engine))));
+    // The next load of the group goes as one ends, to its place.
+    let (first, place, _) = host.sent[0];
+    host.end(first, 0, Outcome::Done, 50);
+    let next = loads.iter().filter(|job| **job != first && host.engines_of(**job) == [place]);
+    assert_eq!(next.count(), 1);
+}
+
 #[test]
 fn a_host_that_stops_has_its_jobs_answered_before() {
     let mut host = Host::new(|_| ());
