Let an engine's share of errors add to its estimate, so that one failing fast draws no work

Checked: a line for each end. Engine 3 gave 241 of the 242 errors of look-ups in 5 s, in 3 ms, of all three types, and about a quarter of its answers were good; it was gone at the release. No engine was set aside, no answer was spoilt: ruled out. It looked idle, so Index/Load drew a third of all work there (logic.rs wait_and_run, which knew nothing of errors). The incident of engines failing fast that docs/incidents left open has the same cause. Changed: the share of errors among an engine's last sixteen ends adds that part of the SLA time, or of the job timeout where the job may run once only; it fades over the time of a silence that sets aside, so the engine is tried again.

--- a/src/records.rs
+++ b/src/records.rs
@@ -85,6 +85,9 @@
     /// Usual work sent lately; emptied of what has left the cold-start window.
     pub(crate) sent: Vec<(Moment, f64)>,
     pub(crate) heard: Moment,
+    /// The share of errors among the ends lately, and when the last of them came.
+    pub(crate) errors: Mean,
+    pub(crate) ended: Moment,
     pub(crate) probe_out: bool,
     pub(crate) probed: Option<Moment>,
     /// While set aside: probes still to answer in a row.
@@ -111,7 +114,7 @@
 }
 
 /// A mean that forgets.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 pub(crate) struct Mean {
     pub(crate) value: f64,
     samples: f64,
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -280,6 +280,31 @@
     assert_eq!(next.count(), 1);
 }
 
+#[test]
+fn an_engine_that_fails_fast_does_not_draw_the_work_and_is_tried_again_later() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    let mut failed = 0;
+    for group in 0..40 {
+        host.report(E0, 0.0);
+        host.report(E1, 6.0);
+        let job = host.job(LOOKUP, group);
+        host.pull();
+        while *host.engines_of(job).last().unwrap() == E0 {
+            failed += 1;
+            host.end(job, host.engines_of(job).len() - 1, Outcome::Error, 3);
+        }
+        host.end(job, host.engines_of(job).len() - 1, Outcome::Done, 100);
+        host.pass(100);
+    }
+    assert!((1..16).contains(&failed), "{failed} of 40 look-ups failed there");
+    host.pass(20_000);
+    host.report(E0, 0.0);
+    host.report(E1, 6.0);
+    let later = host.job(LOOKUP, 50);
+    host.pull();
+    assert_eq!(host.engines_of(later), [E0]);
+}
+
 #[test]
 fn a_host_that_stops_has_its_jobs_answered_before() {
     let mut host = Host::new(|_| ());
