Keep the share of errors by reservation type

Checked: a line for each end with its table group. Reports failed within 12 ms at three of five engines from 6 s to 18 s, all of them, whatever their group; look-ups and loads went well there. Ruled out: one group, one engine, spoilt answers. One share for all types hid it among good look-ups (logic.rs dispatch_ended).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -58,8 +58,8 @@
 /// By how much a dispatch short of memory raises the next grants: the first one, and at least.
 const GRANT_STEPS: [f64; 2] = [0.3, 0.04];
 const SHORT_SHARE: f64 = 0.1;
-/// Good answers and errors that an engine's share of errors remembers.
-const ERRORS_KEPT: f64 = 16.0;
+/// Good answers and errors that the share of errors of a type at an engine remembers.
+const ERRORS_KEPT: f64 = 8.0;
 /// How much more a dispatch that waited for memory lowers the next grants than one that did not.
 const WAIT_WEIGHT: f64 = 3.0;
 /// Added to the part of the SLA time that is left: bounds how far a pressing job gets ahead.
@@ -264,8 +264,9 @@
                 engine.heard = now;
             }
             if matches!(outcome, Outcome::Done | Outcome::Error) {
-                engine.errors.add(f64::from(outcome == Outcome::Error), ERRORS_KEPT);
-                engine.ended = now;
+                let line = engine.errors.entry(kind).or_insert((Mean::new(0.0, ERRORS_KEPT), now));
+                line.0.add(f64::from(outcome == Outcome::Error), ERRORS_KEPT);
+                line.1 = now;
             }
         }
         if failed {
@@ -347,8 +348,7 @@
         &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, listed: Listed,
         came_up: Option<Moment>,
     ) {
-        let errors = Mean::new(0.0, ERRORS_KEPT);
-        let fresh = Engine { came_up, cold_since: came_up, heard: now, errors, ..Engine::default() };
+        let fresh = Engine { came_up, cold_since: came_up, heard: now, ..Engine::default() };
         let engine = self.engines.entry(id).or_insert(fresh);
         (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
         if came_up > engine.came_up {
@@ -621,11 +621,13 @@
         if job.dispatches.iter().any(|d| d.engine == id) {
             total += t.sla.secs();
         }
-        // Threat: an engine that fails fast looks idle and draws all work. It also catches nodes that lost a
-        // disk or a table, and weighs most for what may run once only. Bad requests count against all alike.
-        let faded = now.since(engine.ended).secs() / self.patience().secs();
-        let loss = if t.effect == Effect::RunOnce { t.timeout } else { t.sla };
-        total += loss.secs() * engine.errors.value * (-faded).exp();
+        // Threat: an engine that fails a type fast looks idle and draws all of it. It also catches nodes that lost
+        // a disk or a table, and weighs most for what may run once. Bad requests count against all alike.
+        if let Some((errors, last)) = engine.errors.get(&job.kind) {
+            let loss = if t.effect == Effect::RunOnce { t.timeout } else { t.sla };
+            let faded = now.since(*last).secs() / self.patience().secs();
+            total += loss.secs() * errors.value * (-faded).exp();
+        }
         if engine.zone != self.fleet.zone {
             total += self.fleet.crossing_price * t.sla.secs();
         }
--- a/src/records.rs
+++ b/src/records.rs
@@ -85,9 +85,8 @@
     /// Usual work sent lately; emptied of what has left the cold-start window.
     pub(crate) sent: Vec<(Moment, f64)>,
     pub(crate) heard: Moment,
-    /// The share of errors among the ends lately, and when the last of them came.
-    pub(crate) errors: Mean,
-    pub(crate) ended: Moment,
+    /// The share of errors among the ends lately and when the last of them came, a line for each type.
+    pub(crate) errors: BTreeMap<TypeId, (Mean, Moment)>,
     pub(crate) probe_out: bool,
     pub(crate) probed: Option<Moment>,
     /// While set aside: probes still to answer in a row.
@@ -114,7 +113,7 @@
 }
 
 /// A mean that forgets.
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Copy)]
 pub(crate) struct Mean {
     pub(crate) value: f64,
     samples: f64,
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -281,12 +281,16 @@
 }
 
 #[test]
-fn an_engine_that_fails_fast_does_not_draw_the_work_and_is_tried_again_later() {
+fn an_engine_that_fails_a_type_fast_does_not_draw_it_and_is_tried_again_later() {
     let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
     let mut failed = 0;
     for group in 0..40 {
+        // By its reports, the engine is idle; loads go on there.
         host.report(E0, 0.0);
         host.report(E1, 6.0);
+        let load = host.job(LOAD, group);
+        host.pull();
+        host.end(load, 0, Outcome::Done, 100);
         let job = host.job(LOOKUP, group);
         host.pull();
         while *host.engines_of(job).last().unwrap() == E0 {
@@ -296,7 +300,7 @@
         host.end(job, host.engines_of(job).len() - 1, Outcome::Done, 100);
         host.pass(100);
     }
-    assert!((1..16).contains(&failed), "{failed} of 40 look-ups failed there");
+    assert!((1..16).contains(&failed), "{failed} look-ups failed there");
     host.pass(20_000);
     host.report(E0, 0.0);
     host.report(E1, 6.0);
