--- a/src/logic.rs
+++ b/src/logic.rs
@@ -264,9 +264,12 @@
                 engine.heard = now;
             }
             if matches!(outcome, Outcome::Done | Outcome::Error) {
-                let line = engine.errors.entry(kind).or_insert((Mean::new(0.0, ERRORS_KEPT), now));
-                line.0.add(f64::from(outcome == Outcome::Error), ERRORS_KEPT);
-                line.1 = now;
+                for of in [Some(kind), None] {
+                    let (errors, last) =
+                        engine.errors.entry(of).or_insert((Mean::new(0.0, ERRORS_KEPT), now));
+                    errors.add(f64::from(outcome == Outcome::Error), ERRORS_KEPT);
+                    *last = now;
+                }
             }
         }
         if failed {
@@ -512,11 +515,8 @@
             (!job.over && (stuck || now >= job.deadline)).then(|| (*id, self.may_throttle(job)))
         })?;
         self.job_over(id);
-        if harmless {
-            Some(Decision::Throttle { job: id, come_back: self.answers.come_back })
-        } else {
-            Some(Decision::CancelForGood { job: id })
-        }
+        let throttle = Decision::Throttle { job: id, come_back: self.answers.come_back };
+        Some(if harmless { throttle } else { Decision::CancelForGood { job: id } })
     }
 
     /// Rule 2 for throttling replies.
@@ -623,11 +623,11 @@
         }
         // Threat: an engine that fails a type fast looks idle and draws all of it. It also catches nodes that lost
         // a disk or a table, and weighs most for what may run once. Bad requests count against all alike.
-        if let Some((errors, last)) = engine.errors.get(&job.kind) {
-            let loss = if t.effect == Effect::RunOnce { t.timeout } else { t.sla };
-            let faded = now.since(*last).secs() / self.patience().secs();
-            total += loss.secs() * errors.value * (-faded).exp();
-        }
+        let fades = self.patience().secs();
+        let fade = |(share, at): &(Mean, Moment)| share.value * (-now.since(*at).secs() / fades).exp();
+        let errors = |of| engine.errors.get(&of).map_or(0.0, fade);
+        let loss = if t.effect == Effect::RunOnce { t.timeout } else { t.sla };
+        total += loss.secs() * errors(Some(job.kind)).max(errors(None));
         if engine.zone != self.fleet.zone {
             total += self.fleet.crossing_price * t.sla.secs();
         }
--- a/src/records.rs
+++ b/src/records.rs
@@ -85,8 +85,8 @@
     /// Usual work sent lately; emptied of what has left the cold-start window.
     pub(crate) sent: Vec<(Moment, f64)>,
     pub(crate) heard: Moment,
-    /// The share of errors among the ends lately and when the last of them came, a line for each type.
-    pub(crate) errors: BTreeMap<TypeId, (Mean, Moment)>,
+    /// The share of errors among the ends lately and when the last came, a line for each type and one for all.
+    pub(crate) errors: BTreeMap<Option<TypeId>, (Mean, Moment)>,
     pub(crate) probe_out: bool,
     pub(crate) probed: Option<Moment>,
     /// While set aside: probes still to answer in a row.
