--- a/src/logic.rs
+++ b/src/logic.rs
@@ -254,8 +254,8 @@
         let good = outcome == Outcome::Done && took <= sla_of(t, record.work).times(GOOD_PART);
         let failed = matches!(outcome, Outcome::Reset | Outcome::NotConnected);
         let silent = failed || dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued);
-        let (telling, kind, id) = ((good || !silent) && !dispatch.judged, record.kind, dispatch.engine);
-        if telling {
+        let (kind, id) = (record.kind, dispatch.engine);
+        if (good || !silent) && !dispatch.judged {
             self.judge(now, kind, good);
         }
         if let Some(engine) = self.engines.get_mut(&id) {
@@ -621,13 +621,14 @@
         if job.dispatches.iter().any(|d| d.engine == id) {
             total += t.sla.secs();
         }
-        // Threat: an engine that fails a type fast looks idle and draws all of it. It also catches nodes that lost
-        // a disk or a table, and weighs most for what may run once. Bad requests count against all alike.
+        // Threat: an engine that fails a type fast looks idle and draws all of it. What may run once shuns errors
+        // of any type, and more. It also catches lost tables; bad requests count against all engines alike.
         let fades = self.patience().secs();
         let fade = |(share, at): &(Mean, Moment)| share.value * (-now.since(*at).secs() / fades).exp();
         let errors = |of| engine.errors.get(&of).map_or(0.0, fade);
-        let loss = if t.effect == Effect::RunOnce { t.timeout } else { t.sla };
-        total += loss.secs() * errors(Some(job.kind)).max(errors(None));
+        let once = t.effect == Effect::RunOnce;
+        let (loss, any) = if once { (t.timeout, errors(None)) } else { (t.sla, 0.0) };
+        total += loss.secs() * errors(Some(job.kind)).max(any);
         if engine.zone != self.fleet.zone {
             total += self.fleet.crossing_price * t.sla.secs();
         }
@@ -642,10 +643,9 @@
         own.chain(engine.holds.get(&group).copied()).max().map_or(0.0, |until| until.since(now).secs())
     }
 
-    /// The part of the engines that loads get: those of a table group keep to half, drawn by its number and
-    /// theirs and so alike at routers told the same list, and one of this router's is out at each. Threat: loads
-    /// that queue for a group everywhere, while all else of it stands behind them and the engines idle. It also
-    /// keeps a burst of loads from filling all memory; it may hurt where loads are most of the work.
+    /// Loads of a table group keep to half of the engines, drawn alike by routers told the same list, with one of
+    /// this router's out at each. Threat: loads that queue for a group everywhere, all else of it behind them on
+    /// idle engines. It also keeps bursts of loads from all memory; it may hurt where most work is loads.
     fn leaves_group(&self, job: &Job, id: EngineId, engine: &Engine, usable: &[(EngineId, &Engine)]) -> bool {
         let is_load = |kind: TypeId| self.types[kind.0].is_load;
         let draw = |id: EngineId| Pcg32::new(job.group.0 as u64, id.0 as u64).random::<u32>();
