Square the share of errors and weigh it by the job timeout

Seen: the SLA time weighed little against a queue, so an engine that failed all reports was tried once a job. Conclusion: a few errors everywhere, as bad requests bring, weigh next to nothing; most answers failing keeps the work away.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -621,14 +621,13 @@
         if job.dispatches.iter().any(|d| d.engine == id) {
             total += t.sla.secs();
         }
-        // Threat: an engine that fails a type fast looks idle and draws all of it. What may run once shuns errors
-        // of any type, and more. It also catches lost tables; bad requests count against all engines alike.
+        // Threat: an engine that fails a type fast looks idle and draws all of it. What may run once heeds errors
+        // of any type. It also catches lost tables. Squared, as bad requests bring few errors to all engines.
         let fades = self.patience().secs();
         let fade = |(share, at): &(Mean, Moment)| share.value * (-now.since(*at).secs() / fades).exp();
         let errors = |of| engine.errors.get(&of).map_or(0.0, fade);
-        let once = t.effect == Effect::RunOnce;
-        let (loss, any) = if once { (t.timeout, errors(None)) } else { (t.sla, 0.0) };
-        total += loss.secs() * errors(Some(job.kind)).max(any);
+        let any = if t.effect == Effect::RunOnce { errors(None) } else { 0.0 };
+        total += t.timeout.secs() * errors(Some(job.kind)).max(any).powi(2);
         if engine.zone != self.fleet.zone {
             total += self.fleet.crossing_price * t.sla.secs();
         }
