--- a/router/src/bulletin.rs
+++ b/router/src/bulletin.rs
@@ -32,9 +32,9 @@
     Moved(Move),
 }
 
-/// `last` is the number of the last event known, which goes on at a new address. A change is to be heard within
-/// `grace` even over a connection that went silent, so each call waits for a quarter of it only; after a fault
-/// it asks again on a new connection soon.
+/// `last` is the number of the last event known, which goes on at a new address. A change is to be heard
+/// within `grace` even over a connection that went silent, so each call waits for a quarter of it only; after
+/// a fault it asks again on a new connection soon.
 pub async fn follow(
     mut address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64, moves: Receiver<Move>,
     module: Sender<Event>,
--- a/router/src/codec.rs
+++ b/router/src/codec.rs
@@ -70,8 +70,8 @@
     }
 }
 
-/// The length of the head of a value, and how many bytes and values it says to follow; `None` if it is not there
-/// whole.
+/// The length of the head of a value, and how many bytes and values it says to follow; `None` if it is not
+/// there whole.
 fn head(bytes: &[u8]) -> Result<Option<(usize, u64, u64)>> {
     let Some(&first) = bytes.first() else { return Ok(None) };
     let fixed = |follow: u64| Ok(Some((1, follow, 0)));
@@ -107,8 +107,8 @@
     Ok(Some((1 + width, bytes, values)))
 }
 
-/// The length of the message that `bytes` start with, once it is there whole; `scan` keeps what was passed over
-/// before, as `scanned` bytes of it.
+/// The length of the message that `bytes` start with, once it is there whole; `scan` keeps what was passed
+/// over before, as `scanned` bytes of it.
 pub fn whole(bytes: &[u8], scan: &mut Scan, scanned: &mut usize) -> Result<Option<usize>> {
     *scanned += scan.pass(&bytes[*scanned..])?;
     Ok(scan.is_done().then_some(*scanned))
--- a/router/src/decide.rs
+++ b/router/src/decide.rs
@@ -1,5 +1,5 @@
-//! The module's actor: the only owner of its router, its names, its timer and the jobs that are open. It takes
-//! in all that is queued, then pulls decisions until there is none.
+//! The module's actor: the only owner of its router, its names, its timer and the jobs that are open. It
+//! takes in all that is queued, then pulls decisions until there is none.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -171,8 +171,8 @@
             let Ok(first) = async { mailbox.recv().await.map(Some) }.or(due).await else { return };
             let queued = std::iter::from_fn(|| mailbox.try_recv().ok()).take(MAILBOX);
             let turn = || self.turn(first.into_iter().chain(queued));
-            // Threat: a fault of the module. It costs the jobs that are open, not the process; what was learned
-            // is lost too, so it may hurt if it repeats.
+            // Threat: a fault of the module. It costs the jobs that are open, not the process; what was
+            // learned is lost too, so it may hurt if it repeats.
             if catch_unwind(AssertUnwindSafe(turn)).is_err() {
                 log::error!("the module panicked and begins again");
                 self.begin_again();
@@ -409,8 +409,8 @@
         }
     }
 
-    /// A new module, told the list as it stands; all open jobs have failed. The indices go on, so that what is
-    /// still told of the old module's jobs meets none of the new one's.
+    /// A new module, told the list as it stands; all open jobs have failed. The indices go on, so that what
+    /// is still told of the old module's jobs meets none of the new one's.
     fn begin_again(&mut self) {
         let now = self.clock.now();
         for job in self.jobs.keys().copied().collect::<Vec<_>>() {
--- a/router/src/engine.rs
+++ b/router/src/engine.rs
@@ -19,7 +19,8 @@
 const MAILBOX: usize = 1024;
 /// No answer to an errand holds more.
 const BODY_BYTES: usize = 4 * 1024;
-/// A probe that breaks, makes no sense or hears nothing is made again so often, as that may be noise on the connection.
+/// A probe that breaks, makes no sense or hears nothing is made again so often, as that may be noise on the
+/// connection.
 const PROBES: usize = 3;
 
 /// What all engines' actors are given alike.
--- a/router/src/front.rs
+++ b/router/src/front.rs
@@ -22,7 +22,8 @@
 
 /// The most open requests of a connection, and some whose withdrawal is on its way.
 const OPEN: usize = 32 + 8;
-/// Answers of the door itself, pongs and refusals, that a client has not taken; it is read no further meanwhile.
+/// Answers of the door itself, pongs and refusals, that a client has not taken; it is read no further
+/// meanwhile.
 const ASIDE: usize = 32;
 /// No message holds more. What is longer than `READ_BYTES` is read into room that all clients share.
 const MESSAGE_BYTES: usize = 128 * 1024;
@@ -184,7 +185,8 @@
             buffer.copy_within(start..filled, 0);
             filled -= start;
             if filled == buffer.len() {
-                // Threat: many clients with long messages. Those that find no room are closed when theirs is due.
+                // Threat: many clients with long messages. Those that find no room are closed when theirs is
+                // due.
                 let more = limited(MESSAGE_WITHIN, async { Ok(self.hall.messages.take(filled * 2).await) });
                 room = Some(more.await?);
                 buffer.resize(filled * 2, 0);
@@ -205,8 +207,8 @@
         }
     }
 
-    /// Threat: clients that vanish, idle, or stall in a message would keep their descriptors. None that awaits an
-    /// answer is closed between messages.
+    /// Threat: clients that vanish, idle, or stall in a message would keep their descriptors. None that
+    /// awaits an answer is closed between messages.
     async fn read_some(&self, link: &Link, buffer: &mut [u8], due: Option<Moment>) -> io::Result<usize> {
         let clock = self.hall.clock;
         loop {
@@ -266,7 +268,8 @@
         }
     }
 
-    /// The right to an answer that the door gives at once. Waits where the client takes none: it is held back.
+    /// The right to an answer that the door gives at once. Waits where the client takes none: it is held
+    /// back.
     async fn aside(&self, number: u32) -> Reply {
         let place = self.aside.acquire_arc().await;
         self.reply(number, place)
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -45,8 +45,8 @@
     }
 
     /// Makes one call and returns the status and the body of its answer, of at most `most` bytes; `field`
-    /// hears each field of the answer's head, and `wrote` of each write. An answer that comes with more than is
-    /// its own is in doubt, as its length may not be the true one.
+    /// hears each field of the answer's head, and `wrote` of each write. An answer that comes with more than
+    /// is its own is in doubt, as its length may not be the true one.
     pub async fn call(
         &mut self, head: &str, body: &[u8], most: usize, wrote: impl FnMut(),
         mut field: impl FnMut(&str, &str),
@@ -124,8 +124,8 @@
     }
 }
 
-/// `None` until the head is there whole. Without a length or chunks, as up to the close of the connection, nobody
-/// could tell whether a body is whole.
+/// `None` until the head is there whole. Without a length or chunks, as up to the close of the connection,
+/// nobody could tell whether a body is whole.
 fn parse(buffer: &[u8], field: &mut impl FnMut(&str, &str)) -> io::Result<Option<Head>> {
     let mut fields = [EMPTY_HEADER; HEAD_FIELDS];
     let mut response = Response::new(&mut fields);
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,9 +1,9 @@
 //! A router: clients on one side, sql engines on the other, and the decision module between them.
 //!
-//! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `request` checks
-//! them, `statement` finds the table group, `decide` lets the module decide, `engine` and `query` carry dispatches out over
-//! `http` connections of `pool`, and `front` writes the answer. `bulletin` follows the list of engines,
-//! `sockets` and `memory` own what is scarce, `stop` heeds what the operators order.
+//! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `request`
+//! checks them, `statement` finds the table group, `decide` lets the module decide, `engine` and `query`
+//! carry dispatches out over `http` connections of `pool`, and `front` writes the answer. `bulletin` follows
+//! the list of engines, `sockets` and `memory` own what is scarce, `stop` heeds what the operators order.
 
 mod bulletin;
 pub mod clock;
--- a/router/src/listen.rs
+++ b/router/src/listen.rs
@@ -66,8 +66,8 @@
         Stay { guest, guests: self.clone(), client }
     }
 
-    /// Threat: connections held for good, or opened by hundreds, would keep usual clients out. The longest quiet one
-    /// without an open request goes, which a client opens anew at worst.
+    /// Threat: connections held for good, or opened by hundreds, would keep usual clients out. The longest
+    /// quiet one without an open request goes, which a client opens anew at worst.
     fn send_off_one(&self) {
         let guests = self.0.borrow();
         let quiet = guests.values().filter(|guest| guest.open.get() == 0 && !guest.told_to_leave.get());
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,4 +1,5 @@
-//! The program `woadhook`: one router, as `LB_CONFIG` tells it, until SIGTERM. SIGHUP has the file read again.
+//! The program `woadhook`: one router, as `LB_CONFIG` tells it, until SIGTERM. SIGHUP has the file read
+//! again.
 
 use std::net::TcpListener;
 use std::process::ExitCode;
--- a/router/src/memory.rs
+++ b/router/src/memory.rs
@@ -1,5 +1,6 @@
-//! Room for bytes that the router holds for others: statements, results, and messages on their way in. Who wants
-//! more than is free waits or is turned away, so that slow readers are held back and nothing grows with them.
+//! Room for bytes that the router holds for others: statements, results, and messages on their way in. Who
+//! wants more than is free waits or is turned away, so that slow readers are held back and nothing grows with
+//! them.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -154,8 +154,9 @@
         }
     }
 
-    /// The POST and its answer. Where the answer stays away, breaks or makes no sense, the query is asked for, as it
-    /// may run. A connection that breaks before a byte was written proves nothing of the engine and is replaced.
+    /// The POST and its answer. Where the answer stays away, breaks or makes no sense, the query is asked
+    /// for, as it may run. A connection that breaks before a byte was written proves nothing of the engine
+    /// and is replaced.
     async fn begin(&self) -> Result<(Answer, Lease), Outcome> {
         let connect_timeout = self.engine.ground.connect_timeout;
         let statement = &self.dispatch.statement;
@@ -199,9 +200,9 @@
         }
     }
 
-    /// Asks for news (0) or a page, again on another connection where one breaks, stays silent or brings what makes
-    /// no sense: the engine gives the same answer again. It is heard from as long as it answers at all, so that
-    /// noise on connections is not taken for its end.
+    /// Asks for news (0) or a page, again on another connection where one breaks, stays silent or brings what
+    /// makes no sense: the engine gives the same answer again. It is heard from as long as it answers at all,
+    /// so that noise on connections is not taken for its end.
     async fn ask(&self, page: usize, mut lease: Option<Lease>) -> Result<(Answer, Lease), Outcome> {
         let path = format!("/v2/q/{}/{page}", self.dispatch.statement.id);
         let mut doubts = 0;
--- a/router/src/request.rs
+++ b/router/src/request.rs
@@ -1,5 +1,5 @@
-//! The one door for what clients ask: each field of a request is checked here, once, by its form in the protocol
-//! and the range that the settings give it. What comes out can't harm what it is handed to.
+//! The one door for what clients ask: each field of a request is checked here, once, by its form in the
+//! protocol and the range that the settings give it. What comes out can't harm what it is handed to.
 
 use woadhook::{GroupId, Span, TypeId};
 
--- a/router/src/stop.rs
+++ b/router/src/stop.rs
@@ -1,5 +1,5 @@
-//! What the operators order: to read the configuration again, and to stop. The process ends only after SIGTERM, and
-//! only with all answered.
+//! What the operators order: to read the configuration again, and to stop. The process ends only after
+//! SIGTERM, and only with all answered.
 
 use std::cell::Cell;
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -621,8 +621,8 @@
         if job.dispatches.iter().any(|d| d.engine == id) {
             total += t.sla.secs();
         }
-        // Threat: an engine that fails a type fast looks idle and draws all of it. What may run once heeds errors
-        // of any type. It also catches lost tables. Squared, as bad requests bring few errors to all engines.
+        // Threat: an engine that fails a type fast looks idle and draws all of it. What may run once heeds
+        // errors of any type. It also catches lost tables. Squared, as bad requests bring few to all engines.
         let fades = self.patience().secs();
         let fade = |(share, at): &(Mean, Moment)| share.value * (-now.since(*at).secs() / fades).exp();
         let errors = |of| engine.errors.get(&of).map_or(0.0, fade);
@@ -642,9 +642,9 @@
         own.chain(engine.holds.get(&group).copied()).max().map_or(0.0, |until| until.since(now).secs())
     }
 
-    /// Loads of a table group keep to half of the engines, drawn alike by routers told the same list, with one of
-    /// this router's out at each. Threat: loads that queue for a group everywhere, all else of it behind them on
-    /// idle engines. It also keeps bursts of loads from all memory; it may hurt where most work is loads.
+    /// Loads of a table group keep to half of the engines, drawn alike by routers told the same list, with
+    /// one of this router's out at each. Threat: loads that queue for a group everywhere, all else of it
+    /// behind them on idle engines. It also stops bursts of loads; it may hurt where most work is loads.
     fn leaves_group(&self, job: &Job, id: EngineId, engine: &Engine, usable: &[(EngineId, &Engine)]) -> bool {
         let is_load = |kind: TypeId| self.types[kind.0].is_load;
         let draw = |id: EngineId| Pcg32::new(job.group.0 as u64, id.0 as u64).random::<u32>();
