Draw the engines that loads keep to once a job, and ask for own loads in one place

Read again: leaves_group drew an order of all engines for each engine and load, on the path of every decision, and repeated the filter of load_hold. homes draws it once for each waiting load; own_loads serves both. Behaviour as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,8 +6,7 @@
 //! engines that lately got its table group costed optimistically (`wait_and_run`).
 //! Beside it stand six mechanisms, and one legality check that every dispatch passes (`legal`):
 //!
-//! 1. a limit on the threads in flight, of which each engine gets a part, and loads of a table group half
-//!    of the engines; the rest waits here (`judge`, `leaves_group`),
+//! 1. a limit on the threads in flight, with parts for engines and loads; the rest waits (`judge`, `homes`),
 //! 2. engines set aside on silence, resets or failed connects, back after probes (`watch`),
 //! 3. a budget of work for cold engines, at which the routers take turns (`warm_enough`),
 //! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
@@ -636,21 +635,23 @@
 
     /// Exception to the design: what is left of loads that hold the table group there, own or as it seems.
     fn load_hold(&self, engine: &Engine, group: GroupId, now: Moment) -> f64 {
-        let loads = engine.out.values().filter(|s| s.group == group && self.types[s.kind.0].is_load);
         let run = self.load_run();
-        let own = loads.map(|s| (s.at + run).max(now + run.times(0.25)));
+        let own = self.own_loads(engine, group).map(|s| (s.at + run).max(now + run.times(0.25)));
         own.chain(engine.holds.get(&group).copied()).max().map_or(0.0, |until| until.since(now).secs())
     }
 
+    fn own_loads<'a>(&'a self, engine: &'a Engine, group: GroupId) -> impl Iterator<Item = &'a Sent> {
+        engine.out.values().filter(move |s| s.group == group && self.types[s.kind.0].is_load)
+    }
+
     /// Loads of a table group keep to half of the engines, drawn alike by routers told the same list, with
     /// one of this router's out at each. Threat: loads that queue for a group everywhere, all else of it
     /// behind them on idle engines. It also stops bursts of loads; it may hurt where most work is loads.
-    fn leaves_group(&self, job: &Job, id: EngineId, engine: &Engine, usable: &[(EngineId, &Engine)]) -> bool {
-        let is_load = |kind: TypeId| self.types[kind.0].is_load;
-        let draw = |id: EngineId| Pcg32::new(job.group.0 as u64, id.0 as u64).random::<u32>();
-        let before = || usable.iter().filter(|(other, _)| draw(*other) < draw(id)).count();
-        let held = || engine.out.values().any(|sent| sent.group == job.group && is_load(sent.kind));
-        !is_load(job.kind) || (!held() && before() < usable.len().div_ceil(2))
+    fn homes(&self, group: GroupId, usable: &[(EngineId, &Engine)]) -> Vec<EngineId> {
+        let mut homes: Vec<EngineId> = usable.iter().map(|(id, _)| *id).collect();
+        homes.sort_by_cached_key(|id| Pcg32::new(group.0 as u64, id.0 as u64).random::<u32>());
+        homes.truncate(homes.len().div_ceil(2));
+        homes
     }
 
     /// Billed value per second of work, as far as it can still be earned.
@@ -695,8 +696,10 @@
             let room = out == 0.0 || out + threads <= most;
             let fits = |e: &Engine| room && (e.out.is_empty() || e.threads_out() + threads <= part);
             let may = |e: &Engine| fits(e) && self.legal(*id, job, e, now);
-            let open = |id: EngineId, e: &Engine| !here(id) && self.leaves_group(job, id, e, &engines);
-            let allowed = engines.iter().filter(|(id, e)| may(e) && open(*id, e));
+            let homes = self.types[job.kind.0].is_load.then(|| self.homes(job.group, &engines));
+            let alone = |e: &Engine| self.own_loads(e, job.group).next().is_none();
+            let open = |id, e: &Engine| homes.as_ref().is_none_or(|homes| homes.contains(&id) && alone(e));
+            let allowed = engines.iter().filter(|(id, e)| may(e) && !here(*id) && open(*id, e));
             let costs = allowed.map(|(id, e)| (self.wait_and_run(job, *id, e, heard.0 / heard.1, now), *id));
             costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
         })?;
@@ -716,8 +719,7 @@
         let step = PRIORITY_STEPS.iter().filter(|step| density >= **step).count() as u8;
         let priority = if t.is_load { step.max(PRIORITY_STEPS.len() as u8 - 1) } else { step };
         let left = job.deadline.since(now);
-        let short = retry && t.effect != Effect::RunOnce;
-        let timeout = if short { left.min(sla_of(t, job.work)) } else { left };
+        let timeout = if retry && t.effect != Effect::RunOnce { left.min(sla_of(t, job.work)) } else { left };
         let number = job.dispatches.len();
         self.resent.extend(self.further.ration.filter(|_| number > 0).map(|_| now));
         engine.sent.push((now, self.estimates.work[job.kind.0].value));
