Read the come-back time, a known list and a connection's readiness in one place each

Read again: the router repeated the door's reading of the come-back time; two places looked whether a known list was there; three asked whether a connection can be used again. The bulletin's call now owns its connection until it is answered.

--- a/door/src/instance.rs
+++ b/door/src/instance.rs
@@ -22,6 +22,11 @@
     pub costs_told: bool,
 }
 
+/// The longest come-back time that clients heed, where they are told one.
+pub fn come_back(limits: &Value) -> Result<Option<Span>> {
+    mark(limits, "retryAfter").then(|| span(limits, "maxRetryAfterUs")).transpose()
+}
+
 impl Instance {
     /// A router built from the settings object, the same on every wire.
     pub fn start(now: Moment, seed: u64, info: &Value) -> Result<Self> {
@@ -105,7 +110,7 @@
         };
         let answers = Answers {
             slack: span(rules, "answerSlackUs")?,
-            come_back: mark(limits, "retryAfter").then(|| span(limits, "maxRetryAfterUs")).transpose()?,
+            come_back: come_back(limits)?,
             by_work: text(info, "worthBy").is_ok_and(|by| by == "work"),
             over_share: number(info, "overShareWorth").unwrap_or(1.0),
             allowances,
--- a/door/src/lib.rs
+++ b/door/src/lib.rs
@@ -5,5 +5,5 @@
 mod instance;
 mod names;
 
-pub use instance::Instance;
+pub use instance::{Instance, come_back};
 pub use names::Door;
--- a/router/src/bulletin.rs
+++ b/router/src/bulletin.rs
@@ -64,10 +64,7 @@
             Heard::Moved(Move { to, known }) => {
                 log::info!("the bulletin is at {to}");
                 (address, connection) = (to, None);
-                match known {
-                    Value::Object(_) => pass_on(&known, &mut last, &module).await,
-                    _ => Ok(()),
-                }
+                pass_on_known(&known, &mut last, &module).await
             }
         };
         faulty = passed.is_err();
@@ -86,23 +83,27 @@
     connection: &mut Option<Connection>, part: &Arc<Semaphore>, address: SocketAddr, path: &str,
     patience: Span, connect_timeout: Span,
 ) -> io::Result<Value> {
-    if connection.as_ref().is_none_or(|kept| !kept.reusable || !kept.link.is_quiet()) {
-        *connection = None;
-        let link = Link::connect(address, connect_timeout, part.acquire_arc().await).await?;
-        *connection = Some(Connection::new(link));
-    }
-    let Some(connection) = connection else { return Err(io::ErrorKind::NotConnected.into()) };
+    let mut open = match connection.take().filter(Connection::is_ready) {
+        Some(kept) => kept,
+        None => Connection::new(Link::connect(address, connect_timeout, part.acquire_arc().await).await?),
+    };
     let head = head("GET", path, address, &[], 0);
-    let call = connection.call(&head, &[], LIST_BYTES, || (), |_, _| ());
+    let call = open.call(&head, &[], LIST_BYTES, || (), |_, _| ());
     let (status, body) = limited(patience + connect_timeout, call).await?;
     if status != 200 {
         return Err(io::Error::other(format!("status {status}")));
     }
+    *connection = Some(open);
     Ok(serde_json::from_slice(&body)?)
 }
 
+/// Passes on what a configuration held, which may be nothing.
+pub async fn pass_on_known(known: &Value, last: &mut u64, module: &Sender<Event>) -> Result<()> {
+    if known.is_object() { pass_on(known, last, module).await } else { Ok(()) }
+}
+
 /// Passes on the events behind `last`. After a gap only a whole list will do.
-pub async fn pass_on(told: &Value, last: &mut u64, module: &Sender<Event>) -> Result<()> {
+async fn pass_on(told: &Value, last: &mut u64, module: &Sender<Event>) -> Result<()> {
     for item in rows(told, "items")? {
         let number = whole(item, "no")?;
         if number <= *last {
--- a/router/src/front.rs
+++ b/router/src/front.rs
@@ -37,7 +37,7 @@
 /// For each ping and each request that the door turned away, before the client is read again.
 const PACE: Span = Span::from_micros(2_000);
 /// What a job takes beside its statement, in all tables and tasks.
-pub const JOB_BYTES: usize = 8 * 1024;
+const JOB_BYTES: usize = 8 * 1024;
 /// The error for what can't be taken, whatever is wrong with it.
 pub const MALFORMED: &str = "Malformed";
 
--- a/router/src/http.rs
+++ b/router/src/http.rs
@@ -44,6 +44,11 @@
         Self { link, buffer: Vec::new(), reusable: true, idle_since: Moment::default() }
     }
 
+    /// Whether another call can be made over it: all of the last one was read, and nothing came since.
+    pub fn is_ready(&self) -> bool {
+        self.reusable && self.link.is_quiet()
+    }
+
     /// Makes one call and returns the status and the body of its answer, of at most `most` bytes; `field`
     /// hears each field of the answer's head, and `wrote` of each write. An answer that comes with more than
     /// is its own is in doubt, as its length may not be the true one.
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -29,7 +29,6 @@
 
 use async_io::Async;
 use futures_lite::Stream;
-use serde_json::Value;
 use woadhook_door::fields::*;
 
 use crate::clock::Clock;
@@ -64,7 +63,7 @@
         memory: most("ramOfKindMb")?,
     };
     let longest = range.types.iter().map(|(_, timeout)| *timeout).max().unwrap_or_default();
-    let come_back = mark(limits, "retryAfter").then(|| span(limits, "maxRetryAfterUs")).transpose()?;
+    let come_back = woadhook_door::come_back(limits)?;
 
     let descriptors = Descriptors::share(given.descriptors);
     // Half of the memory in all; the other half is for what each connection and the program itself take.
@@ -83,9 +82,7 @@
     let desk = Desk::new(clock, given.seed, settings, ground, module.clone())?;
     tasks.start(desk.run(mailbox));
     let mut last = 0;
-    if let Value::Object(_) = given.known {
-        bulletin::pass_on(&given.known, &mut last, &module).await?;
-    }
+    bulletin::pass_on_known(&given.known, &mut last, &module).await?;
     let (moves, moved) = async_channel::bounded(1);
     tasks.start(bulletin::follow(given.bulletin, connect_timeout, grace, last, moved, module.clone()));
     let (stop, told_to_stop) = async_channel::bounded(1);
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -54,7 +54,7 @@
         let lease = |connection| Lease { pool: self.clone(), engine, connection: Some(connection) };
         self.close_old();
         while let Some(connection) = self.latest(engine) {
-            if connection.link.is_quiet() {
+            if connection.is_ready() {
                 return Ok(lease(connection));
             }
         }
--- a/router/src/query.rs
+++ b/router/src/query.rs
@@ -207,7 +207,7 @@
         let path = format!("/v2/q/{}/{page}", self.dispatch.statement.id);
         let mut doubts = 0;
         while doubts < DOUBTS {
-            let kept = lease.take().filter(|lease| lease.reusable && lease.link.is_quiet());
+            let kept = lease.take().filter(|lease| lease.is_ready());
             let opened = match kept {
                 Some(lease) => Ok(lease),
                 None => self.engine.lease(&self.engine.ground.queries).await,
