--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 # One router, as the example's configuration tells it.
 run: build
-	LB_CONFIG=router/examples/config.json target/release/woadhook
+	LB_CONFIG=crates/router/examples/config.json target/release/woadhook
 
 # Two toy engines and a toy bulletin for it; then `make ask`.
 toy:
