--- a/crates/adapter/src/flint.rs
+++ b/crates/adapter/src/flint.rs
@@ -213,7 +213,13 @@
             Decision::Wake { after } => {
                 steps.push(json!({"kind": "AFTER", "spanUs": after.micros(), "tag": "wake"}));
             }
-            Decision::Log(line) => steps.push(json!({"kind": "RECORD", "msg": line})),
+            Decision::SetAside { engine, why } => {
+                let words = format!("engine {} set aside: {}", engine.0, why.words());
+                steps.push(json!({"kind": "RECORD", "msg": words}));
+            }
+            Decision::Back { engine } => {
+                steps.push(json!({"kind": "RECORD", "msg": format!("engine {} is back", engine.0)}));
+            }
             Decision::Forget(Forgotten::Job(job)) => instance.jobs.forget(job.0),
             Decision::Forget(Forgotten::Key(key)) => instance.keys.forget(key.0),
             Decision::Forget(Forgotten::Engine(engine)) => instance.engines.forget(engine.0),
--- /dev/null
+++ b/crates/gossip/src/news.rs
@@ -0,0 +1,112 @@
+//! What is to be told on: the least told first, each a number of times that grows with the logarithm of the members.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use crate::keys::MemberId;
+use crate::wire::{STATEMENT_HEAD, Tag};
+
+/// Statements that wait at once; beyond that the most told one goes.
+pub const WAITING: usize = 1024;
+/// Times that a statement is told, over the binary logarithm of the members.
+const ROUNDS: f64 = 3.0;
+
+/// What a statement is about: a newer one about the same takes its place.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum About {
+    Card(MemberId),
+    /// Subject and witness.
+    Accusation(MemberId, MemberId),
+    /// Witness, engine and reservation type.
+    Word(MemberId, String, Option<String>),
+    Revocation(MemberId),
+}
+
+impl About {
+    fn tag(&self) -> Tag {
+        match self {
+            About::Card(_) => Tag::Card,
+            About::Accusation(..) => Tag::Accusation,
+            About::Word(..) => Tag::Word,
+            About::Revocation(_) => Tag::Revocation,
+        }
+    }
+}
+
+struct Item {
+    bytes: Rc<[u8]>,
+    told: u32,
+    order: u64,
+}
+
+/// Emptied by telling.
+#[derive(Default)]
+pub struct News {
+    items: BTreeMap<About, Item>,
+    /// The same by how often told, the newest first among equals.
+    queue: BTreeSet<(u32, std::cmp::Reverse<u64>, About)>,
+    order: u64,
+}
+
+impl News {
+    pub fn add(&mut self, about: About, bytes: Rc<[u8]>) {
+        self.forget(&about);
+        if self.items.len() >= WAITING
+            && let Some((_, _, most_told)) = self.queue.last().cloned()
+        {
+            self.forget(&most_told);
+        }
+        self.order += 1;
+        self.queue.insert((0, std::cmp::Reverse(self.order), about.clone()));
+        self.items.insert(about, Item { bytes, told: 0, order: self.order });
+    }
+
+    pub fn forget(&mut self, about: &About) {
+        if let Some(item) = self.items.remove(about) {
+            self.queue.remove(&(item.told, std::cmp::Reverse(item.order), about.clone()));
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Statements for a datagram to `to` with so much room. What is about the receiver goes first, so that it can
+    /// refute it; what is its own word is left out.
+    pub fn take(&mut self, to: MemberId, mut room: usize, members: usize) -> Vec<(Tag, Rc<[u8]>)> {
+        let most = (ROUNDS * ((members + 1) as f64).log2()).ceil().max(1.0) as u32;
+        let mut taken = Vec::new();
+        let first = About::Accusation(to, MemberId(0))..=About::Accusation(to, MemberId(u64::MAX));
+        let first = self.items.range(first).map(|(about, _)| about.clone()).take(2);
+        let rest = self.queue.iter().map(|(_, _, about)| about).filter(|about| match about {
+            About::Card(id) => *id != to,
+            About::Accusation(subject, witness) => *subject != to && *witness != to,
+            About::Word(witness, ..) => *witness != to,
+            About::Revocation(_) => true,
+        });
+        // A look past what is too long for the room is kept short.
+        let order: Vec<About> = first.chain(rest.take(24).cloned()).collect();
+        for about in order {
+            let Some(item) = self.items.get_mut(&about) else { continue };
+            let length = item.bytes.len() + STATEMENT_HEAD;
+            if length > room {
+                continue;
+            }
+            room -= length;
+            taken.push((about.tag(), item.bytes.clone()));
+            let (told, order) = (item.told, std::cmp::Reverse(item.order));
+            item.told += 1;
+            self.queue.remove(&(told, order, about.clone()));
+            if told + 1 < most {
+                self.queue.insert((told + 1, order, about));
+            } else {
+                self.items.remove(&about);
+            }
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/wire.rs
@@ -0,0 +1,481 @@
+//! Datagrams and the statements in them, as bytes. Reading never allocates more than it was given, and knows nothing
+//! of who may be believed.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+
+use woadhook::Moment;
+
+use crate::keys::{Cluster, Identity, MemberId, Pass, Revocation, Sealed, micros, verify};
+
+/// The largest datagram, in bytes: fits the least MTU of IPv6 with room for tunnels.
+pub const DATAGRAM: usize = 1200;
+/// What a ping to an address that proved nothing yet is filled up to, so that any answer fits into as much.
+pub const PADDED: usize = 640;
+/// The longest name of an engine and of a reservation type in a word, in bytes.
+pub const ENGINE_BYTES: usize = 64;
+pub const TYPE_BYTES: usize = 32;
+const MAGIC: [u8; 3] = *b"WG\x01";
+const SIGNATURE: usize = 64;
+
+/// Reads big-endian fields from the front of a slice.
+pub struct Reader<'a>(&'a [u8]);
+
+impl<'a> Reader<'a> {
+    pub fn new(bytes: &'a [u8]) -> Self {
+        Self(bytes)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub fn take(&mut self, count: usize) -> Option<&'a [u8]> {
+        let (taken, rest) = self.0.split_at_checked(count)?;
+        self.0 = rest;
+        Some(taken)
+    }
+
+    pub fn array<const N: usize>(&mut self) -> Option<[u8; N]> {
+        self.take(N)?.try_into().ok()
+    }
+
+    pub fn u8(&mut self) -> Option<u8> {
+        self.array::<1>().map(|[byte]| byte)
+    }
+
+    pub fn u16(&mut self) -> Option<u16> {
+        self.array().map(u16::from_be_bytes)
+    }
+
+    pub fn u64(&mut self) -> Option<u64> {
+        self.array().map(u64::from_be_bytes)
+    }
+
+    /// Bytes behind a length of one byte, `most` at most.
+    pub fn short(&mut self, most: usize) -> Option<&'a [u8]> {
+        let length = self.u8().map(usize::from).filter(|length| *length <= most)?;
+        self.take(length)
+    }
+}
+
+#[derive(Default)]
+pub struct Writer(Vec<u8>);
+
+impl Writer {
+    pub fn bytes(&mut self, bytes: &[u8]) {
+        self.0.extend_from_slice(bytes);
+    }
+
+    pub fn u8(&mut self, value: u8) {
+        self.0.push(value);
+    }
+
+    pub fn u16(&mut self, value: u16) {
+        self.bytes(&value.to_be_bytes());
+    }
+
+    pub fn u64(&mut self, value: u64) {
+        self.bytes(&value.to_be_bytes());
+    }
+
+    pub fn short(&mut self, bytes: &[u8]) {
+        self.u8(bytes.len() as u8);
+        self.bytes(bytes);
+    }
+
+    pub fn into_bytes(self) -> Vec<u8> {
+        self.0
+    }
+}
+
+/// What a datagram asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Answer with an ack.
+    Ping,
+    Ack,
+    /// Ping the member `about` and tell me if it answers.
+    Ask,
+    /// Send cards of living members behind `about`.
+    Pull,
+    Page,
+}
+
+impl Kind {
+    fn from(byte: u8) -> Option<Self> {
+        [Kind::Ping, Kind::Ack, Kind::Ask, Kind::Pull, Kind::Page].into_iter().find(|kind| *kind as u8 == byte)
+    }
+}
+
+/// A member as it tells of itself: its pass, and a record that it signed.
+#[derive(Clone, Debug)]
+pub struct Card {
+    pub pass: Pass,
+    pub id: MemberId,
+    pub address: SocketAddr,
+    /// Grows with each start and each refutation: milliseconds of Unix time or more.
+    pub incarnation: u64,
+    pub leaving: bool,
+    signature: [u8; 64],
+    /// As it travels.
+    pub bytes: Rc<[u8]>,
+}
+
+impl Card {
+    pub fn issue(own: &Identity, address: SocketAddr, incarnation: u64, leaving: bool) -> Self {
+        let record = record(own.id(), address, incarnation, leaving);
+        let signature = own.secret.sign(Sealed::Record, &record);
+        let mut out = Writer::default();
+        own.pass.write(&mut out);
+        out.bytes(&record[8..]);
+        out.bytes(&signature);
+        let bytes = out.into_bytes().into();
+        Self { pass: own.pass.clone(), id: own.id(), address, incarnation, leaving, signature, bytes }
+    }
+
+    /// Reads a card, signatures unchecked.
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        let mut from = Reader::new(bytes);
+        let pass = Pass::read(&mut from)?;
+        let ip: IpAddr = match from.u8()? {
+            4 => from.array::<4>()?.into(),
+            6 => from.array::<16>()?.into(),
+            _ => return None,
+        };
+        let address = SocketAddr::new(ip, from.u16()?);
+        let (incarnation, leaving) = (from.u64()?, from.u8()?);
+        let signature = from.array()?;
+        let whole = from.is_empty() && leaving <= 1;
+        let id = pass.id();
+        let bytes = bytes.into();
+        whole.then_some(Self { pass, id, address, incarnation, leaving: leaving == 1, signature, bytes })
+    }
+
+    /// Whether its subject signed the record.
+    pub fn is_own_word(&self) -> bool {
+        let record = record(self.id, self.address, self.incarnation, self.leaving);
+        verify(&self.pass.key, Sealed::Record, &record, &self.signature)
+    }
+}
+
+fn record(id: MemberId, address: SocketAddr, incarnation: u64, leaving: bool) -> Vec<u8> {
+    let mut out = Writer::default();
+    out.u64(id.0);
+    match address.ip() {
+        IpAddr::V4(ip) => {
+            out.u8(4);
+            out.bytes(&ip.octets());
+        }
+        IpAddr::V6(ip) => {
+            out.u8(6);
+            out.bytes(&ip.octets());
+        }
+    }
+    out.u16(address.port());
+    out.u64(incarnation);
+    out.u8(u8::from(leaving));
+    out.into_bytes()
+}
+
+/// A member's signed word that another did not answer it, at this incarnation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Accusation {
+    pub witness: MemberId,
+    pub subject: MemberId,
+    pub incarnation: u64,
+    pub at: Moment,
+    signature: [u8; 64],
+}
+
+impl Accusation {
+    pub fn issue(own: &Identity, subject: MemberId, incarnation: u64, at: Moment) -> Self {
+        let mut new = Self { witness: own.id(), subject, incarnation, at, signature: [0; 64] };
+        new.signature = own.secret.sign(Sealed::Accusation, &new.body());
+        new
+    }
+
+    fn body(&self) -> Vec<u8> {
+        let mut out = Writer::default();
+        for part in [self.witness.0, self.subject.0, self.incarnation, micros(self.at)] {
+            out.u64(part);
+        }
+        out.into_bytes()
+    }
+
+    pub fn to_bytes(&self) -> Vec<u8> {
+        [self.body().as_slice(), &self.signature].concat()
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        let mut from = Reader::new(bytes);
+        let read = Self {
+            witness: MemberId(from.u64()?),
+            subject: MemberId(from.u64()?),
+            incarnation: from.u64()?,
+            at: Moment::from_micros(from.u64()?),
+            signature: from.array()?,
+        };
+        from.is_empty().then_some(read)
+    }
+
+    pub fn is_signed_by(&self, key: &[u8; 32]) -> bool {
+        verify(key, Sealed::Accusation, &self.body(), &self.signature)
+    }
+}
+
+/// What was seen of an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Seen {
+    /// It gave no word while work was out there, or left probes unanswered.
+    Silent = 1,
+    /// Connections were reset or refused.
+    Reset = 2,
+    /// It turns work away.
+    Refusing = 3,
+    /// It ends one type's jobs as errors.
+    Failing = 4,
+    /// It does again what it was said not to.
+    Well = 5,
+}
+
+impl Seen {
+    fn from(byte: u8) -> Option<Self> {
+        [Seen::Silent, Seen::Reset, Seen::Refusing, Seen::Failing, Seen::Well]
+            .into_iter()
+            .find(|seen| *seen as u8 == byte)
+    }
+
+    /// Its stable name in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Seen::Silent => "silent",
+            Seen::Reset => "reset",
+            Seen::Refusing => "refusing",
+            Seen::Failing => "failing",
+            Seen::Well => "well",
+        }
+    }
+}
+
+/// A member's signed word on an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word {
+    pub witness: MemberId,
+    /// The witness's incarnation when it said so, and a number that grows with each of its words.
+    pub incarnation: u64,
+    pub number: u64,
+    pub at: Moment,
+    pub engine: String,
+    /// When the engine came up, as the witness's list has it; zero if it does not say.
+    pub came_up: Moment,
+    pub seen: Seen,
+    /// The reservation type, where it is about one.
+    pub of: Option<String>,
+    /// How sure the witness is, in 255ths.
+    pub sure: u8,
+    signature: [u8; 64],
+}
+
+impl Word {
+    pub fn issue(
+        own: &Identity, incarnation: u64, number: u64, at: Moment, engine: &str, came_up: Moment, seen: Seen,
+        of: Option<&str>, sure: u8,
+    ) -> Self {
+        let (engine, of) = (engine.to_owned(), of.map(str::to_owned));
+        let witness = own.id();
+        let signature = [0; 64];
+        let mut new = Self { witness, incarnation, number, at, engine, came_up, seen, of, sure, signature };
+        new.signature = own.secret.sign(Sealed::Word, &new.body());
+        new
+    }
+
+    fn body(&self) -> Vec<u8> {
+        let mut out = Writer::default();
+        for part in [self.witness.0, self.incarnation, self.number, micros(self.at), micros(self.came_up)] {
+            out.u64(part);
+        }
+        out.short(self.engine.as_bytes());
+        out.u8(self.seen as u8);
+        out.short(self.of.as_deref().unwrap_or_default().as_bytes());
+        out.u8(self.sure);
+        out.into_bytes()
+    }
+
+    pub fn to_bytes(&self) -> Vec<u8> {
+        [self.body().as_slice(), &self.signature].concat()
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        let mut from = Reader::new(bytes);
+        let text = |bytes: &[u8]| std::str::from_utf8(bytes).ok().map(str::to_owned);
+        let read = Self {
+            witness: MemberId(from.u64()?),
+            incarnation: from.u64()?,
+            number: from.u64()?,
+            at: Moment::from_micros(from.u64()?),
+            came_up: Moment::from_micros(from.u64()?),
+            engine: text(from.short(ENGINE_BYTES)?)?,
+            seen: Seen::from(from.u8()?)?,
+            of: Some(text(from.short(TYPE_BYTES)?)?).filter(|of| !of.is_empty()),
+            sure: from.u8()?,
+            signature: from.array()?,
+        };
+        from.is_empty().then_some(read)
+    }
+
+    pub fn is_signed_by(&self, key: &[u8; 32]) -> bool {
+        verify(key, Sealed::Word, &self.body(), &self.signature)
+    }
+}
+
+/// A statement as it stands in a datagram.
+#[derive(Clone, Debug)]
+pub enum Statement {
+    Card(Card),
+    Accusation(Accusation),
+    Word(Word),
+    Revocation(Revocation),
+}
+
+const PADDING: u8 = 0;
+/// What a statement's tag and length take.
+pub const STATEMENT_HEAD: usize = 3;
+
+/// The kinds of statement as they are tagged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tag {
+    Card = 1,
+    Accusation = 2,
+    Word = 3,
+    Revocation = 4,
+}
+
+/// A datagram's fields, its parts left where they lie.
+pub struct Envelope<'a> {
+    pub kind: Kind,
+    pub cluster: Cluster,
+    pub sender: MemberId,
+    pub to: MemberId,
+    pub sent: Moment,
+    pub number: u64,
+    /// The mark of the datagram that this answers, or zero.
+    pub re: u64,
+    pub about: MemberId,
+    /// How many living members the sender knows, and a digest of which.
+    pub living: u16,
+    pub digest: u64,
+    pub card: &'a [u8],
+    statements: &'a [u8],
+    signed: &'a [u8],
+    signature: [u8; 64],
+}
+
+impl<'a> Envelope<'a> {
+    /// Reads a datagram of such a cluster, signatures unchecked.
+    pub fn read(bytes: &'a [u8]) -> Option<Self> {
+        if bytes.len() > DATAGRAM {
+            return None;
+        }
+        let signed = &bytes[..bytes.len().checked_sub(SIGNATURE)?];
+        let signature = Reader::new(&bytes[signed.len()..]).array()?;
+        let mut from = Reader::new(signed);
+        if from.array()? != MAGIC {
+            return None;
+        }
+        let kind = Kind::from(from.u8()?)?;
+        let (cluster, sender, to) = (Cluster(from.u64()?), MemberId(from.u64()?), MemberId(from.u64()?));
+        let (sent, number) = (Moment::from_micros(from.u64()?), from.u64()?);
+        let (re, about) = (from.u64()?, MemberId(from.u64()?));
+        let (living, digest) = (from.u16()?, from.u64()?);
+        let length = from.u16()?.into();
+        let card = from.take(length)?;
+        let statements = from.0;
+        let read = Self {
+            kind, cluster, sender, to, sent, number, re, about, living, digest, card, statements, signed, signature,
+        };
+        let whole = read.parts().all(|part| part.is_some());
+        whole.then_some(read)
+    }
+
+    /// What tells this datagram from all others: others can't foresee it, as it takes the sender's key.
+    pub fn mark(&self) -> u64 {
+        mark(&self.signature)
+    }
+
+    pub fn is_signed_by(&self, key: &[u8; 32]) -> bool {
+        verify(key, Sealed::Envelope, self.signed, &self.signature)
+    }
+
+    fn parts(&self) -> impl Iterator<Item = Option<(u8, &'a [u8])>> {
+        let mut from = Reader::new(self.statements);
+        std::iter::from_fn(move || {
+            if from.is_empty() {
+                return None;
+            }
+            let part = (|| {
+                let tag = from.u8()?;
+                let length = from.u16()?;
+                Some((tag, from.take(length.into())?))
+            })();
+            if part.is_none() {
+                from = Reader::new(&[]);
+            }
+            Some(part)
+        })
+    }
+
+    /// The statements that can be read; others are passed over, as a newer version may have sent them.
+    pub fn statements(&self) -> impl Iterator<Item = Statement> {
+        self.parts().flatten().filter_map(|(tag, bytes)| match tag {
+            1 => Card::read(bytes).map(Statement::Card),
+            2 => Accusation::read(bytes).map(Statement::Accusation),
+            3 => Word::read(bytes).map(Statement::Word),
+            4 => {
+                let mut from = Reader::new(bytes);
+                Revocation::read(&mut from).filter(|_| from.is_empty()).map(Statement::Revocation)
+            }
+            _ => None,
+        })
+    }
+}
+
+fn mark(signature: &[u8; 64]) -> u64 {
+    u64::from_be_bytes(std::array::from_fn(|place| signature[place]))
+}
+
+/// What a datagram takes besides its statements, with a card of that length.
+pub fn envelope_bytes(card: usize) -> usize {
+    MAGIC.len() + 1 + 7 * 8 + 2 + 8 + 2 + card + SIGNATURE
+}
+
+/// Puts a datagram together and signs it. `fill` is the length it is padded to. Gives its mark too.
+pub fn seal(
+    own: &Identity, kind: Kind, to: MemberId, sent: Moment, number: u64, re: u64, about: MemberId,
+    view: (u16, u64), card: &[u8], statements: &[(Tag, Rc<[u8]>)], fill: usize,
+) -> (Vec<u8>, u64) {
+    let mut out = Writer(Vec::with_capacity(DATAGRAM));
+    out.bytes(&MAGIC);
+    out.u8(kind as u8);
+    for part in [own.pass.cluster.0, own.id().0, to.0, micros(sent), number, re, about.0] {
+        out.u64(part);
+    }
+    out.u16(view.0);
+    out.u64(view.1);
+    out.u16(card.len() as u16);
+    out.bytes(card);
+    for (tag, bytes) in statements {
+        out.u8(*tag as u8);
+        out.u16(bytes.len() as u16);
+        out.bytes(bytes);
+    }
+    let missing = fill.min(DATAGRAM).saturating_sub(out.0.len() + SIGNATURE);
+    if missing >= STATEMENT_HEAD {
+        out.u8(PADDING);
+        out.u16((missing - STATEMENT_HEAD) as u16);
+        out.0.resize(out.0.len() + missing - STATEMENT_HEAD, 0);
+    }
+    let signature = own.secret.sign(Sealed::Envelope, &out.0);
+    out.bytes(&signature);
+    (out.into_bytes(), mark(&signature))
+}
--- /dev/null
+++ b/crates/gossip/tests/stories.rs
@@ -0,0 +1,539 @@
+//! Stories of instances that gossip on the virtual network, one for each failure feared.
+
+use std::collections::BTreeSet;
+
+use woadhook::{Moment, Outcome, Span};
+use woadhook_gossip::keys::{Identity, MemberId, Pass, Ring, Secret};
+use woadhook_gossip::wire::{Accusation, Card, DATAGRAM, Kind, PADDED, Tag, Word, seal};
+use woadhook_gossip::{Counts, Gossip, Seen, What};
+use woadhook_standins::cluster::*;
+use woadhook_standins::net::Weather;
+
+const ENGINES: [&str; 3] = ["e-1", "e-2", "e-3"];
+const NOBODY: MemberId = MemberId(0);
+
+fn cluster(seed: u64, count: usize, weather: Weather) -> Cluster {
+    let mut cluster = Cluster::new(seed, count, weather, usual_pace());
+    cluster.list(&ENGINES);
+    cluster
+}
+
+/// One in which all know each other.
+fn settled(seed: u64, count: usize) -> Cluster {
+    let mut cluster = cluster(seed, count, Weather::calm());
+    cluster.acquaint();
+    cluster.pass(secs(3.0));
+    assert!(cluster.agree());
+    cluster
+}
+
+/// A datagram with such statements, signed by such an instance at its first incarnation.
+fn datagram(own: &Identity, to: MemberId, now: Moment, number: u64, statements: &[(Tag, Vec<u8>)]) -> Vec<u8> {
+    let card = Card::issue(own, address(200), now.since(Moment::default()).micros() / 1000, false);
+    let statements: Vec<_> = statements.iter().map(|(tag, bytes)| (*tag, bytes.as_slice().into())).collect();
+    seal(own, Kind::Ping, to, now, number, 0, NOBODY, (1, 0), &card.bytes, &statements, PADDED).0
+}
+
+fn dead(own: &Identity, now: Moment, number: u64, engine: &str) -> (Tag, Vec<u8>) {
+    let incarnation = now.since(Moment::default()).micros() / 1000;
+    let word = Word::issue(own, incarnation, number, now, engine, Moment::default(), Seen::Silent, None, 255);
+    (Tag::Word, word.to_bytes())
+}
+
+fn learned(counts: Counts) -> (u64, u64) {
+    (counts.words_taken, counts.checks)
+}
+
+#[test]
+fn instances_that_know_one_seed_find_all_others() {
+    let mut cluster = cluster(1, 12, Weather::calm());
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+    let late = cluster.add(12);
+    assert!(cluster.until(secs(5.0), Cluster::agree).is_some(), "a forty-first instance needs no change at the others");
+    assert_eq!(cluster.core(late).others().count(), 12);
+}
+
+#[test]
+fn a_crashed_member_is_gone_and_its_restart_is_back_under_a_higher_incarnation() {
+    let mut cluster = settled(2, 10);
+    let before = cluster.core(4).card().incarnation;
+    cluster.kill(4);
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+    cluster.start(4);
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+    assert!(cluster.core(4).card().incarnation > before);
+}
+
+#[test]
+fn a_restart_with_a_clock_set_back_gets_above_its_old_incarnation() {
+    let mut cluster = settled(3, 6);
+    let before = cluster.core(5).card().incarnation;
+    cluster.kill(5);
+    cluster.pass(secs(1.0));
+    cluster.nodes[5].clock = (secs(4.5), true);
+    cluster.start(5);
+    assert!(cluster.core(5).card().incarnation < before, "the story is about a clock set back");
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+    assert!(cluster.core(5).card().incarnation > before);
+}
+
+#[test]
+fn a_member_that_leaves_is_not_suspected_first() {
+    let mut cluster = settled(4, 10);
+    cluster.told.clear();
+    cluster.at(3, |now, core| core.leave(now));
+    cluster.pass(secs(0.1));
+    cluster.kill(3);
+    assert!(cluster.until(secs(5.0), Cluster::agree).is_some());
+    let of = |what| cluster.told.iter().filter(|told| told.what == what && told.member.as_deref() == Some("n3")).count();
+    assert!(of(What::MemberLeft) >= 9);
+    assert_eq!(of(What::MemberGone), 0);
+}
+
+#[test]
+fn a_word_on_an_engine_reaches_all_within_a_second() {
+    let mut cluster = settled(5, 40);
+    cluster.at(7, |now, core| core.judged(now, "e-2", Seen::Silent));
+    let all = |cluster: &Cluster| (0..40).all(|node| node == 7 || cluster.doubt(node, "e-2") > 0.4);
+    assert!(cluster.until(secs(1.0), all).is_some());
+    cluster.at(7, |now, core| core.judged(now, "e-2", Seen::Well));
+    let none = |cluster: &Cluster| (0..40).all(|node| cluster.doubt(node, "e-2") == 0.0);
+    assert!(cluster.until(secs(2.0), none).is_some());
+}
+
+#[test]
+fn refusing_and_failing_engines_are_told_of_by_type_and_no_longer_once_well() {
+    let mut cluster = settled(6, 5);
+    for _ in 0..4 {
+        cluster.at(0, |now, core| core.ended(now, "e-1", "load", Outcome::Error));
+        cluster.at(0, |now, core| core.ended(now, "e-3", "look", Outcome::TurnedAway));
+    }
+    cluster.pass(secs(1.0));
+    let heard = |cluster: &Cluster, of: &str| {
+        cluster.nodes[3].hearsay.get(&("e-1".to_owned(), Some(of.to_owned()))).copied().unwrap_or(0.0)
+    };
+    assert!(heard(&cluster, "load") > 0.4);
+    assert_eq!(heard(&cluster, "look"), 0.0);
+    assert!(cluster.doubt(3, "e-3") > 0.4);
+    for _ in 0..4 {
+        cluster.at(0, |now, core| core.ended(now, "e-1", "load", Outcome::Done));
+        cluster.at(0, |now, core| core.ended(now, "e-3", "look", Outcome::Done));
+    }
+    cluster.pass(secs(1.0));
+    assert_eq!((heard(&cluster, "load"), cluster.doubt(3, "e-3")), (0.0, 0.0));
+}
+
+#[test]
+fn a_forged_engine_dead_is_not_learned() {
+    let mut cluster = settled(7, 4);
+    let to = cluster.core(0).id();
+    let now = cluster.now;
+    let stranger = {
+        // A key that some other operator admitted.
+        let (other, secret) = (secret(900), secret(901));
+        let pass = Pass::issue(&other, "n1", secret.public(), tag(), START, START + secs(9e6)).unwrap();
+        let ring = Ring::new(tag(), vec![other.public()]);
+        Identity::new(secret, pass, &ring, now).unwrap()
+    };
+    let before = cluster.core(0).counts();
+    // Wrong operator.
+    let bytes = datagram(&stranger, to, now, 1, &[dead(&stranger, now, 1, "e-1")]);
+    cluster.at(0, |now, core| core.heard(now, address(1), &bytes));
+    // Its own pass, another's name on the word: signed by the stranger, told as of member 1.
+    let honest = identity(1, "n1", now);
+    let mut bytes = datagram(&honest, to, now, 1_000_000, &[dead(&honest, now, 99, "e-1")]);
+    // Bit flips at every byte.
+    for place in 0..bytes.len() {
+        bytes[place] ^= 0x10;
+        cluster.at(0, |now, core| core.heard(now, address(1), &bytes));
+        bytes[place] ^= 0x10;
+    }
+    // No signature at all.
+    let length = bytes.len();
+    bytes[length - 64..].fill(0);
+    cluster.at(0, |now, core| core.heard(now, address(1), &bytes));
+    let after = cluster.core(0).counts();
+    assert_eq!(after.words_taken, before.words_taken);
+    assert!(after.not_admitted > before.not_admitted && after.forged > before.forged && after.foreign > before.foreign);
+    assert_eq!(cluster.doubt(0, "e-1"), 0.0);
+}
+
+#[test]
+fn yesterdays_words_and_repeats_are_refused() {
+    let mut cluster = settled(8, 3);
+    let (to, now) = (cluster.core(0).id(), cluster.now);
+    let honest = identity(1, "n1", now);
+    let yesterday = Moment::from_micros(now.since(Moment::default()).less(secs(86_400.0)).micros());
+    let old = datagram(&honest, to, yesterday, 1, &[dead(&honest, yesterday, 1, "e-1")]);
+    let fresh = datagram(&honest, to, now, 5, &[dead(&honest, now, 5, "e-2")]);
+    let before = cluster.core(0).counts();
+    cluster.at(0, |now, core| core.heard(now, address(1), &old));
+    cluster.at(0, |now, core| core.heard(now, address(1), &fresh));
+    let once = cluster.core(0).counts();
+    cluster.at(0, |now, core| core.heard(now, address(1), &fresh));
+    let twice = cluster.core(0).counts();
+    assert_eq!(once.untimely, before.untimely + 1);
+    assert_eq!(once.words_taken, before.words_taken + 1, "what is fresh is heard");
+    assert_eq!((twice.replayed, learned(twice)), (once.replayed + 1, learned(once)));
+    // Through another member, a word from yesterday or one told before says nothing either.
+    let carrier = identity(2, "n2", now);
+    let words = [dead(&honest, yesterday, 9, "e-3"), dead(&honest, now, 5, "e-2")];
+    let relayed = datagram(&carrier, to, now, 3, &words);
+    cluster.at(0, |now, core| core.heard(now, address(2), &relayed));
+    assert_eq!(cluster.core(0).counts().words_taken, once.words_taken);
+    assert_eq!(cluster.doubt(0, "e-3"), 0.0);
+}
+
+#[test]
+fn a_datagram_meant_for_another_instance_or_cluster_is_refused() {
+    let mut cluster = settled(9, 3);
+    let now = cluster.now;
+    let honest = identity(1, "n1", now);
+    let to_another = datagram(&honest, cluster.core(2).id(), now, 7, &[dead(&honest, now, 7, "e-1")]);
+    let before = cluster.core(0).counts();
+    cluster.at(0, |now, core| core.heard(now, address(1), &to_another));
+    let other = woadhook_gossip::keys::Cluster::named("elsewhere");
+    let secret = secret(1);
+    let pass = Pass::issue(&operator(), "n1", secret.public(), other, START, START + secs(9e6)).unwrap();
+    let elsewhere = Identity::new(secret, pass, &Ring::new(other, vec![operator().public()]), now).unwrap();
+    let foreign = datagram(&elsewhere, NOBODY, now, 8, &[dead(&elsewhere, now, 8, "e-1")]);
+    cluster.at(0, |now, core| core.heard(now, address(1), &foreign));
+    let after = cluster.core(0).counts();
+    assert_eq!((after.foreign, learned(after)), (before.foreign + 2, learned(before)));
+}
+
+#[test]
+fn a_revoked_key_is_out_at_all_once_one_instance_is_told() {
+    let mut cluster = settled(10, 8);
+    let now = cluster.now;
+    let list = ring_with(&[5], now);
+    let own = identity(0, "n0", now);
+    cluster.at(0, |now, core| core.rekey(now, own, list));
+    let out = |cluster: &Cluster| {
+        let holds = |node: usize| cluster.core(node).others().any(|(name, ..)| name == "n5");
+        (0..8).all(|node| node == 5 || !holds(node))
+    };
+    assert!(cluster.until(secs(5.0), out).is_some());
+    let before = cluster.core(2).counts();
+    cluster.at(5, |now, core| core.judged(now, "e-1", Seen::Silent));
+    cluster.pass(secs(5.0));
+    assert!(out(&cluster));
+    assert_eq!(cluster.doubt(2, "e-1"), 0.0);
+    assert!(cluster.core(2).counts().not_admitted > before.not_admitted);
+}
+
+fn ring_with(revoked: &[u64], now: Moment) -> Ring {
+    let mut ring = ring();
+    revoked.iter().for_each(|number| assert!(ring.revoke(&revocation(*number), now)));
+    ring
+}
+
+#[test]
+fn an_ended_pass_is_out_and_the_operators_key_can_be_changed_under_load() {
+    let mut cluster = settled(11, 4);
+    let now = cluster.now;
+    // A second operator key, believed beside the first at all, then alone.
+    let second = secret(77);
+    let both = || Ring::new(tag(), vec![operator().public(), second.public()]);
+    for node in 0..4 {
+        let own = identity(node as u64, &format!("n{node}"), now);
+        cluster.at(node, |now, core| core.rekey(now, own, both()));
+    }
+    cluster.pass(secs(1.0));
+    for node in 0..4 {
+        let pass = Pass::issue(&second, &format!("n{node}"), secret(node as u64).public(), tag(), now, now + secs(90.0));
+        let own = Identity::new(secret(node as u64), pass.unwrap(), &both(), now).unwrap();
+        cluster.at(node, |now, core| core.rekey(now, own, both()));
+        cluster.pass(secs(1.0));
+        cluster.at(node, |now, core| core.judged(now, "e-1", Seen::Silent));
+        cluster.pass(secs(1.0));
+        let other = (node + 1) % 4;
+        assert!(cluster.doubt(other, "e-1") > 0.0, "words go on while keys change");
+        cluster.at(node, |now, core| core.judged(now, "e-1", Seen::Well));
+        cluster.pass(secs(1.0));
+    }
+    assert!(cluster.until(secs(5.0), Cluster::agree).is_some());
+    cluster.pass(secs(100.0));
+    assert_eq!(cluster.core(0).others().count(), 0, "passes that have ended are believed by nobody");
+    assert!(cluster.told.iter().any(|told| told.what == What::PassEnding));
+}
+
+#[test]
+fn an_instance_that_changes_its_own_key_is_one_witness_and_one_member() {
+    let mut cluster = settled(12, 5);
+    cluster.at(3, |now, core| core.judged(now, "e-1", Seen::Silent));
+    cluster.pass(secs(1.0));
+    let once = cluster.doubt(0, "e-1");
+    let now = cluster.now;
+    let pass = Pass::issue(&operator(), "n3", secret(500).public(), tag(), now, now + secs(9e6)).unwrap();
+    let own = Identity::new(secret(500), pass, &ring(), now).unwrap();
+    cluster.at(3, |now, core| core.rekey(now, own, ring()));
+    cluster.pass(secs(2.0));
+    cluster.at(3, |now, core| core.judged(now, "e-1", Seen::Well));
+    cluster.at(3, |now, core| core.judged(now, "e-1", Seen::Reset));
+    cluster.pass(secs(1.0));
+    assert!(cluster.doubt(0, "e-1") <= once + 1e-9, "two keys of one name are one voice");
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+}
+
+#[test]
+fn a_lone_liar_is_not_heard_after_four_contradictions() {
+    let mut cluster = settled(13, 6);
+    let liar = cluster.core(5).id();
+    let mut lies = 0;
+    for turn in 0..40 {
+        let seen = if turn % 2 == 0 { Seen::Silent } else { Seen::Well };
+        cluster.at(5, |now, core| core.judged(now, "e-1", seen));
+        cluster.pass(secs(0.6));
+        if cluster.doubt(0, "e-1") > 0.0 {
+            lies += 1;
+            // What a probe of the engine says.
+            cluster.at(0, |now, core| core.answered(now, "e-1"));
+            assert_eq!(cluster.doubt(0, "e-1"), 0.0);
+        }
+    }
+    assert!((1..=5).contains(&lies), "{lies} lies were heard");
+    assert!(cluster.core(0).credit(liar) < 0.2);
+    assert!(cluster.told.iter().any(|told| told.what == What::MemberDistrusted && told.node == 0));
+    // Others are heard as before.
+    cluster.at(4, |now, core| core.judged(now, "e-2", Seen::Silent));
+    cluster.pass(secs(1.0));
+    assert!(cluster.doubt(0, "e-2") > 0.4);
+}
+
+#[test]
+fn liars_who_name_members_dead_end_none() {
+    let mut cluster = settled(14, 20);
+    cluster.told.clear();
+    // Three liars, as many as would do for a member that can't speak for itself.
+    for turn in 0..30 {
+        for liar in 17..20 {
+            let now = cluster.now;
+            let own = identity(liar as u64, &format!("n{liar}"), now);
+            let victim = turn % 17;
+            let (subject, incarnation) = (cluster.core(victim).id(), cluster.core(victim).card().incarnation);
+            let accusation = Accusation::issue(&own, subject, incarnation, now);
+            let (own_card, target) = (cluster.core(liar).card(), (victim + 1 + turn) % 17);
+            let statements = [(Tag::Accusation, accusation.to_bytes().into())];
+            let to = cluster.core(target).id();
+            let number = 1_000_000 + turn as u64;
+            let bytes = seal(&own, Kind::Ping, to, now, number, 0, NOBODY, (20, 0), &own_card.bytes, &statements, 0).0;
+            let from = cluster.nodes[liar].address;
+            cluster.inject(from, target, bytes);
+        }
+        cluster.pass(secs(0.5));
+    }
+    let gone = cluster.told.iter().filter(|told| told.what == What::MemberGone).count();
+    let accused = cluster.told.iter().filter(|told| told.what == What::Accused).count();
+    assert_eq!(gone, 0);
+    assert!(accused > 0, "the lies were told");
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+}
+
+#[test]
+fn a_laggards_words_are_half_faded_and_its_flapping_harms_none() {
+    let mut cluster = settled(15, 6);
+    let slow = cluster.nodes[5].address;
+    cluster.net.lag(slow, secs(10.0));
+    cluster.at(5, |now, core| core.judged(now, "e-1", Seen::Silent));
+    cluster.pass(secs(12.0));
+    let late = cluster.doubt(0, "e-1");
+    assert!(late < 0.3, "ten seconds late, a word counts half of a fresh one at most: {late}");
+    cluster.pass(secs(20.0));
+    let others = |cluster: &Cluster| {
+        let knows = |node: usize| cluster.core(node).others().filter(|(name, ..)| *name != "n5").count() == 4;
+        (0..5).all(knows)
+    };
+    assert!(others(&cluster));
+}
+
+#[test]
+fn clocks_off_by_five_seconds_are_borne() {
+    let mut cluster = cluster(16, 8, Weather::calm());
+    for (node, behind) in [(2, false), (6, true)] {
+        cluster.kill(node);
+        cluster.nodes[node].clock = (secs(4.9), behind);
+        cluster.start(node);
+    }
+    cluster.list(&ENGINES);
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+    for node in [2, 6, 4] {
+        cluster.at(node, |now, core| core.judged(now, "e-1", Seen::Silent));
+        cluster.pass(secs(1.0));
+        let heard = |other: usize| other == node || cluster.doubt(other, "e-1") > 0.25;
+        assert!((0..8).all(heard), "what {node} says");
+        cluster.at(node, |now, core| core.judged(now, "e-1", Seen::Well));
+        cluster.pass(secs(2.0));
+        assert!((0..8).all(|other| cluster.doubt(other, "e-1") == 0.0));
+    }
+}
+
+#[test]
+fn a_hundred_join_at_once() {
+    let mut cluster = settled(17, 20);
+    for number in 20..120 {
+        cluster.add(number);
+    }
+    let before: Vec<u64> = cluster.running().map(|(_, core)| core.counts().sent).collect();
+    let start = cluster.now;
+    let took = cluster.until(secs(60.0), Cluster::agree);
+    assert!(took.is_some());
+    let span = cluster.now.since(start).secs() + 0.5;
+    for ((_, core), before) in cluster.running().zip(before) {
+        let rate = (core.counts().sent - before) as f64 / span;
+        assert!(rate <= usual_pace().sends_per_s * 1.2, "{rate} datagrams a second");
+    }
+}
+
+#[test]
+fn halves_of_a_partition_find_each_other_again() {
+    for (small, seed) in [(20, 18), (1, 19)] {
+        let mut cluster = settled(seed, 40);
+        for node in 0..small {
+            let place = cluster.nodes[39 - node].address;
+            cluster.net.part(place, 1);
+        }
+        let parted = |cluster: &Cluster| {
+            cluster.core(0).living() == 40 - small && cluster.core(39).living() == small
+        };
+        assert!(cluster.until(secs(30.0), parted).is_some(), "{small} of 40 cut off");
+        cluster.kill(10);
+        cluster.pass(secs(5.0));
+        cluster.net.heal();
+        let healed = cluster.until(secs(30.0), Cluster::agree);
+        assert!(healed.is_some(), "{small} of 40 cut off: {:?}",
+            cluster.running().map(|(node, core)| (node, core.living())).collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn a_third_of_all_lost_with_repeats_and_reordering_ends_no_one_for_long() {
+    let mut cluster = settled(20, 20);
+    cluster.net.weather = Weather::rough();
+    cluster.told.clear();
+    cluster.pass(secs(20.0));
+    cluster.at(3, |now, core| core.judged(now, "e-1", Seen::Silent));
+    let all = |cluster: &Cluster| (0..20).all(|node| node == 3 || cluster.doubt(node, "e-1") > 0.2);
+    assert!(cluster.until(secs(4.0), all).is_some(), "words get through");
+    cluster.net.weather = Weather::calm();
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+    let replayed: u64 = cluster.running().map(|(_, core)| core.counts().replayed).sum();
+    assert!(replayed > 0, "the network repeated datagrams");
+}
+
+#[test]
+fn an_answer_to_an_unproven_address_is_no_larger_than_what_came() {
+    let mut cluster = settled(21, 30);
+    let now = cluster.now;
+    // A member's own words, sent again from an address that is not its own.
+    let own = identity(29, "n29", now);
+    let to = cluster.core(0).id();
+    for (number, kind) in [Kind::Ping, Kind::Pull, Kind::Ask].into_iter().enumerate() {
+        let card = Card::issue(&own, address(29), cluster.core(29).card().incarnation, false);
+        let about = if kind == Kind::Ask { cluster.core(3).id() } else { NOBODY };
+        let bytes = seal(&own, kind, to, now, 5_000 + number as u64, 0, about, (1, 0), &card.bytes, &[], 600).0;
+        let before = cluster.core(0).counts();
+        cluster.at(0, |now, core| core.heard(now, address(250), &bytes));
+        let after = cluster.core(0).counts();
+        assert!(after.checks > before.checks, "it was taken for the member's");
+        let answered = after.sent_bytes - before.sent_bytes;
+        assert!(answered <= bytes.len() as u64, "{answered} bytes to {kind:?} of {}", bytes.len());
+    }
+}
+
+#[test]
+fn spoofed_joins_neither_fill_the_table_nor_make_the_seed_talk() {
+    let mut cluster = settled(22, 5);
+    let now = cluster.now;
+    let before = cluster.core(0).counts();
+    // One valid pass, joined under a thousand addresses.
+    let own = identity(800, "n800", now);
+    for number in 0..1000 {
+        let card = Card::issue(&own, address(300 + number), 1_780_000_000_000 + number as u64, false);
+        let bytes =
+            seal(&own, Kind::Ping, NOBODY, now, 1, 0, NOBODY, (1, 0), &card.bytes, &[], PADDED).0;
+        cluster.at(0, |now, core| core.heard(now, address(300 + number), &bytes));
+    }
+    let after = cluster.core(0).counts();
+    assert!(cluster.core(0).living() <= 6, "one key is one member");
+    assert!(after.over_budget > before.over_budget, "the budget of strangers binds");
+    assert!(after.sent - before.sent < 100);
+    // Known members are heard all the while.
+    cluster.at(3, |now, core| core.judged(now, "e-1", Seen::Silent));
+    cluster.pass(secs(1.0));
+    assert!(cluster.doubt(0, "e-1") > 0.4);
+}
+
+#[test]
+fn a_flood_of_garbage_costs_no_signature_checks() {
+    let mut cluster = settled(23, 3);
+    let before = cluster.core(0).counts();
+    let mut seen = BTreeSet::new();
+    for number in 0..20_000_u32 {
+        let mut bytes = vec![(number % 251) as u8; (number % 1300) as usize];
+        if number % 2 == 0 && bytes.len() > 4 {
+            bytes[..4].copy_from_slice(b"WG\x01\x00");
+        }
+        seen.insert(bytes.len());
+        cluster.at(0, |now, core| core.heard(now, address(240), &bytes));
+    }
+    let after = cluster.core(0).counts();
+    assert!(seen.contains(&(DATAGRAM + 1)));
+    assert_eq!(after.checks, before.checks);
+    assert_eq!(after.foreign, before.foreign + 20_000);
+}
+
+#[test]
+fn a_record_from_far_ahead_does_not_end_a_name_for_good() {
+    let mut cluster = settled(24, 4);
+    let now = cluster.now;
+    let stolen = identity(2, "n2", now);
+    let far = now + Span::from_secs(1e7);
+    let card = Card::issue(&stolen, address(2), far.since(Moment::default()).micros() / 1000, false);
+    let bytes = seal(&stolen, Kind::Ping, NOBODY, now, 1, 0, NOBODY, (1, 0), &card.bytes, &[], PADDED).0;
+    let before = cluster.core(0).counts().not_admitted;
+    cluster.at(0, |now, core| core.heard(now, address(2), &bytes));
+    assert_eq!(cluster.core(0).counts().not_admitted, before + 1);
+    assert!(cluster.until(secs(5.0), Cluster::agree).is_some());
+}
+
+#[test]
+fn a_late_word_on_an_engines_earlier_start_says_nothing_of_its_new_one() {
+    let mut cluster = settled(25, 3);
+    let up = cluster.now;
+    let list = vec![("e-1".to_owned(), up)];
+    cluster.at(0, |_, core| core.listed(&list));
+    let older = vec![("e-1".to_owned(), START)];
+    cluster.at(1, |_, core| core.listed(&older));
+    cluster.at(1, |now, core| core.judged(now, "e-1", Seen::Reset));
+    cluster.pass(secs(1.0));
+    assert_eq!(cluster.doubt(0, "e-1"), 0.0);
+    assert!(cluster.core(0).counts().words_refused > 0);
+}
+
+#[test]
+fn memory_holds_the_members_that_are_allowed_and_no_more() {
+    let pace = woadhook_gossip::Pace { members: 8, ..usual_pace() };
+    let mut cluster = Cluster::new(26, 14, Weather::calm(), pace);
+    cluster.pass(secs(10.0));
+    assert!(cluster.running().all(|(_, core)| core.living() <= 9));
+    assert!(cluster.told.iter().any(|told| told.what == What::NoRoom));
+}
+
+#[test]
+fn a_secret_file_reads_back_and_is_checked() {
+    let secret = secret(3);
+    let again = Secret::from_text(&secret.to_text()).unwrap();
+    assert_eq!(again.public(), secret.public());
+    assert!(Secret::from_text("woadhook secret key\nabc").is_err());
+    assert!(Secret::from_text("woadhook pass\n00").is_err());
+    let now = START + secs(1.0);
+    let pass = Pass::issue(&operator(), "n", again.public(), tag(), now, now + secs(9.0)).unwrap();
+    assert_eq!(Pass::from_text(&pass.to_text()).unwrap(), pass);
+    assert!(Pass::issue(&operator(), "a b", again.public(), tag(), now, now + secs(9.0)).is_err());
+    let wrong = |secret: Secret, ring: Ring, at| Identity::new(secret, pass.clone(), &ring, at).err();
+    assert!(wrong(self::secret(4), ring(), now).unwrap().contains("another key"));
+    assert!(wrong(self::secret(3), Ring::new(tag(), vec![]), now).unwrap().contains("not signed"));
+    assert!(wrong(self::secret(3), ring(), now + secs(10.0)).unwrap().contains("ended"));
+    let _: fn(&Gossip) -> Counts = Gossip::counts;
+}
--- /dev/null
+++ b/crates/operator/src/page.rs
@@ -0,0 +1,25 @@
+//! The page of all fields, made from the table that checks them.
+
+use crate::sheet::allowed;
+use crate::table::{FIELDS, SECTIONS};
+
+/// The page as Markdown.
+pub fn fields() -> String {
+    let mut page = String::from(
+        "# Fields of the operator file\n\nMade by `woadhook fields` from the table that checks them. The file is \
+         Jsonnet (JSON is valid Jsonnet); `woadhook check --operator FILE` checks it and says what is set.\n",
+    );
+    for (section, says) in SECTIONS {
+        page.push_str(&format!("\n## {section}\n\n{says}\n\n| field | allowed | default | |\n| --- | --- | --- | --- |\n"));
+        for field in FIELDS.iter().filter(|field| field.section() == *section) {
+            let default = match field.default {
+                None => "required".to_owned(),
+                Some("null") => "none".to_owned(),
+                Some(value) => format!("`{value}`"),
+            };
+            let line = format!("| `{}` | {} | {default} | {} |\n", field.name(), allowed(field), field.says);
+            page.push_str(&line);
+        }
+    }
+    page
+}
--- /dev/null
+++ b/crates/operator/src/table.rs
@@ -0,0 +1,95 @@
+//! The fields of the operator file: one line each, which checks what is given and explains it.
+
+/// What a field holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    Flag,
+    /// One of these words.
+    Choice(&'static [&'static str]),
+    /// Text of so many bytes at most, and one at least.
+    Text(usize),
+    /// A whole number in this range, ends included.
+    Whole(u64, u64),
+    /// An IP address and port.
+    Address,
+    /// A path; one that is not absolute starts at the operator file's folder.
+    File,
+    /// Up to so many of these.
+    List(usize, &'static Kind),
+}
+
+/// One field.
+#[derive(Clone, Copy, Debug)]
+pub struct Field {
+    /// Section and name.
+    pub path: &'static str,
+    pub kind: Kind,
+    /// The unit of a number, or nothing.
+    pub unit: &'static str,
+    /// What stands in where nothing is given, as JSON; without one, the field is required where its section is given.
+    pub default: Option<&'static str>,
+    pub says: &'static str,
+}
+
+const fn field(path: &'static str, kind: Kind, unit: &'static str, says: &'static str) -> Field {
+    Field { path, kind, unit, default: None, says }
+}
+
+impl Field {
+    const fn or(self, default: &'static str) -> Self {
+        Self { default: Some(default), ..self }
+    }
+
+    pub fn section(&self) -> &'static str {
+        self.path.split_once('.').map_or("", |(section, _)| section)
+    }
+
+    pub fn name(&self) -> &'static str {
+        self.path.split_once('.').map_or(self.path, |(_, name)| name)
+    }
+}
+
+const ADDRESS: Kind = Kind::Address;
+const KEY: Kind = Kind::Text(64);
+
+/// Every field that an operator file may hold.
+pub const FIELDS: &[Field] = &[
+    field("log.format", Kind::Choice(&["text", "json"]), "", "Lines for people, or one JSON object a line.")
+        .or("\"text\""),
+    field("log.level", Kind::Choice(&["error", "warn", "info", "debug", "trace"]), "",
+        "The least grave lines that are written; `RUST_LOG` goes before it.").or("\"info\""),
+    field("gossip.cluster", Kind::Text(64), "",
+        "The name that all instances of one cluster share; messages of others are refused."),
+    field("gossip.listen", ADDRESS, "", "Where this instance receives datagrams (UDP)."),
+    field("gossip.advertise", ADDRESS, "",
+        "Where others send to this instance, if that is not `listen`. Told to all members, signed.").or("null"),
+    field("gossip.seeds", Kind::List(32, &ADDRESS), "",
+        "Instances that are asked first, and again while few members are known. Own addresses may be among them.")
+        .or("[]"),
+    field("gossip.key", Kind::File, "", "This instance's secret key, readable by its owner alone (mode 0600)."),
+    field("gossip.pass", Kind::File, "", "The operator's word that this key belongs to the cluster."),
+    field("gossip.operator_keys", Kind::List(4, &KEY), "",
+        "Public keys whose passes are believed, 64 hex digits each; two while the operator's key is changed."),
+    field("gossip.revoked", Kind::File, "",
+        "Keys that no longer belong, as signed by the operator; members tell them on.").or("null"),
+    field("gossip.period_ms", Kind::Whole(50, 10_000), "milliseconds",
+        "Between two pings of members. Words reach all within a few periods.").or("200"),
+    field("gossip.sends_per_s", Kind::Whole(5, 1_000), "datagrams a second",
+        "The most that this instance sends, of 1,200 bytes at most each.").or("40"),
+    field("gossip.checks_per_s", Kind::Whole(20, 10_000), "signatures a second",
+        "The most that this instance checks; what comes beyond is dropped unread.").or("400"),
+    field("gossip.members", Kind::Whole(2, 16_384), "members",
+        "The most that are remembered, at about 0.6 KB each.").or("4096"),
+    field("gossip.clock_tolerance_ms", Kind::Whole(100, 60_000), "milliseconds",
+        "By how much clocks of instances may differ.").or("5000"),
+    field("gossip.word_lifetime_ms", Kind::Whole(500, 60_000), "milliseconds",
+        "How long a word on an engine counts, fading all the while.").or("10000"),
+    field("gossip.forget_s", Kind::Whole(10, 86_400), "seconds",
+        "How long a member that is gone or has left is remembered.").or("600"),
+];
+
+/// The sections, in the order of the table, and what each is for.
+pub const SECTIONS: &[(&str, &str)] = &[
+    ("log", "How log lines are written."),
+    ("gossip", "Talk among instances. Without this section there is none: no socket is opened, no key read."),
+];
--- /dev/null
+++ b/crates/router/src/commands.rs
@@ -0,0 +1,259 @@
+//! The command line.
+
+use std::env;
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::thread;
+
+use async_channel::Sender;
+use async_signal::{Signal, Signals};
+use clap::{Args, Parser, Subcommand};
+use futures_lite::StreamExt;
+use woadhook::Span;
+use woadhook_door::Instance;
+use woadhook_gossip::keys::{Cluster, MemberId, Pass, Revocation, Secret, public_from_text, public_to_text};
+use woadhook_operator::{Sheet, bounds, page};
+use woadhook_router::clock::Clock;
+use woadhook_router::gossip::{Keys, Talk};
+use woadhook_router::stop::Order;
+use woadhook_router::tasks::Tasks;
+use woadhook_router::{config, keyfiles, serve};
+
+use crate::logs::{self, Format};
+
+/// A router for queries on a pool of sql engines. Without a command it runs one, as `LB_CONFIG` tells it.
+#[derive(Parser)]
+#[command(name = "woadhook", version)]
+pub struct Line {
+    /// How log lines are written; goes before the operator file
+    #[arg(long, global = true, value_enum, value_name = "FORMAT")]
+    log_format: Option<Format>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs one router until SIGTERM; SIGHUP has the configuration and the operator file read again
+    Run(Run),
+    /// Checks the operator file and the configuration, and says what is set
+    Check {
+        #[command(flatten)]
+        operator: Run,
+        /// The platform's configuration; `LB_CONFIG` names it else
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Keys, passes and revocations for talk among instances
+    #[command(subcommand)]
+    Key(Key),
+    /// Prints the page of all fields of the operator file
+    Fields,
+    #[command(name = bounds::COMMAND, hide = true)]
+    Evaluate { file: PathBuf },
+}
+
+#[derive(Args, Default)]
+struct Run {
+    /// What this installation sets beside the platform's configuration (Jsonnet)
+    #[arg(long = "operator", value_name = "FILE", env = "WOADHOOK_OPERATOR")]
+    file: Option<PathBuf>,
+}
+
+#[derive(Subcommand)]
+enum Key {
+    /// Makes a secret key, readable by its owner alone, and prints the public one
+    New { file: PathBuf },
+    /// Says what a key file, pass or list of revocations holds; never the secret itself
+    Show { file: PathBuf },
+    /// Signs a pass with the operator's key
+    Admit {
+        #[command(flatten)]
+        by: By,
+        /// The instance's name
+        #[arg(long)]
+        name: String,
+        /// Days until the pass ends
+        #[arg(long, default_value_t = 365, value_parser = clap::value_parser!(u32).range(1..=3650))]
+        days: u32,
+        /// The file to write
+        #[arg(long, value_name = "FILE")]
+        to: PathBuf,
+    },
+    /// Adds a key to a list of revocations, signed with the operator's key
+    Revoke {
+        #[command(flatten)]
+        by: By,
+        /// Days for which it is remembered; no shorter than what is left of the key's pass
+        #[arg(long, default_value_t = 365, value_parser = clap::value_parser!(u32).range(1..=3650))]
+        days: u32,
+        /// The list
+        #[arg(long, value_name = "FILE")]
+        list: PathBuf,
+    },
+}
+
+#[derive(Args)]
+struct By {
+    /// The operator's secret key
+    #[arg(long, value_name = "FILE")]
+    operator_key: PathBuf,
+    #[arg(long)]
+    cluster: String,
+    /// The instance's public key, 64 hex digits
+    #[arg(long, value_name = "HEX", value_parser = public_from_text)]
+    member: [u8; 32],
+}
+
+pub fn carry_out(line: Line) -> ExitCode {
+    let done = match line.command {
+        None => run(Run::default(), line.log_format),
+        Some(Command::Run(operator)) => run(operator, line.log_format),
+        Some(Command::Check { operator, config }) => said(check(operator.file.as_deref(), config)),
+        Some(Command::Key(key)) => said(on_key(key)),
+        Some(Command::Fields) => said(Ok(page::fields())),
+        Some(Command::Evaluate { file }) => said(bounds::serve(&file)),
+    };
+    if done { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn said(outcome: Result<String, String>) -> bool {
+    match &outcome {
+        Ok(words) => print!("{words}"),
+        Err(fault) => eprintln!("{fault}"),
+    }
+    outcome.is_ok()
+}
+
+fn read_operator(file: Option<&Path>) -> Result<Sheet, String> {
+    let Some(file) = file else { return Ok(Sheet::default()) };
+    let program = env::current_exe().map_err(|error| error.to_string())?;
+    Sheet::read(&program, file)
+}
+
+fn run(Run { file }: Run, format: Option<Format>) -> bool {
+    let sheet = read_operator(file.as_deref());
+    let section = sheet.as_ref().ok().and_then(|sheet| sheet.section("log"));
+    let told = section.filter(|section| section.text("format") == "json").map(|_| Format::Json);
+    let level = section.map_or("info", |section| section.text("level"));
+    logs::start(format.or(told).unwrap_or(Format::Text), level);
+    let ended = sheet.and_then(|sheet| route(&sheet, file));
+    if let Err(fault) = &ended {
+        fault.lines().for_each(|line| log::error!("{line}"));
+    }
+    ended.is_ok()
+}
+
+fn route(sheet: &Sheet, file: Option<PathBuf>) -> Result<(), String> {
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
+    let (reread, rekeyed) = async_channel::bounded(1);
+    let orders = signals.filter_map(move |signal| match signal.ok()? {
+        Signal::Hup => {
+            // The evaluation waits for a process, which the router's one thread must not.
+            if let Some(file) = file.clone() {
+                let reread = reread.clone();
+                thread::spawn(move || read_again(&file, &reread));
+            }
+            Some(Order::Reload(config::read()))
+        }
+        _ => Some(Order::Stop),
+    });
+    let given = config::read()?;
+    let talk = sheet.section("gossip").map(|section| Talk::open(section, Clock::start().now())).transpose()?;
+    let listener = TcpListener::bind(given.listen).map_err(|error| format!("{}: {error}", given.listen))?;
+    let tasks = Tasks::default();
+    let orders = orders.or(rekeyed.map(Order::Rekey));
+    async_io::block_on(tasks.run(serve(tasks, given, listener, orders, talk)))
+}
+
+/// Only keys, passes and revocations count before the next start.
+fn read_again(file: &Path, reread: &Sender<Result<Keys, String>>) {
+    let keys = read_operator(Some(file))
+        .and_then(|sheet| sheet.section("gossip").map(|section| Keys::read(section, Clock::start().now())).transpose());
+    if let Some(keys) = keys.transpose() {
+        let _ = reread.send_blocking(keys);
+    }
+}
+
+fn check(operator: Option<&Path>, config: Option<PathBuf>) -> Result<String, String> {
+    let now = Clock::start().now();
+    let mut words = String::new();
+    if let Some(file) = operator {
+        let sheet = read_operator(Some(file))?;
+        for (path, value) in sheet.fields() {
+            words.push_str(&format!("{path} = {value}\n"));
+        }
+        let missing = sheet.missing_files();
+        if !missing.is_empty() {
+            return Err(missing.iter().map(|fault| format!("{}: {fault}", file.display())).collect::<Vec<_>>().join("\n"));
+        }
+        if let Some(section) = sheet.section("gossip") {
+            let keys = Keys::read(section, now).map_err(|fault| format!("{}: {fault}", file.display()))?;
+            let days = keys.identity.until().since(now).secs() / 86_400.0;
+            words.push_str(&format!("member {} {}, pass ends in {days:.0} days\n", keys.identity.name(), keys.identity.id()));
+        }
+    }
+    let path = config.or_else(|| env::var_os("LB_CONFIG").map(PathBuf::from));
+    if let Some(path) = path {
+        let shown = path.display();
+        let text = std::fs::read_to_string(&path).map_err(|error| format!("{shown}: {error}"))?;
+        let given = config::parse(&text, None).map_err(|fault| format!("{shown}: {fault}"))?;
+        Instance::start(now, given.seed, &given.settings).map_err(|fault| format!("{shown}: settings: {fault}"))?;
+        words.push_str(&format!(
+            "listen = {}\nbulletin = {}\nmemory_mb = {}\nsockets = {}\n",
+            given.listen, given.bulletin, given.memory_mb, given.descriptors
+        ));
+    } else if operator.is_none() {
+        return Err("nothing to check: give --operator FILE, --config FILE or LB_CONFIG".to_owned());
+    }
+    Ok(words)
+}
+
+fn days(count: u32) -> Span {
+    Span::from_micros(u64::from(count) * 86_400_000_000)
+}
+
+fn on_key(key: Key) -> Result<String, String> {
+    let now = Clock::start().now();
+    match key {
+        Key::New { file } => {
+            let mut bytes = zeroize::Zeroizing::new([0; 32]);
+            getrandom::fill(&mut *bytes).map_err(|error| error.to_string())?;
+            let secret = Secret::from_bytes(&bytes);
+            keyfiles::write_secret(&file, &secret)?;
+            Ok(format!("{}\n", public_to_text(&secret.public())))
+        }
+        Key::Show { file } => show(&file),
+        Key::Admit { by, name, days: count, to } => {
+            let operator = keyfiles::secret(&by.operator_key)?;
+            let pass = Pass::issue(&operator, &name, by.member, Cluster::named(&by.cluster), now, now + days(count))?;
+            keyfiles::write_new(&to, pass.to_text().as_bytes(), 0o644)?;
+            Ok(format!("{} {}, {count} days\n", pass.name, pass.id()))
+        }
+        Key::Revoke { by, days: count, list } => {
+            let operator = keyfiles::secret(&by.operator_key)?;
+            let mut listed = if list.exists() { keyfiles::revocations(&list)? } else { Vec::new() };
+            let new = Revocation::issue(&operator, &by.member, Cluster::named(&by.cluster), now + days(count));
+            listed.retain(|old| old.member != new.member && old.until > now);
+            listed.push(new);
+            keyfiles::write_revocations(&list, &listed)?;
+            Ok(format!("{} is revoked; {} on the list\n", MemberId::of(&by.member), listed.len()))
+        }
+    }
+}
+
+fn show(file: &Path) -> Result<String, String> {
+    if let Ok(pass) = keyfiles::pass(file) {
+        let now = Clock::start().now();
+        let left = pass.until.since(now).secs() / 86_400.0;
+        let state = if left > 0.0 { format!("ends in {left:.1} days") } else { "has ended".to_owned() };
+        return Ok(format!("pass of {} ({}), {state}\nkey {}\n", pass.name, pass.id(), public_to_text(&pass.key)));
+    }
+    if let Ok(list) = keyfiles::revocations(file) {
+        return Ok(list.iter().map(|each| format!("revoked {}\n", each.member)).collect());
+    }
+    let secret = keyfiles::secret(file)?;
+    let public = secret.public();
+    Ok(format!("secret key of {}\npublic {}\n", MemberId::of(&public), public_to_text(&public)))
+}
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -12,11 +12,13 @@
 use woadhook::*;
 use woadhook_door::Instance;
 use woadhook_door::fields::*;
+use woadhook_gossip::Seen;
 
 use crate::clock::Clock;
 use crate::codec::Answer;
 use crate::config::address;
 use crate::engine::{Errand, Ground, Peer};
+use crate::gossip::{Note, Notes};
 use crate::front::{MALFORMED, Reply};
 use crate::query::{Dispatch, Rows, Statement, measure};
 
@@ -74,6 +76,12 @@
         roster: Value,
         read: Sender<Result<()>>,
     },
+    /// What other routers say of an engine, by name.
+    Hearsay {
+        engine: String,
+        of: Option<String>,
+        doubt: f64,
+    },
     Stopping {
         by: Moment,
     },
@@ -83,12 +91,13 @@
 struct Open {
     client: u64,
     statement: Rc<Statement>,
+    kind: TypeId,
     deadline: Moment,
     /// Taken by the one answer.
     reply: Option<Reply>,
     dispatches: usize,
-    /// Those that are out; emptied by their ends.
-    out: HashMap<usize, Sender<u8>>,
+    /// Those that are out, each with its engine; emptied by their ends.
+    out: HashMap<usize, (EngineId, Sender<u8>)>,
 }
 
 /// A line of the engine list.
@@ -135,11 +144,13 @@
     wake: Option<Moment>,
     /// When the last answer is due, once the router is stopping.
     last_answer: Option<Moment>,
+    /// The actor that talks with other routers, where they talk.
+    notes: Option<Notes>,
 }
 
 impl Desk {
     pub fn new(
-        clock: Clock, seed: u64, settings: Value, ground: Ground, module: Sender<Event>,
+        clock: Clock, seed: u64, settings: Value, ground: Ground, module: Sender<Event>, notes: Option<Notes>,
     ) -> Result<Self> {
         Ok(Self {
             clock,
@@ -155,6 +166,7 @@
             serial: 0,
             wake: None,
             last_answer: None,
+            notes,
         })
     }
 
@@ -212,7 +224,11 @@
             Event::Ping { reply } => reply.send(Answer::Pong(self.listed && self.last_answer.is_none())),
             Event::Ended { job, number, outcome, took, told, rows } => {
                 let Some(open) = self.jobs.get_mut(&job) else { return };
-                open.out.remove(&number);
+                let (at, kind) = (open.out.remove(&number), open.kind);
+                if let Some((engine, _)) = at {
+                    let of = &self.instance.types[kind.0];
+                    self.note(engine, |engine| Note::Ended { engine, of: of.clone(), outcome });
+                }
                 let reply = if outcome == Outcome::Done { self.reply_to(job) } else { None };
                 if let Some((reply, rows)) = reply.zip(rows) {
                     reply.send(Answer::Served(rows));
@@ -228,9 +244,16 @@
                 self.instance.router.progressed(now, job, number, progress);
             }
             Event::Reported { engine, stats } => self.report(now, engine, &stats),
-            Event::ProbeEnded { engine, outcome } => self.instance.router.probe_ended(now, engine, outcome),
+            Event::ProbeEnded { engine, outcome } => {
+                self.instance.router.probe_ended(now, engine, outcome);
+                if matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
+                    self.note(engine, |engine| Note::Answered { engine });
+                }
+            }
+            Event::Hearsay { engine, of, doubt } => self.hearsay(now, &engine, of.as_deref(), doubt),
             Event::Listed { roster, read } => {
                 let _ = read.try_send(self.follow_list(now, &roster));
+                self.tell_list();
             }
             Event::Stopping { by } => {
                 self.last_answer = Some(by);
@@ -239,6 +262,32 @@
         }
     }
 
+    /// Tells the actor that talks with other routers of an engine, if there is one.
+    fn note(&self, engine: EngineId, note: impl FnOnce(String) -> Note) {
+        if let Some(notes) = &self.notes {
+            notes.tell(note(self.instance.engines.name(engine.0).to_owned()));
+        }
+    }
+
+    /// The engines of the list that are not gone: words on others are of no use.
+    fn tell_list(&self) {
+        if let Some(notes) = &self.notes {
+            let there = self.engines.iter().filter(|(_, known)| known.line.listed != Listed::Gone);
+            let name = |engine: &EngineId| self.instance.engines.name(engine.0).to_owned();
+            let lines = there.map(|(engine, known)| (name(engine), known.line.came_up.unwrap_or_default()));
+            notes.list(lines.collect());
+        }
+    }
+
+    fn hearsay(&mut self, now: Moment, engine: &str, of: Option<&str>, doubt: f64) {
+        let Some(engine) = self.instance.engines.find(engine) else { return };
+        let kind = of.map(|of| position(&self.instance.types, of));
+        if kind != Some(None) {
+            let kind = kind.flatten().map(TypeId);
+            self.instance.router.hearsay(now, EngineId(engine), kind, doubt);
+        }
+    }
+
     fn arrive(
         &mut self, now: Moment, client: u64, statement: Rc<Statement>, kind: TypeId, group: GroupId,
         tenant: Option<String>, key: Option<String>, told: Span, memory: f64, deadline: Moment, reply: Reply,
@@ -253,7 +302,7 @@
         let key = key.and_then(|key| self.instance.key(kind, &key));
         self.asked.insert(asked, job);
         let reply = Some(reply);
-        let open = Open { client, statement, deadline, reply, dispatches: 0, out: HashMap::new() };
+        let open = Open { client, statement, kind, deadline, reply, dispatches: 0, out: HashMap::new() };
         self.jobs.insert(job, open);
         let (router, expires) = (&mut self.instance.router, deadline.since(now));
         router.job_arrived(now, job, kind, tenant, group, key, Some(told), memory, expires);
@@ -277,7 +326,7 @@
 
     /// Gives up what is still out of a job that is over.
     fn call_off(&mut self, job: JobId) {
-        for orders in self.jobs.get(&job).into_iter().flat_map(|open| open.out.values()) {
+        for (_, orders) in self.jobs.get(&job).into_iter().flat_map(|open| open.out.values()) {
             orders.close();
         }
     }
@@ -359,7 +408,7 @@
                 self.dispatch(now, job, engine, now + timeout, priority);
             }
             Decision::CancelDispatch { job, number } => {
-                if let Some(orders) = self.jobs.get(&job).and_then(|open| open.out.get(&number)) {
+                if let Some((_, orders)) = self.jobs.get(&job).and_then(|open| open.out.get(&number)) {
                     orders.close();
                 }
             }
@@ -377,7 +426,17 @@
                 let at = now + after;
                 self.wake = Some(self.wake.filter(|wake| *wake > now).map_or(at, |wake| wake.min(at)));
             }
-            Decision::Log(line) => log::info!("{line}"),
+            Decision::SetAside { engine, why } => {
+                let name = self.instance.engines.name(engine.0);
+                log::info!(event = "engine_set_aside", engine = name, why = why.words(); "engine {name} set aside: {}", why.words());
+                let seen = if why == Aside::Failed { Seen::Reset } else { Seen::Silent };
+                self.note(engine, |engine| Note::Judged { engine, seen });
+            }
+            Decision::Back { engine } => {
+                let name = self.instance.engines.name(engine.0);
+                log::info!(event = "engine_back", engine = name; "engine {name} is back");
+                self.note(engine, |engine| Note::Judged { engine, seen: Seen::Well });
+            }
             Decision::Forget(Forgotten::Job(job)) => {
                 self.jobs.remove(&job);
                 self.instance.jobs.forget(job.0);
@@ -392,7 +451,7 @@
 
     fn dispatch(&mut self, now: Moment, job: JobId, engine: EngineId, until: Moment, priority: u8) {
         let (Some(open), Some(known)) = (self.jobs.get_mut(&job), self.engines.get(&engine)) else { return };
-        for orders in open.out.values() {
+        for (_, orders) in open.out.values() {
             let _ = orders.try_send(priority);
         }
         let number = open.dispatches;
@@ -402,7 +461,7 @@
         let dispatch = Dispatch { job, number, engine, statement, decided: now, until, priority };
         let (orders, taken) = async_channel::bounded(ORDERS);
         if known.peer.send(Errand::Run(dispatch, taken)) {
-            open.out.insert(number, orders);
+            open.out.insert(number, (engine, orders));
         } else {
             let (outcome, router) = (Outcome::NotIssued, &mut self.instance.router);
             router.dispatch_ended(now, job, number, outcome, Span::ZERO, None, false);
--- /dev/null
+++ b/crates/router/src/gossip.rs
@@ -0,0 +1,218 @@
+//! The actor that talks with other routers: it gives the core of `woadhook-gossip` a UDP socket and the clock.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+
+use async_channel::{Receiver, Sender};
+use async_io::Async;
+use futures_lite::{FutureExt, future};
+use woadhook::{Moment, Outcome, Span};
+use woadhook_door::fields::Result;
+use woadhook_gossip::keys::{Cluster, Identity, Ring, public_from_text};
+use woadhook_gossip::wire::DATAGRAM;
+use woadhook_gossip::{Do, Gossip, Pace, Seen};
+use woadhook_operator::Section;
+
+use crate::clock::Clock;
+use crate::decide::Event;
+use crate::keyfiles;
+use crate::tasks::Tasks;
+
+/// Notes of the module's actor that wait; what comes beyond is one observation less.
+const MAILBOX: usize = 1024;
+/// Datagrams that are taken in before others have a turn: each may cost a few signatures, some 0.2 ms in all.
+const TURN: usize = 4;
+
+/// What this instance met.
+pub enum Note {
+    Judged { engine: String, seen: Seen },
+    Ended { engine: String, of: String, outcome: Outcome },
+    Answered { engine: String },
+    Rekey(Box<Keys>),
+    Stopping,
+}
+
+/// The engines on the list, and when each came up.
+type List = Vec<(String, Moment)>;
+
+/// The way to the actor.
+#[derive(Clone)]
+pub struct Notes {
+    notes: Sender<Note>,
+    /// Holds the latest list only.
+    lists: Sender<List>,
+}
+
+impl Notes {
+    pub fn tell(&self, note: Note) {
+        let _ = self.notes.try_send(note);
+    }
+
+    pub fn list(&self, list: List) {
+        let _ = self.lists.force_send(list);
+    }
+}
+
+/// Who this instance is, and whom it believes.
+pub struct Keys {
+    pub identity: Identity,
+    pub ring: Ring,
+}
+
+impl Keys {
+    /// Reads the files that the operator file's section names.
+    pub fn read(section: Section<'_>, now: Moment) -> Result<Self> {
+        let named = |field: &str| section.file(field).ok_or_else(|| format!("gossip.{field}: names no file"));
+        let operators = section.texts("operator_keys").into_iter().map(public_from_text);
+        let operators: Vec<[u8; 32]> =
+            operators.collect::<Result<_>>().map_err(|fault| format!("gossip.operator_keys: {fault}"))?;
+        if operators.is_empty() {
+            return Err("gossip.operator_keys: empty, so no pass would be believed".to_owned());
+        }
+        let mut ring = Ring::new(Cluster::named(section.text("cluster")), operators);
+        if let Some(path) = section.file("revoked") {
+            for revocation in keyfiles::revocations(&path)? {
+                ring.revoke(&revocation, now);
+            }
+        }
+        let (key, pass) = (named("key")?, named("pass")?);
+        let secret = keyfiles::secret(&key)?;
+        let identity = Identity::new(secret, keyfiles::pass(&pass)?, &ring, now);
+        Ok(Self { identity: identity.map_err(|fault| format!("{}: {fault}", pass.display()))?, ring })
+    }
+}
+
+/// All that is needed to begin.
+pub struct Talk {
+    pub socket: UdpSocket,
+    pub keys: Keys,
+    /// Where others send to.
+    pub address: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    pub pace: Pace,
+}
+
+impl Talk {
+    /// Opens the socket and reads the keys that the section names.
+    pub fn open(section: Section<'_>, now: Moment) -> Result<Self> {
+        let listen = section.address("listen").ok_or("gossip.listen: no address")?;
+        let keys = Keys::read(section, now)?;
+        let socket = UdpSocket::bind(listen).map_err(|error| format!("gossip.listen: {listen}: {error}"))?;
+        let bound = socket.local_addr().map_err(|error| format!("gossip.listen: {error}"))?;
+        Ok(Self {
+            socket,
+            keys,
+            address: section.address("advertise").unwrap_or(bound),
+            seeds: section.addresses("seeds"),
+            pace: pace(section),
+        })
+    }
+}
+
+/// How much, how often and how long, as the section states it.
+pub fn pace(section: Section<'_>) -> Pace {
+    let millis = |field| Span::from_micros(section.whole(field) * 1000);
+    Pace {
+        period: millis("period_ms"),
+        sends_per_s: section.whole("sends_per_s") as f64,
+        checks_per_s: section.whole("checks_per_s") as f64,
+        members: section.whole("members") as usize,
+        tolerance: millis("clock_tolerance_ms"),
+        word_lifetime: millis("word_lifetime_ms"),
+        forget: Span::from_micros(section.whole("forget_s") * 1_000_000),
+    }
+}
+
+/// Starts the actor; what it hears reaches the module.
+pub fn start(talk: Talk, clock: Clock, seed: u64, tasks: Tasks, module: Sender<Event>) -> Result<Notes> {
+    let Talk { socket, keys: Keys { identity, ring }, address, seeds, pace } = talk;
+    let socket = Async::new(socket).map_err(|error| format!("gossip: {error}"))?;
+    log::info!(event = "gossip_started", member = identity.name(), address:% = address; "talking with other instances");
+    // Apart from the module's own draws.
+    let core = Gossip::new(clock.now(), seed.rotate_left(17), identity, ring, address, seeds, pace);
+    let (notes, taken) = async_channel::bounded(MAILBOX);
+    let (lists, listed) = async_channel::bounded(1);
+    tasks.start(run(core, socket, clock, taken, listed, module));
+    Ok(Notes { notes, lists })
+}
+
+enum Heard {
+    Datagram(io::Result<(usize, SocketAddr)>),
+    Note(Note),
+    List(List),
+    Due,
+    Ended,
+}
+
+async fn run(
+    mut core: Gossip, socket: Async<UdpSocket>, clock: Clock, notes: Receiver<Note>, lists: Receiver<List>,
+    module: Sender<Event>,
+) {
+    // One byte more than allowed, so that what is too long shows.
+    let mut buffer = [0; DATAGRAM + 1];
+    loop {
+        while let Some(to_do) = core.next(clock.now()) {
+            carry_out(to_do, &socket, &module);
+        }
+        let due = core.due();
+        let datagram = async { Heard::Datagram(socket.recv_from(&mut buffer).await) };
+        let note = async { notes.recv().await.map_or(Heard::Ended, Heard::Note) };
+        let list = async { lists.recv().await.map_or(Heard::Ended, Heard::List) };
+        let timer = async {
+            match due {
+                Some(moment) => clock.until(moment).await,
+                None => future::pending().await,
+            }
+            Heard::Due
+        };
+        let heard = timer.or(list).or(note).or(datagram).await;
+        let now = clock.now();
+        match heard {
+            Heard::Datagram(Ok((length, from))) => {
+                core.heard(now, from, &buffer[..length]);
+                for _ in 1..TURN {
+                    let Ok((length, from)) = socket.get_ref().recv_from(&mut buffer) else { break };
+                    core.heard(now, from, &buffer[..length]);
+                }
+                future::yield_now().await;
+            }
+            // An address that refused a datagram is told here too; members find out by their pings.
+            Heard::Datagram(Err(_)) => future::yield_now().await,
+            Heard::Note(note) => take_in(&mut core, now, note),
+            Heard::List(list) => core.listed(&list),
+            Heard::Due => {}
+            Heard::Ended => return,
+        }
+    }
+}
+
+fn take_in(core: &mut Gossip, now: Moment, note: Note) {
+    match note {
+        Note::Judged { engine, seen } => core.judged(now, &engine, seen),
+        Note::Ended { engine, of, outcome } => core.ended(now, &engine, &of, outcome),
+        Note::Answered { engine } => core.answered(now, &engine),
+        Note::Rekey(keys) => {
+            let Keys { identity, ring } = *keys;
+            log::info!(event = "gossip_rekeyed", member = identity.name(); "keys were read again");
+            core.rekey(now, identity, ring);
+        }
+        Note::Stopping => core.leave(now),
+    }
+}
+
+fn carry_out(to_do: Do, socket: &Async<UdpSocket>, module: &Sender<Event>) {
+    match to_do {
+        // What the socket does not take now is lost, as on any network.
+        Do::Send { to, bytes } => {
+            let _ = socket.get_ref().send_to(&bytes, to);
+        }
+        Do::Hearsay { engine, of, doubt } => {
+            let _ = module.try_send(Event::Hearsay { engine, of, doubt });
+        }
+        Do::Event { what, member, engine, seen } => {
+            let (member, engine) = (member.unwrap_or_default(), engine.unwrap_or_default());
+            let seen = seen.map_or("", Seen::name);
+            log::info!(event = what.name(), member, engine, seen; "gossip: {} {member} {engine} {seen}", what.name());
+        }
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,7 +3,8 @@
 //! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `request`
 //! checks them, `statement` finds the table group, `decide` lets the module decide, `engine` and `query`
 //! carry dispatches out over `http` connections of `pool`, and `front` writes the answer. `bulletin` follows
-//! the list of engines, `sockets` and `memory` own what is scarce, `stop` heeds what the operators order.
+//! the list of engines, `gossip` talks with other routers where the operator file says so, `sockets` and
+//! `memory` own what is scarce, `stop` heeds what the operators order.
 
 mod bulletin;
 pub mod clock;
@@ -12,7 +13,9 @@
 mod decide;
 mod engine;
 mod front;
+pub mod gossip;
 mod http;
+pub mod keyfiles;
 mod listen;
 pub mod memory;
 mod pool;
@@ -35,6 +38,7 @@
 use crate::decide::Desk;
 use crate::engine::Ground;
 use crate::front::Hall;
+use crate::gossip::Talk;
 use crate::memory::Room;
 use crate::pool::Pool;
 use crate::request::Range;
@@ -42,9 +46,10 @@
 use crate::stop::Order;
 use crate::tasks::Tasks;
 
-/// Serves until a planned stop is done, which `orders` hold some time.
+/// Serves until a planned stop is done, which `orders` hold some time. With `talk` it talks with other routers.
 pub async fn serve(
     tasks: Tasks, given: config::Given, listener: TcpListener, orders: impl Stream<Item = Order> + 'static,
+    talk: Option<Talk>,
 ) -> Result<()> {
     let clock = Clock::start();
     let settings = given.settings;
@@ -79,14 +84,15 @@
         reports,
         room: room(0.15),
     };
-    let desk = Desk::new(clock, given.seed, settings, ground, module.clone())?;
+    let notes = talk.map(|talk| gossip::start(talk, clock, given.seed, tasks, module.clone())).transpose()?;
+    let desk = Desk::new(clock, given.seed, settings, ground, module.clone(), notes.clone())?;
     tasks.start(desk.run(mailbox));
     let mut last = 0;
     bulletin::pass_on_known(&given.known, &mut last, &module).await?;
     let (moves, moved) = async_channel::bounded(1);
     tasks.start(bulletin::follow(given.bulletin, connect_timeout, grace, last, moved, module.clone()));
     let (stop, told_to_stop) = async_channel::bounded(1);
-    tasks.start(stop::heed(orders, moves, stop));
+    tasks.start(stop::heed(orders, moves, stop, notes));
 
     let listener = Async::new(listener).map_err(|error| error.to_string())?;
     let owing = Rc::new(Cell::new(0));
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -12,6 +12,7 @@
 use crate::clock::{Clock, pass};
 use crate::config::Given;
 use crate::decide::Event;
+use crate::gossip::{Keys, Note, Notes};
 
 /// Requests may come for so long after SIGTERM.
 const STILL_COMING: Span = Span::from_micros(600_000);
@@ -24,11 +25,15 @@
 pub enum Order {
     /// What was read, or what is wrong with it.
     Reload(Result<Given>),
+    /// The keys that the operator file names, read again, or what is wrong with them.
+    Rekey(Result<Keys>),
     Stop,
 }
 
 /// Carries orders out as they come; `stop` hears of the one to stop, and reloads go on behind it.
-pub async fn heed(orders: impl Stream<Item = Order>, moves: Sender<Move>, stop: Sender<()>) {
+pub async fn heed(
+    orders: impl Stream<Item = Order>, moves: Sender<Move>, stop: Sender<()>, notes: Option<Notes>,
+) {
     let mut orders = std::pin::pin!(orders);
     while let Some(order) = orders.next().await {
         match order {
@@ -37,7 +42,16 @@
                 let _ = moves.force_send(Move { to: given.bulletin, known: given.known });
             }
             Order::Reload(Err(fault)) => log::error!("the old configuration stays: {fault}"),
+            Order::Rekey(Ok(keys)) => {
+                if let Some(notes) = &notes {
+                    notes.tell(Note::Rekey(Box::new(keys)));
+                }
+            }
+            Order::Rekey(Err(fault)) => log::error!("the old operator file stays: {fault}"),
             Order::Stop => {
+                if let Some(notes) = &notes {
+                    notes.tell(Note::Stopping);
+                }
                 let _ = stop.try_send(());
             }
         }
--- a/crates/router/tests/stories/main.rs
+++ b/crates/router/tests/stories/main.rs
@@ -1,6 +1,5 @@
 //! Short stories on loopback, one for each failure met or feared on sockets.
 
-mod standins;
 
 use std::io::Write;
 use std::net::SocketAddr;
@@ -9,7 +8,7 @@
 
 use futures_lite::future::{block_on, poll_once};
 use serde_json::json;
-use standins::*;
+use woadhook_standins::*;
 use woadhook_router::memory::Room;
 use woadhook_router::sockets::Descriptors;
 use woadhook_router::statement::table_group;
--- /dev/null
+++ b/crates/standins/src/bulletin.rs
@@ -0,0 +1,47 @@
+//! A bulletin that tells what it is given.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::engines::{Call, Says, Standin, says};
+
+/// The events of a bulletin, which tests add to.
+#[derive(Clone, Default)]
+pub struct Events(Arc<(Mutex<Vec<Value>>, Condvar)>);
+
+impl Events {
+    /// A bulletin that tells them.
+    pub fn serve(&self) -> Standin {
+        let events = self.clone();
+        Standin::start(move |call| events.answer(call))
+    }
+
+    pub fn add(&self, number: u64, members: Vec<Value>) {
+        let roster = json!({"revision": number, "complete": number == 1, "members": members});
+        self.0.0.lock().unwrap().push(json!({"no": number, "roster": roster}));
+        self.0.1.notify_all();
+    }
+
+    /// All after a number; waits for the first of them as long as the call says.
+    pub fn answer(&self, call: &Call) -> Says {
+        let asked = |name: &str| {
+            let (_, rest) = call.line.split_once(&format!("{name}=")).unwrap();
+            rest.split(['&', ' ']).next().unwrap().parse::<u64>().unwrap()
+        };
+        let (after, patience) = (asked("after"), Duration::from_millis(asked("patience")));
+        let none = |events: &mut Vec<Value>| events.iter().all(|event| event["no"].as_u64() <= Some(after));
+        let events = self.0.1.wait_timeout_while(self.0.0.lock().unwrap(), patience, none).unwrap().0;
+        let later = events.iter().filter(|event| event["no"].as_u64() > Some(after));
+        let last = events.iter().filter_map(|event| event["no"].as_u64()).max();
+        says(200, &[], &json!({"no": last, "items": later.collect::<Vec<_>>()}).to_string())
+    }
+}
+
+pub fn member(id: &str, at: SocketAddr, phase: &str) -> Value {
+    json!({"id": id, "host_port": at.to_string(), "locality": "a", "flavor": "k", "cell": 0, "phase": phase,
+        "size": 1, "up_since_ms": 0})
+}
+
--- /dev/null
+++ b/crates/standins/src/clients.rs
@@ -0,0 +1,110 @@
+//! A client over MessagePack-RPC.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use rmp::{Marker, decode};
+
+use crate::LONG;
+use crate::routers::Running;
+
+/// A client connection. What it is told is a result, or the word of an error.
+pub struct Client(pub TcpStream);
+
+impl Client {
+    pub fn new(router: &Running) -> Self {
+        let stream = TcpStream::connect(router.address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Self(stream)
+    }
+
+    pub fn message(number: u32, class: &str, id: &str, wait: u32, statement: &str) -> Vec<u8> {
+        let fields = [("id", id), ("wait", &wait.to_string()), ("cost", "10.5"), ("ram", "16")];
+        Self::request(number, class, &fields, statement)
+    }
+
+    /// A request with such fields.
+    pub fn request(number: u32, class: &str, fields: &[(&str, &str)], statement: &str) -> Vec<u8> {
+        let mut bytes = vec![0x94, 0x00];
+        rmp::encode::write_uint(&mut bytes, number.into()).unwrap();
+        rmp::encode::write_str(&mut bytes, class).unwrap();
+        bytes.push(0x92);
+        rmp::encode::write_map_len(&mut bytes, fields.len() as u32).unwrap();
+        for (name, value) in fields {
+            rmp::encode::write_str(&mut bytes, name).unwrap();
+            rmp::encode::write_str(&mut bytes, value).unwrap();
+        }
+        rmp::encode::write_bin(&mut bytes, statement.as_bytes()).unwrap();
+        bytes
+    }
+
+    pub fn asks(&mut self, number: u32, class: &str, wait: u32) {
+        let message =
+            Self::message(number, class, &format!("{number:016x}"), wait, "select 1 from sales_1.x");
+        self.0.write_all(&message).unwrap();
+    }
+
+    pub fn aborts(&mut self, number: u8) {
+        self.0.write_all(&[&[0x93, 0x02, 0xa5], &b"abort"[..], &[0x91, number]].concat()).unwrap();
+    }
+
+    pub fn pings(&mut self, number: u8) -> bool {
+        self.0.write_all(&[&[0x94, 0x00, number, 0xa4], &b"ping"[..], &[0x91, 0x80]].concat()).unwrap();
+        let (answered, result) = self.hears();
+        assert_eq!(answered, u32::from(number));
+        result.unwrap() == "true"
+    }
+
+    /// Whether the router ended the connection; what it said before is passed over.
+    pub fn is_closed(&mut self) -> bool {
+        let mut rest = [0; 1024];
+        loop {
+            match self.0.read(&mut rest) {
+                Ok(0) => return true,
+                Ok(_) => {}
+                Err(error) => return error.kind() == std::io::ErrorKind::ConnectionReset,
+            }
+        }
+    }
+
+    /// The number of the next answer and what it holds: a result, or the word of an error.
+    pub fn hears(&mut self) -> (u32, Result<String, String>) {
+        let stream = &mut self.0;
+        assert_eq!(decode::read_array_len(stream).unwrap(), 4);
+        assert_eq!(decode::read_int::<u32, _>(stream).unwrap(), 1);
+        let number = decode::read_int(stream).unwrap();
+        if decode::read_marker(stream).unwrap() != Marker::Null {
+            let length = decode::read_str_len(stream).unwrap();
+            let word = take_text(stream, length);
+            for _ in 0..2 * decode::read_map_len(stream).unwrap() {
+                let length = decode::read_str_len(stream).unwrap();
+                take_text(stream, length);
+            }
+            decode::read_nil(stream).unwrap();
+            return (number, Err(word));
+        }
+        assert_eq!(decode::read_array_len(stream).unwrap(), 2);
+        let length = match decode::read_marker(stream).unwrap() {
+            Marker::True => None,
+            Marker::False => Some(0),
+            Marker::Bin8 => Some(take_number(stream, 1)),
+            Marker::Bin16 => Some(take_number(stream, 2)),
+            other => panic!("{other:?}"),
+        };
+        let result = length.map_or("true".to_owned(), |length| take_text(stream, length));
+        assert_eq!(decode::read_map_len(stream).unwrap(), 0);
+        (number, Ok(result))
+    }
+}
+
+fn take_number(stream: &mut TcpStream, width: usize) -> u32 {
+    let mut digits = [0; 4];
+    stream.read_exact(&mut digits[4 - width..]).unwrap();
+    u32::from_be_bytes(digits)
+}
+
+fn take_text(stream: &mut TcpStream, length: u32) -> String {
+    let mut bytes = vec![0; length as usize];
+    stream.read_exact(&mut bytes).unwrap();
+    String::from_utf8(bytes).unwrap()
+}
--- /dev/null
+++ b/crates/standins/src/cluster.rs
@@ -0,0 +1,274 @@
+//! Instances that gossip on the virtual network, each with a clock of its own.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use woadhook::{Moment, Span};
+use woadhook_gossip::keys::{Cluster as Tag, Identity, Pass, Revocation, Ring, Secret};
+use woadhook_gossip::{Do, Gossip, Pace, Seen, What};
+
+use crate::net::{Network, Weather};
+
+/// A common start, some time in 2026.
+pub const START: Moment = Moment::from_micros(1_780_000_000_000_000);
+const YEAR: Span = Span::from_micros(31_536_000_000_000);
+
+pub fn secs(count: f64) -> Span {
+    Span::from_secs(count)
+}
+
+/// The pace of the operator file's defaults.
+pub fn usual_pace() -> Pace {
+    Pace {
+        period: secs(0.2),
+        sends_per_s: 40.0,
+        checks_per_s: 400.0,
+        members: 4096,
+        tolerance: secs(5.0),
+        word_lifetime: secs(10.0),
+        forget: secs(600.0),
+    }
+}
+
+/// Keys from small numbers.
+pub fn secret(number: u64) -> Secret {
+    let mut bytes = [7; 32];
+    bytes[..8].copy_from_slice(&number.to_be_bytes());
+    Secret::from_bytes(&bytes)
+}
+
+/// The operator of the stand-in clusters.
+pub fn operator() -> Secret {
+    secret(u64::MAX)
+}
+
+pub fn tag() -> Tag {
+    Tag::named("stand-ins")
+}
+
+pub fn ring() -> Ring {
+    Ring::new(tag(), vec![operator().public()])
+}
+
+pub fn identity(number: u64, name: &str, now: Moment) -> Identity {
+    let secret = secret(number);
+    let pass = Pass::issue(&operator(), name, secret.public(), tag(), START, START + YEAR).unwrap();
+    Identity::new(secret, pass, &ring(), now).unwrap()
+}
+
+/// That the operator revokes a stand-in's key.
+pub fn revocation(number: u64) -> Revocation {
+    Revocation::issue(&operator(), &secret(number).public(), tag(), START + YEAR)
+}
+
+pub fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7946))
+}
+
+/// One instance. Gone ones have no core.
+pub struct Node {
+    pub core: Option<Gossip>,
+    pub address: SocketAddr,
+    /// By how much its clock is ahead (or behind, if the mark is set).
+    pub clock: (Span, bool),
+    /// What it last heard of engines, by engine and type.
+    pub hearsay: BTreeMap<(String, Option<String>), f64>,
+}
+
+impl Node {
+    fn now(&self, true_now: Moment) -> Moment {
+        let (by, behind) = self.clock;
+        if behind { Moment::from_micros(true_now.since(Moment::default()).less(by).micros()) } else { true_now + by }
+    }
+}
+
+/// Something that an instance's core said.
+#[derive(Clone, Debug)]
+pub struct Told {
+    pub at: Moment,
+    pub node: usize,
+    pub what: What,
+    pub member: Option<String>,
+    pub engine: Option<String>,
+    pub seen: Option<Seen>,
+}
+
+pub struct Cluster {
+    pub now: Moment,
+    pub net: Network,
+    pub nodes: Vec<Node>,
+    pub told: Vec<Told>,
+    pub pace: Pace,
+    seed: u64,
+    due: BTreeSet<(Moment, usize)>,
+    dues: Vec<Option<Moment>>,
+    places: HashMap<SocketAddr, usize>,
+}
+
+impl Cluster {
+    /// `count` instances that know the first three as seeds, and nothing else.
+    pub fn new(seed: u64, count: usize, weather: Weather, pace: Pace) -> Self {
+        let net = Network::new(seed, weather);
+        let (nodes, told, places) = (Vec::new(), Vec::new(), HashMap::new());
+        let (due, dues) = (BTreeSet::new(), Vec::new());
+        let mut new = Self { now: START + secs(60.0), net, nodes, told, pace, seed, due, dues, places };
+        for number in 0..count {
+            new.add(number);
+        }
+        new
+    }
+
+    /// One more instance, with the key of its number.
+    pub fn add(&mut self, number: usize) -> usize {
+        let node = self.nodes.len();
+        let at = address(number);
+        self.nodes.push(Node { core: None, address: at, clock: (Span::ZERO, false), hearsay: BTreeMap::new() });
+        self.dues.push(None);
+        self.places.insert(at, node);
+        self.start(node);
+        node
+    }
+
+    /// Starts an instance anew, with nothing but its key and the seeds.
+    pub fn start(&mut self, node: usize) {
+        let own = identity(node as u64, &format!("n{node}"), self.now);
+        let now = self.nodes[node].now(self.now);
+        let seeds = (0..3).map(address).collect();
+        let seed = self.seed.wrapping_mul(0x9e37_79b9).wrapping_add(node as u64);
+        let core = Gossip::new(now, seed, own, ring(), self.nodes[node].address, seeds, self.pace);
+        self.nodes[node].core = Some(core);
+        self.settle(node);
+    }
+
+    /// An instance is gone at once, without a word.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].core = None;
+        self.schedule(node);
+    }
+
+    /// Makes all know all, as after a long calm time.
+    pub fn acquaint(&mut self) {
+        let cards: Vec<_> = self.nodes.iter().filter_map(|node| Some(node.core.as_ref()?.card())).collect();
+        for node in 0..self.nodes.len() {
+            let now = self.nodes[node].now(self.now);
+            if let Some(core) = &mut self.nodes[node].core {
+                core.know(now, cards.iter().cloned());
+            }
+        }
+    }
+
+    pub fn core(&self, node: usize) -> &Gossip {
+        self.nodes[node].core.as_ref().expect("an instance that runs")
+    }
+
+    /// Does something at an instance, and carries out what comes of it.
+    pub fn at<T>(&mut self, node: usize, act: impl FnOnce(Moment, &mut Gossip) -> T) -> T {
+        let now = self.nodes[node].now(self.now);
+        let done = act(now, self.nodes[node].core.as_mut().expect("an instance that runs"));
+        self.settle(node);
+        done
+    }
+
+    /// The same engines at all instances.
+    pub fn list(&mut self, engines: &[&str]) {
+        let list: Vec<_> = engines.iter().map(|name| ((*name).to_owned(), Moment::default())).collect();
+        for node in 0..self.nodes.len() {
+            if self.nodes[node].core.is_some() {
+                self.at(node, |_, core| core.listed(&list));
+            }
+        }
+    }
+
+    /// A datagram that no instance sent.
+    pub fn inject(&mut self, from: SocketAddr, to: usize, bytes: Vec<u8>) {
+        let to = self.nodes[to].address;
+        self.net.send(self.now, from, to, bytes);
+    }
+
+    /// The doubt that an instance last heard of an engine.
+    pub fn doubt(&self, node: usize, engine: &str) -> f64 {
+        self.nodes[node].hearsay.get(&(engine.to_owned(), None)).copied().unwrap_or(0.0)
+    }
+
+    /// Instances that run.
+    pub fn running(&self) -> impl Iterator<Item = (usize, &Gossip)> {
+        self.nodes.iter().enumerate().filter_map(|(number, node)| Some((number, node.core.as_ref()?)))
+    }
+
+    /// Whether all that run know just each other.
+    pub fn agree(&self) -> bool {
+        let count = self.running().count();
+        let view = self.running().next().map(|(_, core)| core.view());
+        self.running().all(|(_, core)| core.living() == count && Some(core.view()) == view)
+    }
+
+    /// When the next thing happens.
+    pub fn due(&self) -> Option<Moment> {
+        self.due.first().map(|(at, _)| *at).into_iter().chain(self.net.due()).min()
+    }
+
+    /// Lets one thing happen, by `until` at the latest; whether anything did.
+    pub fn step(&mut self, until: Moment) -> bool {
+        let Some(at) = self.due().filter(|at| *at <= until) else {
+            self.now = self.now.max(until);
+            return false;
+        };
+        self.now = self.now.max(at);
+        if let Some((from, to, bytes)) = self.net.arrived(self.now) {
+            let Some(&node) = self.places.get(&to) else { return true };
+            if self.nodes[node].core.is_some() {
+                self.at(node, |now, core| core.heard(now, from, &bytes));
+            }
+        } else if let Some((_, node)) = self.due.first().copied() {
+            self.settle(node);
+        }
+        true
+    }
+
+    pub fn pass(&mut self, span: Span) {
+        let until = self.now + span;
+        while self.step(until) {}
+    }
+
+    /// Lets time pass until something holds; how long that took, or nothing where it did not within `most`.
+    pub fn until(&mut self, most: Span, mut holds: impl FnMut(&Self) -> bool) -> Option<Span> {
+        let start = self.now;
+        let step = self.pace.period.times(0.25);
+        while self.now.since(start) <= most {
+            if holds(self) {
+                return Some(self.now.since(start));
+            }
+            self.pass(step);
+        }
+        None
+    }
+
+    fn settle(&mut self, node: usize) {
+        let (now, true_now) = (self.nodes[node].now(self.now), self.now);
+        let from = self.nodes[node].address;
+        while let Some(to_do) = self.nodes[node].core.as_mut().and_then(|core| core.next(now)) {
+            match to_do {
+                Do::Send { to, bytes } => self.net.send(true_now, from, to, bytes),
+                Do::Hearsay { engine, of, doubt } => {
+                    self.nodes[node].hearsay.insert((engine, of), doubt);
+                }
+                Do::Event { what, member, engine, seen } => {
+                    self.told.push(Told { at: true_now, node, what, member, engine, seen });
+                }
+            }
+        }
+        self.schedule(node);
+    }
+
+    fn schedule(&mut self, node: usize) {
+        if let Some(old) = self.dues[node].take() {
+            self.due.remove(&(old, node));
+        }
+        let Some(due) = self.nodes[node].core.as_ref().and_then(Gossip::due) else { return };
+        let own_now = self.nodes[node].now(self.now);
+        // Never at once again: a core that is due now was just asked.
+        let at = self.now + due.since(own_now).max(Span::from_micros(1));
+        self.dues[node] = Some(at);
+        self.due.insert((at, node));
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engines.rs
@@ -0,0 +1,134 @@
+//! An engine over HTTP that answers as it is told.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{self, Receiver};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Instant;
+
+use crate::LONG;
+
+/// A call that a stand-in took in.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub line: String,
+    pub fields: Vec<String>,
+    pub body: Vec<u8>,
+    /// Counts the connections from 0.
+    pub connection: usize,
+}
+
+pub enum Says {
+    Answer(u16, Vec<String>, Vec<u8>),
+    /// Answers and closes the connection, without a word on it.
+    Last(u16, Vec<String>, Vec<u8>),
+    /// Such bytes and no more, with which the connection ends.
+    Raw(&'static str),
+    /// Such bytes, behind which the connection stays open.
+    Noise(String),
+    Cut,
+    Nothing,
+}
+
+pub fn says(status: u16, fields: &[&str], body: &str) -> Says {
+    Says::Answer(status, fields.iter().map(|field| field.to_string()).collect(), body.into())
+}
+
+/// Serves a result of such pages to every query.
+pub fn pages(call: &Call, pages: &[&str]) -> Says {
+    let page =
+        call.line.split(' ').nth(1).and_then(|path| path.rsplit('/').next()?.parse().ok()).unwrap_or(0);
+    if call.line.starts_with("DELETE") {
+        return says(204, &[], "");
+    }
+    says(200, &[&format!("X-Batches: {}", pages.len()), &format!("X-Batch: {page}")], pages[page])
+}
+
+/// A server over HTTP that answers as it is told and passes on each call.
+pub struct Standin {
+    pub address: SocketAddr,
+    calls: Receiver<Call>,
+}
+
+impl Standin {
+    pub fn start(answer: impl FnMut(&Call) -> Says + Send + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (answer, (passed, calls)) = (Arc::new(Mutex::new(answer)), mpsc::channel());
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let (answer, passed) = (answer.clone(), passed.clone());
+                thread::spawn(move || {
+                    let mut stream = BufReader::new(stream.unwrap());
+                    while let Some(call) = take_call(&mut stream, connection) {
+                        let _ = passed.send(call.clone());
+                        let says = answer.lock().unwrap()(&call);
+                        if !reply(stream.get_mut(), says) {
+                            break;
+                        }
+                    }
+                    let _ = stream.get_ref().shutdown(Shutdown::Both);
+                });
+            }
+        });
+        Self { address, calls }
+    }
+
+    /// The next call whose first line starts so; what comes before it is passed over.
+    pub fn awaits(&self, start: &str) -> Call {
+        self.until(start).pop().expect("until such a call")
+    }
+
+    /// All calls up to the first that starts so.
+    pub fn until(&self, start: &str) -> Vec<Call> {
+        let (mut calls, end) = (Vec::new(), Instant::now() + LONG);
+        while calls.last().is_none_or(|call: &Call| !call.line.starts_with(start)) {
+            let left = end.saturating_duration_since(Instant::now());
+            calls.push(self.calls.recv_timeout(left).unwrap_or_else(|_| panic!("no call {start}")));
+        }
+        calls
+    }
+
+    /// The calls so far that start so.
+    pub fn had(&self, start: &str) -> Vec<Call> {
+        self.calls.try_iter().filter(|call| call.line.starts_with(start)).collect()
+    }
+}
+
+fn take_call(stream: &mut BufReader<TcpStream>, connection: usize) -> Option<Call> {
+    let mut lines = Vec::new();
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        lines.push(line.trim_end().to_owned());
+    }
+    let length = lines.iter().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).ok()?;
+    Some(Call { line: lines.remove(0), fields: lines, body, connection })
+}
+
+/// Whether the connection goes on.
+fn reply(stream: &mut TcpStream, says: Says) -> bool {
+    let (status, fields, body, goes_on) = match says {
+        Says::Answer(status, fields, body) => (status, fields, body, true),
+        Says::Last(status, fields, body) => (status, fields, body, false),
+        Says::Raw(words) => {
+            let _ = stream.write_all(words.as_bytes());
+            return false;
+        }
+        Says::Noise(words) => return stream.write_all(words.as_bytes()).is_ok(),
+        Says::Cut => return false,
+        Says::Nothing => return true,
+    };
+    let fields: String = fields.iter().map(|field| format!("{field}\r\n")).collect();
+    let head = format!("HTTP/1.1 {status} x\r\n{fields}Content-Length: {}\r\n\r\n", body.len());
+    stream.write_all(&[head.as_bytes(), &body].concat()).is_ok() && goes_on
+}
+
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,20 @@
+//! Stand-ins for what a router meets, which all packages' tests share: engines, a bulletin, clients and routers on
+//! loopback; datagrams, instances and engines on a virtual network and clock; and checkers of the rules.
+
+pub mod bulletin;
+pub mod clients;
+pub mod cluster;
+pub mod engines;
+pub mod net;
+pub mod routers;
+pub mod world;
+
+use std::time::Duration;
+
+pub use bulletin::{Events, member};
+pub use clients::Client;
+pub use engines::{Call, Says, Standin, pages, says};
+pub use routers::{Running, told};
+
+/// What is awaited comes long before this, or never.
+pub const LONG: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/crates/standins/src/net.rs
@@ -0,0 +1,84 @@
+//! A virtual network: datagrams with delay, loss, reordering, duplication and partitions, on virtual time from a seed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use woadhook::{Moment, Span};
+
+/// What befalls each datagram. Delays are drawn evenly from a range, which reorders as far as it is wide.
+#[derive(Clone, Copy, Debug)]
+pub struct Weather {
+    /// Shares of datagrams, from 0 to 1.
+    pub loss: f64,
+    pub twice: f64,
+    pub delay: (Span, Span),
+}
+
+impl Weather {
+    pub fn calm() -> Self {
+        Self { loss: 0.0, twice: 0.0, delay: (Span::from_micros(200), Span::from_micros(2_000)) }
+    }
+
+    pub fn rough() -> Self {
+        Self { loss: 0.3, twice: 0.2, delay: (Span::from_micros(200), Span::from_micros(80_000)) }
+    }
+}
+
+pub struct Network {
+    chance: Pcg32,
+    pub weather: Weather,
+    /// Addresses that can't be reached from others of another number.
+    sides: BTreeMap<SocketAddr, u8>,
+    /// What a place's own datagrams take longer.
+    lags: BTreeMap<SocketAddr, Span>,
+    flying: BTreeMap<(Moment, u64), (SocketAddr, SocketAddr, Vec<u8>)>,
+    count: u64,
+}
+
+impl Network {
+    pub fn new(seed: u64, weather: Weather) -> Self {
+        let (sides, lags, flying) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Self { chance: Pcg32::seed_from_u64(seed), weather, sides, lags, flying, count: 0 }
+    }
+
+    /// From now on such places reach only one another; all others are on side 0.
+    pub fn part(&mut self, place: SocketAddr, side: u8) {
+        self.sides.insert(place, side);
+    }
+
+    pub fn heal(&mut self) {
+        self.sides.clear();
+    }
+
+    pub fn lag(&mut self, place: SocketAddr, by: Span) {
+        self.lags.insert(place, by);
+    }
+
+    pub fn send(&mut self, now: Moment, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+        let Weather { loss, twice, delay: (least, most) } = self.weather;
+        let side = |place| self.sides.get(&place).copied().unwrap_or(0);
+        if side(from) != side(to) || self.chance.random_bool(loss) {
+            return;
+        }
+        let copies = 1 + usize::from(self.chance.random_bool(twice));
+        for _ in 0..copies {
+            let delay = least + most.less(least).times(self.chance.random::<f64>());
+            let lag = self.lags.get(&from).copied().unwrap_or_default();
+            self.count += 1;
+            self.flying.insert((now + delay + lag, self.count), (from, to, bytes.clone()));
+        }
+    }
+
+    /// When the next datagram arrives.
+    pub fn due(&self) -> Option<Moment> {
+        self.flying.keys().next().map(|(at, _)| *at)
+    }
+
+    /// A datagram that has arrived by now: from, to and bytes.
+    pub fn arrived(&mut self, now: Moment) -> Option<(SocketAddr, SocketAddr, Vec<u8>)> {
+        self.due().filter(|at| *at <= now)?;
+        self.flying.pop_first().map(|(_, flight)| flight)
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -165,7 +165,37 @@
     },
     /// Drop the mapping of this index.
     Forget(Forgotten),
-    Log(String),
+    /// An engine was set aside: worth a line in the log, and a word to other routers where they talk.
+    SetAside {
+        engine: EngineId,
+        why: Aside,
+    },
+    /// An engine that was set aside is back.
+    Back {
+        engine: EngineId,
+    },
+}
+
+/// Why an engine is set aside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Aside {
+    /// No word from it with work out there.
+    Silent,
+    /// A connection was reset or refused.
+    Failed,
+    /// A probe was not answered.
+    Unanswered,
+}
+
+impl Aside {
+    /// In words, for a log line.
+    pub fn words(self) -> &'static str {
+        match self {
+            Aside::Silent => "silent",
+            Aside::Failed => "reset or not connected",
+            Aside::Unanswered => "probe not answered",
+        }
+    }
 }
 
 /// The machines, and this router's place among the routers.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,7 +7,8 @@
 //! Beside it stand six mechanisms, and one legality check that every dispatch passes (`legal`):
 //!
 //! 1. a limit on the threads in flight, with parts for engines and loads; the rest waits (`judge`, `homes`),
-//! 2. engines set aside on silence, resets or failed connects, back after probes (`watch`),
+//! 2. engines set aside on silence, resets or failed connects, back after probes (`watch`), which hearsay of other
+//!    routers brings forward (`hearsay`),
 //! 3. a budget of work for cold engines, at which the routers take turns (`warm_enough`),
 //! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
 //! 5. time-outs and further dispatches (`lost`, `cancel_lost`),
@@ -138,7 +139,7 @@
     wake_at: Option<Moment>,
     /// Both emptied as the host pulls.
     forgotten: Vec<Forgotten>,
-    lines: VecDeque<String>,
+    news: VecDeque<Decision>,
 }
 
 impl Router {
@@ -172,7 +173,7 @@
             since_probe: 0,
             wake_at: None,
             forgotten: Vec::new(),
-            lines: VecDeque::new(),
+            news: VecDeque::new(),
         }
     }
 
@@ -272,7 +273,7 @@
             }
         }
         if failed {
-            self.set_aside(id, "reset or not connected");
+            self.set_aside(id, Aside::Failed);
         }
         self.drop_if_spent(job);
     }
@@ -327,24 +328,42 @@
         }
         if !matches!(outcome, Outcome::Done | Outcome::TurnedAway) {
             engine.aside = engine.aside.map(|_| ANSWERS_TO_RETURN);
-            return self.set_aside(id, "probe not answered");
+            return self.set_aside(id, Aside::Unanswered);
         }
         engine.heard = now;
         let Some(left) = engine.aside else { return };
         engine.aside = (left > 1).then_some(left - 1);
         if engine.aside.is_none() {
             engine.cold_since = Some(now);
-            self.lines.push_back(format!("engine {} is back", id.0));
+            self.news.push_back(Decision::Back { engine: id });
         }
     }
 
-    fn set_aside(&mut self, id: EngineId, why: &str) {
+    fn set_aside(&mut self, id: EngineId, why: Aside) {
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.aside.is_none()) {
             engine.aside = Some(ANSWERS_TO_RETURN);
-            self.lines.push_back(format!("engine {} set aside: {why}", id.0));
+            self.news.push_back(Decision::SetAside { engine: id, why });
         }
     }
 
+    /// Other routers doubt an engine so far, from 0 to 1; of one type, or all.
+    pub fn hearsay(&mut self, now: Moment, id: EngineId, of: Option<TypeId>, doubt: f64) {
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.hearsay.insert(of, (doubt.clamp(0.0, 1.0), now));
+        }
+    }
+
+    /// What is left of a doubt: it fades over the patience, and the first own word since ends it. Threat: a router
+    /// with few jobs meets a hung engine late. It also catches engines that fail others. It may hurt where others
+    /// lie, so it brings a probe forward and adds to an estimate, and neither `legal` nor `watch` reads it.
+    fn doubt(&self, engine: &Engine, of: Option<TypeId>, now: Moment) -> f64 {
+        let ended = engine.errors.get(&of).map_or(Moment::default(), |(_, last)| *last);
+        let own = if of.is_none() { engine.heard } else { ended };
+        let left = |at: Moment| 1.0 - now.since(at).secs() / self.patience().secs();
+        let doubt = engine.hearsay.get(&of).filter(|(_, at)| *at > own);
+        doubt.map_or(0.0, |(doubt, at)| doubt * left(*at).max(0.0))
+    }
+
     /// One line of the engine list.
     pub fn engine_listed(
         &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, listed: Listed,
@@ -450,7 +469,7 @@
             .or_else(|| if self.further.cancelling { self.cancel_lost(now) } else { None })
             .or_else(|| self.dispatch(now))
             .or_else(|| if self.watching.may_probe { self.probe(now) } else { None })
-            .or_else(|| self.lines.pop_front().map(Decision::Log))
+            .or_else(|| self.news.pop_front())
             .or_else(|| self.forgotten.pop().map(Decision::Forget))
             .or_else(|| self.wake(now))
     }
@@ -458,10 +477,12 @@
     /// Empties what time alone empties.
     fn let_go(&mut self, now: Moment) {
         let lifetime = self.types.iter().map(|t| t.timeout).min().unwrap_or_default();
+        let patience = self.patience();
         for engine in self.engines.values_mut() {
             engine.sent.retain(|(at, _)| now.since(*at) <= self.cold.fall);
             engine.groups.retain(|_, at| now.since(*at) <= lifetime);
             engine.holds.retain(|_, until| now < *until);
+            engine.hearsay.retain(|_, (_, at)| now.since(*at) <= patience);
         }
         if let Some(ration) = &self.further.ration {
             self.taken.retain(|&at| now.since(at) < ration.window);
@@ -482,7 +503,7 @@
         let room = (live().count() / 2).saturating_sub(live().filter(|(_, e)| e.aside.is_some()).count());
         let silent = live().filter(|(_, e)| e.aside.is_none() && e.silent(now, patience));
         for id in silent.map(|(id, _)| *id).take(room).collect::<Vec<_>>() {
-            self.set_aside(id, "silent");
+            self.set_aside(id, Aside::Silent);
         }
     }
 
@@ -627,6 +648,7 @@
         let errors = |of| engine.errors.get(&of).map_or(0.0, fade);
         let any = if t.effect == Effect::RunOnce { errors(None) } else { 0.0 };
         total += t.timeout.secs() * errors(Some(job.kind)).max(any).powi(2);
+        total += t.sla.secs() * self.doubt(engine, None, now).max(self.doubt(engine, Some(job.kind), now));
         if engine.zone != self.fleet.zone {
             total += self.fleet.crossing_price * t.sla.secs();
         }
@@ -778,7 +800,8 @@
     fn probe(&mut self, now: Moment) -> Option<Decision> {
         let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.patience().times(0.5));
         let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
-        let doubtful = |e: &Engine| e.listed != Listed::Gone && (e.aside.is_some() || e.silent(now, quiet));
+        let told = |e: &Engine| e.silent(now, quiet) || self.doubt(e, None, now) > 0.0;
+        let doubtful = |e: &Engine| e.listed != Listed::Gone && (e.aside.is_some() || told(e));
         let mut pick = self.engines.iter().find(|(_, e)| due(e) && doubtful(e)).map(|(id, _)| *id);
         if pick.is_none() && self.watching.reports_by_probe && self.since_probe >= DISPATCHES_PER_PROBE {
             let live = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live && due(e));
--- a/src/records.rs
+++ b/src/records.rs
@@ -87,6 +87,8 @@
     pub(crate) heard: Moment,
     /// The share of errors among the ends lately and when the last came, a line for each type and one for all.
     pub(crate) errors: BTreeMap<Option<TypeId>, (Mean, Moment)>,
+    /// What other routers say, by type, and when it came; emptied of what is older than the patience.
+    pub(crate) hearsay: BTreeMap<Option<TypeId>, (f64, Moment)>,
     pub(crate) probe_out: bool,
     pub(crate) probed: Option<Moment>,
     /// While set aside: probes still to answer in a row.
--- a/tests/stories/host.rs
+++ b/tests/stories/host.rs
@@ -151,7 +151,7 @@
                 Decision::Probe { engine } => self.probed.push(engine),
                 Decision::Subscribe => self.subscribed += 1,
                 Decision::Forget(what) => self.forgotten.push(what),
-                Decision::Wake { .. } | Decision::Log(_) => {}
+                Decision::Wake { .. } | Decision::SetAside { .. } | Decision::Back { .. } => {}
             }
         }
     }
