--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -569,14 +569,9 @@
     fn look_for_gone(&mut self, now: Moment) {
         let gone = self.members.iter().filter(|(_, m)| matches!(m.state, State::Gone { .. }));
         let mut places: Vec<(MemberId, SocketAddr)> = gone.map(|(id, m)| (id, m.card.address)).collect();
-        let few = self.members.count() <= self.seeds.len().max(2);
-        if few || self.chance.random_bool(0.25) || places.is_empty() {
-            let known = |at: &SocketAddr| self.members.living().any(|(_, m)| m.card.address == *at);
-            let unknown = |at: &SocketAddr| *at != self.address && (!few || !known(at));
-            if few || places.is_empty() && !self.seeds.is_empty() && self.members.count() == 1 {
-                places.extend(self.seeds.iter().filter(|at| unknown(at)).map(|at| (NOBODY, *at)));
-            }
-        }
+        // A seed that lives under another address than it is listed with is looked for in vain, at this small cost.
+        let known = |at: &SocketAddr| *at == self.address || self.members.living().any(|(_, m)| m.card.address == *at);
+        places.extend(self.seeds.iter().filter(|at| !known(at)).map(|at| (NOBODY, *at)));
         if !places.is_empty() {
             let (id, to) = places[self.chance.random_range(0..places.len())];
             self.send(now, Kind::Ping, id, to, 0, NOBODY, Vec::new(), PADDED);
@@ -925,7 +920,8 @@
             }
             return;
         }
-        if !self.members.is_open_to(accusation) || !self.bears_statement(now, accusation.witness) {
+        let may = |member: &mut members::Member| member.may_accuse(now);
+        if !self.members.is_open_to(accusation) || !self.members.get_mut(accusation.witness).is_some_and(may) {
             return;
         }
         if !self.may_check(now, at_home, 1) {
@@ -952,10 +948,6 @@
         }
     }
 
-    fn bears_statement(&mut self, now: Moment, witness: MemberId) -> bool {
-        self.members.get_mut(witness).is_some_and(|member| member.may_state(now))
-    }
-
     fn hear_word(&mut self, now: Moment, at_home: bool, word: &Word) {
         if word.witness == self.id() {
             return;
@@ -963,11 +955,12 @@
         let Some(witness) = self.members.get(word.witness) else { return };
         let (key, who, credit) = (witness.card.pass.key, witness.who, witness.credit());
         let refused = self.words.may_take(now, word);
-        if credit < LEAST_CREDIT || refused.is_err() || word.incarnation > witness.card.incarnation {
+        if credit < LEAST_CREDIT || refused.is_err() || runs_ahead(word.incarnation, now, self.pace.tolerance) {
             self.counts.words_refused += u64::from(refused != Err(Refused::Told));
             return;
         }
-        if !self.bears_statement(now, word.witness) || !self.may_check(now, at_home, 1) {
+        let may = self.members.get_mut(word.witness).is_some_and(|member| member.may_say(now));
+        if !may || !self.may_check(now, at_home, 1) {
             self.counts.words_refused += 1;
             return;
         }
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -13,7 +13,7 @@
 
 /// Witnesses of different names that make a suspect gone without an own failed probe.
 pub const WITNESSES: usize = 3;
-/// Words and accusations that a member may bring a second, and for how long it may save them up.
+/// Words, and accusations, that a member may bring a second, and for how long it may save them up.
 const STATEMENTS_PER_S: f64 = 4.0;
 const STATEMENTS_BURST: Span = Span::from_micros(8_000_000);
 /// Below this, a member's words are not heard: four contradictions in a row.
@@ -67,7 +67,8 @@
     /// The last fresh word straight from it.
     pub heard: Option<Moment>,
     credit: f64,
-    statements: Bucket,
+    words: Bucket,
+    accusations: Bucket,
     spent: bool,
 }
 
@@ -81,7 +82,8 @@
             proven: false,
             heard: None,
             credit: 1.0,
-            statements: Bucket::new(now, STATEMENTS_PER_S, STATEMENTS_BURST),
+            words: Bucket::new(now, STATEMENTS_PER_S, STATEMENTS_BURST),
+            accusations: Bucket::new(now, STATEMENTS_PER_S, STATEMENTS_BURST),
             spent: false,
         }
     }
@@ -90,9 +92,13 @@
         matches!(self.state, State::Alive | State::Suspect { .. })
     }
 
-    /// Whether it may bring another statement now.
-    pub fn may_state(&mut self, now: Moment) -> bool {
-        self.statements.take(now, 1.0)
+    /// Whether it may bring another word on an engine now, and another accusation.
+    pub fn may_say(&mut self, now: Moment) -> bool {
+        self.words.take(now, 1.0)
+    }
+
+    pub fn may_accuse(&mut self, now: Moment) -> bool {
+        self.accusations.take(now, 1.0)
     }
 
     /// From 0 to 1.
--- a/crates/gossip/src/news.rs
+++ b/crates/gossip/src/news.rs
@@ -33,6 +33,12 @@
     }
 }
 
+/// Words on engines and revocations count as told this many times less often than what is said of members, or they
+/// would stand behind ever new cards where a network loses much and members are accused and refute all the time.
+const WORDS_FIRST: u32 = 4;
+
+type Place = (u32, u8, std::cmp::Reverse<u64>, About);
+
 struct Item {
     bytes: Rc<[u8]>,
     told: u32,
@@ -44,7 +50,7 @@
 pub struct News {
     items: BTreeMap<About, Item>,
     /// The same by how often told, the newest first among equals.
-    queue: BTreeSet<(u32, std::cmp::Reverse<u64>, About)>,
+    queue: BTreeSet<Place>,
     order: u64,
 }
 
@@ -52,18 +58,19 @@
     pub fn add(&mut self, about: About, bytes: Rc<[u8]>) {
         self.forget(&about);
         if self.items.len() >= WAITING
-            && let Some((_, _, most_told)) = self.queue.last().cloned()
+            && let Some((.., most_told)) = self.queue.last().cloned()
         {
             self.forget(&most_told);
         }
         self.order += 1;
-        self.queue.insert((0, std::cmp::Reverse(self.order), about.clone()));
-        self.items.insert(about, Item { bytes, told: 0, order: self.order });
+        let item = Item { bytes, told: 0, order: self.order };
+        self.queue.insert(place(&item, about.clone()));
+        self.items.insert(about, item);
     }
 
     pub fn forget(&mut self, about: &About) {
         if let Some(item) = self.items.remove(about) {
-            self.queue.remove(&(item.told, std::cmp::Reverse(item.order), about.clone()));
+            self.queue.remove(&place(&item, about.clone()));
         }
     }
 
@@ -82,7 +89,7 @@
         let mut taken = Vec::new();
         let first = About::Accusation(to, MemberId(0))..=About::Accusation(to, MemberId(u64::MAX));
         let first = self.items.range(first).map(|(about, _)| about.clone()).take(2);
-        let rest = self.queue.iter().map(|(_, _, about)| about).filter(|about| match about {
+        let rest = self.queue.iter().map(|(.., about)| about).filter(|about| match about {
             About::Card(id) => *id != to,
             About::Accusation(subject, witness) => *subject != to && *witness != to,
             About::Word(witness, ..) => *witness != to,
@@ -98,11 +105,10 @@
             }
             room -= length;
             taken.push((about.tag(), item.bytes.clone()));
-            let (told, order) = (item.told, std::cmp::Reverse(item.order));
+            self.queue.remove(&place(item, about.clone()));
             item.told += 1;
-            self.queue.remove(&(told, order, about.clone()));
-            if told + 1 < most {
-                self.queue.insert((told + 1, order, about));
+            if item.told < most {
+                self.queue.insert(place(item, about));
             } else {
                 self.items.remove(&about);
             }
@@ -110,3 +116,9 @@
         taken
     }
 }
+
+fn place(item: &Item, about: About) -> Place {
+    let of_members = matches!(about, About::Card(_) | About::Accusation(..));
+    let told = if of_members { item.told } else { item.told / WORDS_FIRST };
+    (told, u8::from(of_members), std::cmp::Reverse(item.order), about)
+}
--- a/crates/gossip/src/observe.rs
+++ b/crates/gossip/src/observe.rs
@@ -87,10 +87,11 @@
         if matches!(outcome, Outcome::Done | Outcome::Error | Outcome::TurnedAway) {
             own.turned_away.add(outcome == Outcome::TurnedAway);
             let (ends, told) = (own.turned_away, own.claims.get(&None).map(|claim| claim.seen));
-            if ends.is_bad() {
+            if ends.is_good() {
+                let over = told == Some(Seen::Refusing);
+                says.extend(over.then(|| claim(own, now, engine, None, Seen::Well, u8::MAX)).flatten());
+            } else if ends.is_bad() {
                 says.extend(claim(own, now, engine, None, Seen::Refusing, sure(ends)));
-            } else if ends.is_good() && told == Some(Seen::Refusing) {
-                says.extend(claim(own, now, engine, None, Seen::Well, u8::MAX));
             }
         }
         if matches!(outcome, Outcome::Done | Outcome::Error) {
@@ -98,10 +99,10 @@
             ends.add(outcome == Outcome::Error);
             let ends = *ends;
             let kind = Some(of.to_owned());
-            if ends.is_bad() {
-                says.extend(claim(own, now, engine, kind, Seen::Failing, sure(ends)));
-            } else if ends.is_good() && own.claims.contains_key(&kind) {
+            if ends.is_good() {
                 says.extend(claim(own, now, engine, kind, Seen::Well, u8::MAX));
+            } else if ends.is_bad() {
+                says.extend(claim(own, now, engine, kind, Seen::Failing, sure(ends)));
             }
         }
         says
--- /dev/null
+++ b/crates/router/tests/gossip.rs
@@ -0,0 +1,147 @@
+//! Routers that talk, on loopback, and a hostile peer beside them.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use woadhook::{Moment, Span};
+use woadhook_gossip::Seen;
+use woadhook_gossip::keys::{Identity, MemberId, Pass, Ring, Secret};
+use woadhook_gossip::wire::{Card, Envelope, Kind, PADDED, Statement, Tag, Word, seal};
+use woadhook_router::gossip::{Keys, Talk};
+use woadhook_router::stop::Order;
+use woadhook_standins::cluster::{operator, revocation, ring, secret, tag, usual_pace};
+use woadhook_standins::*;
+
+const NOBODY: MemberId = MemberId(0);
+
+fn now() -> Moment {
+    Moment::from_micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_micros() as u64)
+}
+
+fn before(span: f64) -> Moment {
+    Moment::from_micros(now().since(Moment::default()).less(Span::from_secs(span)).micros())
+}
+
+/// A member's key with a pass that is good now.
+fn member(number: u64, name: &str, by: &Secret) -> Identity {
+    let secret = secret(number);
+    let pass = Pass::issue(by, name, secret.public(), tag(), before(60.0), now() + Span::from_secs(3600.0)).unwrap();
+    Identity::new(secret, pass, &Ring::new(tag(), vec![by.public()]), now()).unwrap()
+}
+
+/// A router that talks, with key 1, and where it listens.
+fn talking(engines: &[SocketAddr], seeds: Vec<SocketAddr>, number: u64) -> (Running, SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let keys = Keys { identity: member(number, &format!("n{number}"), &operator()), ring: ring() };
+    let pace = woadhook_gossip::Pace { period: Span::from_secs(0.05), ..usual_pace() };
+    let talk = Talk { socket, keys, address, seeds, pace };
+    let told = told(engines, Events::default().serve().address, 1024);
+    (Running::talking(&told, Some(talk)), address)
+}
+
+/// A peer that says what it likes.
+struct Peer {
+    socket: UdpSocket,
+    own: Identity,
+    incarnation: u64,
+    number: u64,
+}
+
+impl Peer {
+    fn new(own: Identity) -> Self {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.set_read_timeout(Some(LONG)).unwrap();
+        let incarnation = now().since(Moment::default()).micros() / 1000;
+        Self { socket, own, incarnation, number: 0 }
+    }
+
+    fn says(&mut self, to: SocketAddr, sent: Moment, engine: &str, spoilt: bool) {
+        self.number += 1;
+        let card = Card::issue(&self.own, self.socket.local_addr().unwrap(), self.incarnation, false);
+        let word = Word::issue(
+            &self.own, self.incarnation, self.number, sent, engine, Moment::default(), Seen::Silent, None, 255,
+        );
+        let statements = [(Tag::Word, word.to_bytes().into())];
+        let (mut bytes, _) = seal(
+            &self.own, Kind::Ping, NOBODY, sent, self.number, 0, NOBODY, (1, 0), &card.bytes, &statements, PADDED,
+        );
+        if spoilt {
+            let last = bytes.len() - 1;
+            bytes[last] ^= 1;
+        }
+        self.socket.send_to(&bytes, to).unwrap();
+    }
+
+    /// The statements of the next datagram that comes.
+    fn hears(&self) -> Vec<Statement> {
+        let mut bytes = [0; 1500];
+        let (length, _) = self.socket.recv_from(&mut bytes).unwrap();
+        Envelope::read(&bytes[..length]).unwrap().statements().collect()
+    }
+}
+
+#[test]
+fn a_forged_engine_dead_brings_no_probe_and_a_members_word_does() {
+    let engines = [0, 1].map(|_| Standin::start(|call| pages(call, &["a\tb\tc\n"])));
+    let (router, at) = talking(&engines.each_ref().map(|engine| engine.address), vec![], 1);
+    assert!(Client::new(&router).pings(1));
+    let mut stranger = Peer::new(member(3, "n3", &secret(99)));
+    stranger.says(at, now(), "s-0", false);
+    let mut honest = Peer::new(member(2, "n2", &operator()));
+    honest.says(at, before(86_400.0), "s-0", false);
+    honest.says(at, now(), "s-0", true);
+    honest.socket.send_to(b"engine s-0 is dead", at).unwrap();
+    // What is good comes last, over the same socket: when it has worked, the others have been looked at.
+    honest.says(at, now(), "s-1", false);
+    engines[1].awaits("GET /load ");
+    assert!(engines[0].had("GET /load ").is_empty());
+    // The job goes on as ever.
+    let mut client = Client::new(&router);
+    client.asks(1, "look", 20_000);
+    assert_eq!(client.hears(), (1, Ok("a\tb\tc\n".to_owned())));
+}
+
+#[test]
+fn what_one_router_suffers_the_other_hears_and_probes() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n"]));
+    // Nobody listens there: a job's dispatch fails to connect.
+    let dead = SocketAddr::from(([127, 0, 0, 1], 1));
+    let (first, at) = talking(&[dead], vec![], 1);
+    let (second, _) = talking(&[engine.address], vec![at], 2);
+    assert!(Client::new(&second).pings(1));
+    // Both know "s-0", each at an address of its own.
+    std::thread::sleep(Duration::from_millis(300));
+    let mut client = Client::new(&first);
+    client.asks(1, "look", 2_000);
+    engine.awaits("GET /load ");
+}
+
+#[test]
+fn a_revocation_that_is_read_again_puts_a_member_out_at_others_too() {
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n"]));
+    let (router, at) = talking(&[engine.address], vec![], 1);
+    assert!(Client::new(&router).pings(1));
+    let mut honest = Peer::new(member(2, "n2", &operator()));
+    let mut list = ring();
+    assert!(list.revoke(&revocation(7), now()));
+    let keys = Keys { identity: member(1, "n1", &operator()), ring: list };
+    router.orders.send_blocking(Order::Rekey(Ok(keys))).unwrap();
+    // A fault leaves what is in force.
+    router.orders.send_blocking(Order::Rekey(Err("site.jsonnet: bad".to_owned()))).unwrap();
+    let mut revoked = false;
+    for _ in 0..20 {
+        honest.says(at, now(), "s-0", false);
+        revoked |= honest.hears().iter().any(|told| matches!(told, Statement::Revocation(_)));
+        if revoked {
+            break;
+        }
+    }
+    assert!(revoked, "it is told on");
+    let mut out = Peer::new(member(7, "n7", &operator()));
+    engine.had("GET");
+    out.says(at, now(), "s-0", false);
+    router.orders.send_blocking(Order::Stop).unwrap();
+    router.ends();
+    assert!(engine.had("GET /load ").len() <= 1, "only the honest member's word brought a probe");
+}
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -619,3 +619,62 @@
     };
     assert_eq!(play(), play());
 }
+
+#[test]
+fn hearsay_brings_a_probe_forward_and_steers_until_the_engine_speaks() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    host.now = host.now + ms(10);
+    host.router.hearsay(host.now, E0, None, 0.875);
+    host.pull();
+    assert_eq!(host.probed, [E0]);
+    for _ in 0..3 {
+        host.job(LOOKUP, 1);
+    }
+    host.pull();
+    assert!(host.sent.iter().all(|(_, engine, _)| *engine == E1));
+    host.router.probe_ended(host.now + ms(1), E0, Outcome::Done);
+    host.now = host.now + ms(2);
+    for _ in 0..3 {
+        host.job(LOOKUP, 2);
+    }
+    host.pull();
+    assert!(host.sent[3..].iter().any(|(_, engine, _)| *engine == E0), "its own answer ends what others said");
+}
+
+#[test]
+fn hearsay_ends_by_itself_and_never_leaves_a_router_without_engines() {
+    let mut host = Host::new(|start| start.watching.may_probe = false);
+    host.now = host.now + ms(10);
+    for engine in [E0, E1] {
+        host.router.hearsay(host.now, engine, None, 99.0);
+    }
+    let job = host.job(LOOKUP, 1);
+    host.pull();
+    assert_eq!(host.engines_of(job).len(), 1);
+    host.end(job, 0, Outcome::Done, 10);
+    host.router.hearsay(host.now, E0, None, 1.0);
+    host.pass(2_600);
+    let mut host_again = Host::new(|_| ());
+    let (one, other) = (host.job(LOOKUP, 3), host_again.job(LOOKUP, 3));
+    host.pull();
+    host_again.pull();
+    assert_eq!(host.engines_of(one), host_again.engines_of(other), "after the patience nothing is left of it");
+}
+
+#[test]
+fn hearsay_of_one_type_leaves_the_others_alone_and_opens_no_closed_engine() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    host.now = host.now + ms(10);
+    host.router.hearsay(host.now, E0, Some(LOAD), 0.8);
+    host.pull();
+    assert!(host.probed.is_empty(), "a probe says nothing of a type");
+    let jobs: Vec<JobId> = (0..4).map(|group| host.job(LOOKUP, group)).collect();
+    host.pull();
+    assert!(jobs.iter().any(|job| host.engines_of(*job) == [E0]));
+    host.list(0, Listed::Draining, None);
+    host.router.hearsay(host.now, E0, None, 0.0);
+    host.router.hearsay(host.now, E1, None, 0.875);
+    let job = host.job(LOOKUP, 9);
+    host.pull();
+    assert_eq!(host.engines_of(job), [E1]);
+}
