--- a/crates/gossip/src/keys.rs
+++ b/crates/gossip/src/keys.rs
@@ -103,7 +103,8 @@
     /// Reads the text of a key file.
     pub fn from_text(text: &str) -> Result<Self, String> {
         let bytes = Zeroizing::new(decoded(text, SECRET)?);
-        let bytes: [u8; 32] = bytes.as_slice().try_into().map_err(|_| format!("no {SECRET}: 64 hex digits"))?;
+        let bytes: [u8; 32] =
+            bytes.as_slice().try_into().map_err(|_| format!("no {SECRET}: 64 hex digits"))?;
         Ok(Self::from_bytes(&Zeroizing::new(bytes)))
     }
 
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -30,7 +30,9 @@
 use crate::news::{About, News};
 use crate::observe::{Observer, Say};
 pub use crate::wire::Seen;
-use crate::wire::{Accusation, Card, DATAGRAM, Envelope, Kind, PADDED, Statement, Tag, Word, envelope_bytes, seal};
+use crate::wire::{
+    Accusation, Card, DATAGRAM, Envelope, Kind, PADDED, Statement, Tag, Tagged, Word, envelope_bytes, seal,
+};
 use crate::words::{Refused, Words};
 
 /// Others that are asked to ping a member that did not answer.
@@ -49,7 +51,11 @@
 /// Pages are asked for once in so many periods while views differ a little, and so often in each period while they
 /// differ much.
 const CALM_PULLS: u64 = 5;
-const BUSY_PULLS: u32 = 4;
+const BUSY_PULLS: u32 = 2;
+/// Pages in answer to one pull.
+const PAGES: usize = 4;
+/// Periods between two looks at all lines, where no one is suspect.
+const SWEEP_PERIODS: f64 = 5.0;
 /// Signatures may be saved up for so long, and datagrams.
 const BURST: Span = Span::from_micros(500_000);
 /// Part of the checks that strangers may use.
@@ -130,11 +136,23 @@
 /// What the host is to do next.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Do {
-    Send { to: SocketAddr, bytes: Vec<u8> },
+    Send {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
     /// Others doubt an engine so far, from 0 (no longer) to [`words::MOST_DOUBT`]; of one type or all.
-    Hearsay { engine: String, of: Option<String>, doubt: f64 },
+    Hearsay {
+        engine: String,
+        of: Option<String>,
+        doubt: f64,
+    },
     /// Worth a log line. The member is told by name, the engine by its own.
-    Event { what: What, member: Option<String>, engine: Option<String>, seen: Option<Seen> },
+    Event {
+        what: What,
+        member: Option<String>,
+        engine: Option<String>,
+        seen: Option<Seen>,
+    },
 }
 
 /// What went in and out since the start; only grows.
@@ -231,7 +249,8 @@
 impl Gossip {
     /// `address` is where others send to; `seeds` are asked first.
     pub fn new(
-        now: Moment, seed: u64, own: Identity, ring: Ring, address: SocketAddr, seeds: Vec<SocketAddr>, pace: Pace,
+        now: Moment, seed: u64, own: Identity, ring: Ring, address: SocketAddr, seeds: Vec<SocketAddr>,
+        pace: Pace,
     ) -> Self {
         let mut chance = Pcg32::seed_from_u64(seed);
         let card = Rc::new(Card::issue(&own, address, micros(now) / 1000, false));
@@ -398,7 +417,11 @@
     fn settle(&mut self, witness: MemberId, engine: &str, borne_out: bool) {
         let Some(member) = self.members.get_mut(witness) else { return };
         let before = member.credit();
-        if borne_out { member.regain(BORNE_OUT) } else { member.contradicted() }
+        if borne_out {
+            member.regain(BORNE_OUT)
+        } else {
+            member.contradicted()
+        }
         let after = member.credit();
         let name = member.card.pass.name.clone();
         let what = if borne_out { What::WordBorneOut } else { What::WordContradicted };
@@ -425,7 +448,8 @@
         if self.left {
             return None;
         }
-        let half = self.probes.iter().filter(|probe| !probe.asked).map(|p| p.sent + self.pace.period.times(0.5));
+        let half =
+            self.probes.iter().filter(|probe| !probe.asked).map(|p| p.sent + self.pace.period.times(0.5));
         let pull = (self.behind == Behind::Much).then_some(self.next_pull);
         half.chain(pull).chain([self.next_period]).min()
     }
@@ -440,10 +464,15 @@
     fn pass_time(&mut self, now: Moment) {
         let half = self.pace.period.times(0.5);
         let unheard = |probe: &&mut Probe| !probe.asked && now.since(probe.sent) >= half;
-        let late: Vec<(MemberId, u64)> = self.probes.iter_mut().filter(unheard).map(|probe| {
-            probe.asked = true;
-            (probe.to, probe.mark)
-        }).collect();
+        let late: Vec<(MemberId, u64)> = self
+            .probes
+            .iter_mut()
+            .filter(unheard)
+            .map(|probe| {
+                probe.asked = true;
+                (probe.to, probe.mark)
+            })
+            .collect();
         for (about, mark) in late {
             self.ask_helpers(now, about, mark);
         }
@@ -460,13 +489,14 @@
     }
 
     fn period(&mut self, now: Moment) {
-        let done: Vec<Probe> = self.probes.extract_if(.., |probe| now.since(probe.sent) >= self.pace.period).collect();
+        let done: Vec<Probe> =
+            self.probes.extract_if(.., |probe| now.since(probe.sent) >= self.pace.period).collect();
         for probe in done {
             self.accuse(now, probe.to);
         }
         let old = self.pace.period.times(2.0);
         self.errands.retain(|errand| now.since(errand.sent) < old);
-        if now.since(self.swept) >= self.pace.period {
+        if self.members.any_suspect() || now.since(self.swept) >= self.pace.period.times(SWEEP_PERIODS) {
             self.sweep(now);
         }
         if let Some(id) = self.next_in_round() {
@@ -489,7 +519,8 @@
     }
 
     fn sweep(&mut self, now: Moment) {
-        let suspicion = self.pace.period.times(SUSPICION_PERIODS + (self.members.count() as f64 + 1.0).log2());
+        let suspicion =
+            self.pace.period.times(SUSPICION_PERIODS + (self.members.count() as f64 + 1.0).log2());
         let part = now.since(self.swept).secs() / self.pace.word_lifetime.secs().max(1e-3);
         self.members.regain_all(REGAIN * part);
         self.swept = now;
@@ -539,8 +570,12 @@
     }
 
     fn ask_helpers(&mut self, now: Moment, about: MemberId, mark: u64) {
-        let others: Vec<_> =
-            self.members.living().filter(|(id, m)| *id != about && m.proven).map(|(id, m)| (id, m.card.address)).collect();
+        let others: Vec<_> = self
+            .members
+            .living()
+            .filter(|(id, m)| *id != about && m.proven)
+            .map(|(id, m)| (id, m.card.address))
+            .collect();
         for _ in 0..HELPERS.min(others.len()) {
             let (id, to) = others[self.chance.random_range(0..others.len())];
             let asked = self.send(now, Kind::Ask, id, to, 0, about, Vec::new(), 0);
@@ -570,7 +605,9 @@
         let gone = self.members.iter().filter(|(_, m)| matches!(m.state, State::Gone { .. }));
         let mut places: Vec<(MemberId, SocketAddr)> = gone.map(|(id, m)| (id, m.card.address)).collect();
         // A seed that lives under another address than it is listed with is looked for in vain, at this small cost.
-        let known = |at: &SocketAddr| *at == self.address || self.members.living().any(|(_, m)| m.card.address == *at);
+        let known = |at: &SocketAddr| {
+            *at == self.address || self.members.living().any(|(_, m)| m.card.address == *at)
+        };
         places.extend(self.seeds.iter().filter(|at| !known(at)).map(|at| (NOBODY, *at)));
         if !places.is_empty() {
             let (id, to) = places[self.chance.random_range(0..places.len())];
@@ -610,13 +647,17 @@
     /// What this instance met goes out, unless enough others say so already.
     fn say(&mut self, now: Moment, Say { engine, of, seen, sure }: Say) {
         let agreeing = self.words.agreeing(now, &engine, of.as_deref(), seen, self.own.id());
-        if agreeing >= AGREEING || engine.len() > wire::ENGINE_BYTES || of.as_ref().is_some_and(|of| of.len() > wire::TYPE_BYTES) {
+        if agreeing >= AGREEING
+            || engine.len() > wire::ENGINE_BYTES
+            || of.as_ref().is_some_and(|of| of.len() > wire::TYPE_BYTES)
+        {
             return;
         }
         self.word_number += 1;
         let came_up = self.words.came_up(&engine).unwrap_or_default();
         let (incarnation, number) = (self.card.incarnation, self.word_number);
-        let word = Word::issue(&self.own, incarnation, number, now, &engine, came_up, seen, of.as_deref(), sure);
+        let word =
+            Word::issue(&self.own, incarnation, number, now, &engine, came_up, seen, of.as_deref(), sure);
         self.news.add(About::Word(self.own.id(), engine.clone(), of), word.to_bytes().into());
         self.event(What::WordTold, None, Some(&engine), Some(seen));
     }
@@ -633,14 +674,14 @@
     /// One datagram, filled with news as far as `most` allows; gives its mark if the budget let it out.
     fn send(
         &mut self, now: Moment, kind: Kind, to: MemberId, at: SocketAddr, re: u64, about: MemberId,
-        first: Vec<(Tag, Rc<[u8]>)>, fill: usize,
+        first: Vec<Tagged>, fill: usize,
     ) -> Option<u64> {
         self.send_within(now, kind, to, at, re, about, first, fill, DATAGRAM)
     }
 
     fn send_within(
         &mut self, now: Moment, kind: Kind, to: MemberId, at: SocketAddr, re: u64, about: MemberId,
-        mut first: Vec<(Tag, Rc<[u8]>)>, fill: usize, most: usize,
+        mut first: Vec<Tagged>, fill: usize, most: usize,
     ) -> Option<u64> {
         let base = envelope_bytes(self.card.bytes.len());
         let taken: usize = first.iter().map(|(_, bytes)| bytes.len() + wire::STATEMENT_HEAD).sum();
@@ -655,8 +696,19 @@
         }
         self.number += 1;
         let view = (self.members.count().min(u16::MAX.into()) as u16, self.view());
-        let (bytes, mark) =
-            seal(&self.own, kind, to, now, self.number, re, about, view, &self.card.bytes, &first, fill.min(most));
+        let (bytes, mark) = seal(
+            &self.own,
+            kind,
+            to,
+            now,
+            self.number,
+            re,
+            about,
+            view,
+            &self.card.bytes,
+            &first,
+            fill.min(most),
+        );
         self.counts.sent += 1;
         self.counts.sent_bytes += bytes.len() as u64;
         self.todo.push_back(Do::Send { to: at, bytes });
@@ -668,7 +720,8 @@
         self.counts.received += 1;
         self.counts.received_bytes += bytes.len() as u64;
         let read = Envelope::read(bytes).filter(|envelope| envelope.cluster == self.ring.cluster);
-        let Some(envelope) = read.filter(|envelope| envelope.to == self.own.id() || envelope.to == NOBODY) else {
+        let Some(envelope) = read.filter(|envelope| envelope.to == self.own.id() || envelope.to == NOBODY)
+        else {
             self.counts.foreign += 1;
             return;
         };
@@ -677,17 +730,22 @@
             self.counts.untimely += 1;
             return;
         }
-        let Some(card) = Card::read(envelope.card).filter(|card| card.id == envelope.sender && card.id != self.id()) else {
+        let Some(card) =
+            Card::read(envelope.card).filter(|card| card.id == envelope.sender && card.id != self.id())
+        else {
             self.counts.foreign += 1;
             return;
         };
-        if !self.ring.fits(&card.pass, now, self.pace.tolerance) || runs_ahead(card.incarnation, now, self.pace.tolerance) {
+        if !self.ring.fits(&card.pass, now, self.pace.tolerance)
+            || runs_ahead(card.incarnation, now, self.pace.tolerance)
+        {
             self.counts.not_admitted += 1;
             return;
         }
         let known = self.members.get(card.id);
         let remind = known.is_some_and(|member| member.card.incarnation > card.incarnation);
-        if known.is_some_and(|m| m.card.incarnation == card.incarnation && !m.window.is_new(envelope.number)) {
+        if known.is_some_and(|m| m.card.incarnation == card.incarnation && !m.window.is_new(envelope.number))
+        {
             self.counts.replayed += 1;
             return;
         }
@@ -735,7 +793,8 @@
     }
 
     fn answer(
-        &mut self, now: Moment, from: SocketAddr, card: &Card, envelope: &Envelope<'_>, length: usize, was_gone: bool,
+        &mut self, now: Moment, from: SocketAddr, card: &Card, envelope: &Envelope<'_>, length: usize,
+        was_gone: bool,
     ) {
         let Some(member) = self.members.get_mut(card.id) else { return };
         // Only who got the datagram of that mark, and has the key, can tell it: the address is proven.
@@ -757,12 +816,17 @@
             }
             Kind::Ack => {
                 let re = envelope.re;
-                let about_probe = |probe: &Probe| (probe.mark == re && probe.to == card.id) || probe.helped.contains(&re);
+                let about_probe =
+                    |probe: &Probe| (probe.mark == re && probe.to == card.id) || probe.helped.contains(&re);
                 self.probes.retain(|probe| !about_probe(probe));
                 if let Some(place) = self.errands.iter().position(|e| e.mark == re && e.member == card.id)
                     && let Some(errand) = self.errands.remove(place)
                 {
-                    let asker = self.members.living().find(|(_, m)| m.card.address == errand.for_whom).map(|(id, _)| id);
+                    let asker = self
+                        .members
+                        .living()
+                        .find(|(_, m)| m.card.address == errand.for_whom)
+                        .map(|(id, _)| id);
                     let to = asker.unwrap_or(NOBODY);
                     self.send(now, Kind::Ack, to, errand.for_whom, errand.re, card.id, Vec::new(), 0);
                 }
@@ -770,7 +834,9 @@
             Kind::Ask => {
                 let proven = self.members.get(card.id).is_some_and(|m| m.proven && m.card.address == from);
                 let target = self.members.get(envelope.about).map(|m| (m.card.address, m.proven));
-                let Some((to, reached)) = target.filter(|_| proven && self.errands.len() < ERRANDS) else { return };
+                let Some((to, reached)) = target.filter(|_| proven && self.errands.len() < ERRANDS) else {
+                    return;
+                };
                 let fill = if reached { 0 } else { PADDED };
                 let (re, member) = (envelope.mark(), envelope.about);
                 if let Some(mark) = self.send(now, Kind::Ping, member, to, 0, NOBODY, Vec::new(), fill) {
@@ -778,27 +844,44 @@
                 }
             }
             Kind::Pull => {
-                let base = envelope_bytes(self.card.bytes.len());
-                let mut room = most.saturating_sub(base);
-                let mut last = NOBODY;
-                let mut all = true;
-                for card in self.members.behind(envelope.about).filter(|other| other.id != card.id) {
-                    let length = card.bytes.len() + wire::STATEMENT_HEAD;
-                    if length > room {
-                        all = false;
+                // An address that is proven gets a few pages at once; any other no more than it sent.
+                let pages = if most == DATAGRAM && self.members.get(card.id).is_some_and(|m| m.proven) {
+                    PAGES
+                } else {
+                    1
+                };
+                let mut cursor = envelope.about;
+                for _ in 0..pages {
+                    let (cards, next) = self.page(cursor, card.id, most);
+                    cursor = next;
+                    self.send_within(now, Kind::Page, card.id, from, envelope.mark(), cursor, cards, 0, most);
+                    if cursor == NOBODY {
                         break;
                     }
-                    room -= length;
-                    last = card.id;
-                    first.push((Tag::Card, card.bytes.clone()));
                 }
-                let cursor = if all { NOBODY } else { last };
-                self.send_within(now, Kind::Page, card.id, from, envelope.mark(), cursor, first, 0, most);
             }
-            Kind::Page => self.cursor = envelope.about,
+            // Pages may come out of order: only the end starts over.
+            Kind::Page if envelope.about == NOBODY => self.cursor = NOBODY,
+            Kind::Page => self.cursor = self.cursor.max(envelope.about),
         }
     }
 
+    /// As many cards behind an id as fit, and the id to go on from: nobody's at the end of the table.
+    fn page(&self, after: MemberId, but: MemberId, most: usize) -> (Vec<Tagged>, MemberId) {
+        let mut room = most.saturating_sub(envelope_bytes(self.card.bytes.len()));
+        let (mut cards, mut last) = (Vec::new(), after);
+        for card in self.members.behind(after).filter(|card| card.id != but) {
+            let length = card.bytes.len() + wire::STATEMENT_HEAD;
+            if length > room {
+                return (cards, last);
+            }
+            room -= length;
+            last = card.id;
+            cards.push((Tag::Card, card.bytes.clone()));
+        }
+        (cards, NOBODY)
+    }
+
     fn compare_views(&mut self, envelope: &Envelope<'_>) {
         if !matches!(envelope.kind, Kind::Ack | Kind::Page) {
             return;
@@ -880,9 +963,12 @@
     fn hear_card(&mut self, now: Moment, at_home: bool, card: Card) {
         if card.id == self.id() {
             // Own word from before a restart with a clock that was ahead, or a stolen key.
-            let ahead = card.incarnation > self.card.incarnation || card.leaving && card.incarnation == self.card.incarnation;
-            if ahead && !runs_ahead(card.incarnation, now, self.pace.tolerance)
-                && self.may_check(now, at_home, 1) && card.is_own_word()
+            let ahead = card.incarnation > self.card.incarnation
+                || card.leaving && card.incarnation == self.card.incarnation;
+            if ahead
+                && !runs_ahead(card.incarnation, now, self.pace.tolerance)
+                && self.may_check(now, at_home, 1)
+                && card.is_own_word()
             {
                 self.renew(now, card.incarnation + 1);
             }
@@ -921,7 +1007,8 @@
             return;
         }
         let may = |member: &mut members::Member| member.may_accuse(now);
-        if !self.members.is_open_to(accusation) || !self.members.get_mut(accusation.witness).is_some_and(may) {
+        if !self.members.is_open_to(accusation) || !self.members.get_mut(accusation.witness).is_some_and(may)
+        {
             return;
         }
         if !self.may_check(now, at_home, 1) {
@@ -955,7 +1042,8 @@
         let Some(witness) = self.members.get(word.witness) else { return };
         let (key, who, credit) = (witness.card.pass.key, witness.who, witness.credit());
         let refused = self.words.may_take(now, word);
-        if credit < LEAST_CREDIT || refused.is_err() || runs_ahead(word.incarnation, now, self.pace.tolerance) {
+        if credit < LEAST_CREDIT || refused.is_err() || runs_ahead(word.incarnation, now, self.pace.tolerance)
+        {
             self.counts.words_refused += u64::from(refused != Err(Refused::Told));
             return;
         }
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -1,14 +1,13 @@
 //! The table of members: what each says of itself, who accuses it, and how far its words are worth anything.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::ops::Bound;
 use std::rc::Rc;
 
 use woadhook::{Moment, Span};
 
 use crate::budget::Bucket;
-use crate::keys::{Cluster, MemberId, hash, micros};
+use crate::keys::{MemberId, hash, micros};
 use crate::wire::{Accusation, Card};
 
 /// Witnesses of different names that make a suspect gone without an own failed probe.
@@ -51,9 +50,17 @@
 pub enum State {
     Alive,
     /// Since when, whether the own probe failed, and the hashed names of those who accuse it.
-    Suspect { since: Moment, own: bool, by: Vec<u64> },
-    Gone { since: Moment },
-    Left { since: Moment },
+    Suspect {
+        since: Moment,
+        own: bool,
+        by: Vec<u64>,
+    },
+    Gone {
+        since: Moment,
+    },
+    Left {
+        since: Moment,
+    },
 }
 
 pub struct Member {
@@ -160,12 +167,13 @@
     lines: BTreeMap<MemberId, Member>,
     most: usize,
     living: usize,
+    suspects: usize,
     digest: u64,
 }
 
 impl Members {
     pub fn new(own: MemberId, most: usize) -> Self {
-        Self { own, lines: BTreeMap::new(), most, living: 0, digest: 0 }
+        Self { own, lines: BTreeMap::new(), most, living: 0, suspects: 0, digest: 0 }
     }
 
     pub fn get(&self, id: MemberId) -> Option<&Member> {
@@ -197,8 +205,11 @@
 
     fn shift(&mut self, id: MemberId, state: State) {
         let Some(member) = self.lines.get_mut(&id) else { return };
+        let suspect = |member: &Member| usize::from(matches!(member.state, State::Suspect { .. }));
         let (before, incarnation) = (member.lives(), member.card.incarnation);
+        self.suspects -= suspect(member);
         member.state = state;
+        self.suspects += suspect(member);
         let after = member.lives();
         if before != after {
             self.digest ^= part(id, incarnation);
@@ -206,7 +217,7 @@
         }
     }
 
-    /// Takes in a card that was found believable. `allowed` is how old a gone one may be to be brought back by others' telling.
+    /// Takes in a card that was found believable.
     pub fn take(&mut self, now: Moment, card: Rc<Card>) -> Change {
         let id = card.id;
         if id == self.own {
@@ -239,7 +250,13 @@
         }
         self.shift(id, if leaving { State::Left { since: now } } else { State::Alive });
         match before {
-            _ if leaving => if counted { Change::Left } else { Change::Nothing },
+            _ if leaving => {
+                if counted {
+                    Change::Left
+                } else {
+                    Change::Nothing
+                }
+            }
             State::Gone { .. } | State::Left { .. } => Change::Back,
             State::Suspect { .. } => Change::Refuted,
             State::Alive => Change::Renewed,
@@ -301,7 +318,9 @@
             State::Suspect { by, .. } => by.contains(&witness.who) || by.len() >= 2 * WITNESSES,
             _ => true,
         };
-        !counted && witness.lives() && witness.who != subject.who
+        !counted
+            && witness.lives()
+            && witness.who != subject.who
             && accusation.incarnation == subject.card.incarnation
     }
 
@@ -310,7 +329,9 @@
         if !self.is_open_to(accusation) {
             return Charge::Idle;
         }
-        let Some(who) = self.lines.get(&accusation.witness).map(|witness| witness.who) else { return Charge::Idle };
+        let Some(who) = self.lines.get(&accusation.witness).map(|witness| witness.who) else {
+            return Charge::Idle;
+        };
         let Some(subject) = self.lines.get(&accusation.subject) else { return Charge::Idle };
         match subject.state.clone() {
             State::Suspect { since, own, mut by } => {
@@ -325,9 +346,16 @@
         }
     }
 
+    /// Whether time alone may soon end someone.
+    pub fn any_suspect(&self) -> bool {
+        self.suspects > 0
+    }
+
     /// What time alone brought since the last call. Suspects are gone after `suspicion`, if enough stand against them,
     /// and cleared after twice that else; who is gone is forgotten after `forget`.
-    pub fn lapse(&mut self, now: Moment, suspicion: Span, forget: Span, tolerance: Span) -> Vec<(MemberId, Lapse, Rc<Card>)> {
+    pub fn lapse(
+        &mut self, now: Moment, suspicion: Span, forget: Span, tolerance: Span,
+    ) -> Vec<(MemberId, Lapse, Rc<Card>)> {
         let due = |member: &Member| match &member.state {
             _ if now > member.card.pass.until + tolerance => Some(Lapse::Ended),
             State::Suspect { since, own, by } => {
@@ -338,7 +366,9 @@
                     (for_long > suspicion.times(2.0)).then_some(Lapse::Cleared)
                 }
             }
-            State::Gone { since } | State::Left { since } => (now.since(*since) > forget).then_some(Lapse::Forgotten),
+            State::Gone { since } | State::Left { since } => {
+                (now.since(*since) > forget).then_some(Lapse::Forgotten)
+            }
             State::Alive => None,
         };
         let due: Vec<_> = self.iter().filter_map(|(id, m)| Some((id, due(m)?, m.card.clone()))).collect();
@@ -366,11 +396,6 @@
     pub fn regain_all(&mut self, step: f64) {
         self.lines.values_mut().for_each(|member| member.regain(step));
     }
-
-    /// Whether another address is this member's by its own card.
-    pub fn address(&self, id: MemberId) -> Option<SocketAddr> {
-        self.lines.get(&id).map(|member| member.card.address)
-    }
 }
 
 fn part(id: MemberId, incarnation: u64) -> u64 {
@@ -385,8 +410,3 @@
     const REFUTATIONS: Span = Span::from_micros(60_000_000);
     incarnation > micros(now + tolerance + REFUTATIONS) / 1000
 }
-
-/// The tag of a cluster in this table's words.
-pub fn is_of(card: &Card, cluster: Cluster) -> bool {
-    card.pass.cluster == cluster
-}
--- a/crates/gossip/src/news.rs
+++ b/crates/gossip/src/news.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use crate::keys::MemberId;
-use crate::wire::{STATEMENT_HEAD, Tag};
+use crate::wire::{STATEMENT_HEAD, Tag, Tagged};
 
 /// Statements that wait at once; beyond that the most told one goes.
 pub const WAITING: usize = 1024;
@@ -84,7 +84,7 @@
 
     /// Statements for a datagram to `to` with so much room. What is about the receiver goes first, so that it can
     /// refute it; what is its own word is left out.
-    pub fn take(&mut self, to: MemberId, mut room: usize, members: usize) -> Vec<(Tag, Rc<[u8]>)> {
+    pub fn take(&mut self, to: MemberId, mut room: usize, members: usize) -> Vec<Tagged> {
         let most = (ROUNDS * ((members + 1) as f64).log2()).ceil().max(1.0) as u32;
         let mut taken = Vec::new();
         let first = About::Accusation(to, MemberId(0))..=About::Accusation(to, MemberId(u64::MAX));
--- a/crates/gossip/src/wire.rs
+++ b/crates/gossip/src/wire.rs
@@ -104,7 +104,9 @@
 
 impl Kind {
     fn from(byte: u8) -> Option<Self> {
-        [Kind::Ping, Kind::Ack, Kind::Ask, Kind::Pull, Kind::Page].into_iter().find(|kind| *kind as u8 == byte)
+        [Kind::Ping, Kind::Ack, Kind::Ask, Kind::Pull, Kind::Page]
+            .into_iter()
+            .find(|kind| *kind as u8 == byte)
     }
 }
 
@@ -342,6 +344,9 @@
 /// What a statement's tag and length take.
 pub const STATEMENT_HEAD: usize = 3;
 
+/// A statement as it goes into a datagram.
+pub type Tagged = (Tag, Rc<[u8]>);
+
 /// The kinds of statement as they are tagged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Tag {
@@ -392,7 +397,20 @@
         let card = from.take(length)?;
         let statements = from.0;
         let read = Self {
-            kind, cluster, sender, to, sent, number, re, about, living, digest, card, statements, signed, signature,
+            kind,
+            cluster,
+            sender,
+            to,
+            sent,
+            number,
+            re,
+            about,
+            living,
+            digest,
+            card,
+            statements,
+            signed,
+            signature,
         };
         let whole = read.parts().all(|part| part.is_some());
         whole.then_some(read)
@@ -452,7 +470,7 @@
 /// Puts a datagram together and signs it. `fill` is the length it is padded to. Gives its mark too.
 pub fn seal(
     own: &Identity, kind: Kind, to: MemberId, sent: Moment, number: u64, re: u64, about: MemberId,
-    view: (u16, u64), card: &[u8], statements: &[(Tag, Rc<[u8]>)], fill: usize,
+    view: (u16, u64), card: &[u8], statements: &[Tagged], fill: usize,
 ) -> (Vec<u8>, u64) {
     let mut out = Writer(Vec::with_capacity(DATAGRAM));
     out.bytes(&MAGIC);
--- a/crates/gossip/src/words.rs
+++ b/crates/gossip/src/words.rs
@@ -88,7 +88,10 @@
     pub fn may_take(&self, now: Moment, word: &Word) -> Result<(), Refused> {
         let heard = self.engines.get(&word.engine).ok_or(Refused::NotListed)?;
         // A list that is late at one of them tells of different starts; a word on an earlier one says nothing now.
-        if word.came_up != heard.came_up && word.came_up != Moment::default() && heard.came_up != Moment::default() {
+        if word.came_up != heard.came_up
+            && word.came_up != Moment::default()
+            && heard.came_up != Moment::default()
+        {
             return Err(Refused::NotListed);
         }
         if word.at > now + self.tolerance || now.since(word.at) > self.lifetime + self.tolerance {
@@ -115,7 +118,8 @@
         let kept = heard.words.entry(word.of.clone()).or_default();
         kept.retain(|kept| kept.witness != word.witness);
         if kept.len() >= WITNESSES_KEPT
-            && let Some(oldest) = kept.iter().enumerate().min_by_key(|(_, kept)| kept.said).map(|(place, _)| place)
+            && let Some(oldest) =
+                kept.iter().enumerate().min_by_key(|(_, kept)| kept.said).map(|(place, _)| place)
         {
             kept.swap_remove(oldest);
         }
--- a/crates/gossip/tests/decisions.rs
+++ b/crates/gossip/tests/decisions.rs
@@ -52,7 +52,10 @@
         }
         assert_eq!(world.broken(), Vec::<String>::new());
         let [done, throttled, cancelled, _] = world.tally(0, from, to.back(1.0));
-        assert!(throttled + cancelled <= done / 100, "{done} done, {throttled} throttled, {cancelled} cancelled");
+        assert!(
+            throttled + cancelled <= done / 100,
+            "{done} done, {throttled} throttled, {cancelled} cancelled"
+        );
     }
 }
 
--- a/crates/gossip/tests/properties.rs
+++ b/crates/gossip/tests/properties.rs
@@ -5,16 +5,24 @@
 use proptest::prelude::*;
 use woadhook::{Moment, Span};
 use woadhook_gossip::keys::{MemberId, Pass, Revocation, Secret};
-use woadhook_gossip::news::{About, News, WAITING};
 use woadhook_gossip::members::Window;
-use woadhook_gossip::wire::{Accusation, Card, Envelope, Kind, Seen, Statement, Tag, Word, envelope_bytes, seal};
+use woadhook_gossip::news::{About, News, WAITING};
+use woadhook_gossip::wire::{
+    Accusation, Card, Envelope, Kind, Seen, Statement, Tag, Word, envelope_bytes, seal,
+};
 use woadhook_standins::cluster::*;
 use woadhook_standins::net::Weather;
 
 const NOBODY: MemberId = MemberId(0);
 
 fn seen() -> impl Strategy<Value = Seen> {
-    prop_oneof![Just(Seen::Silent), Just(Seen::Reset), Just(Seen::Refusing), Just(Seen::Failing), Just(Seen::Well)]
+    prop_oneof![
+        Just(Seen::Silent),
+        Just(Seen::Reset),
+        Just(Seen::Refusing),
+        Just(Seen::Failing),
+        Just(Seen::Well)
+    ]
 }
 
 proptest! {
--- a/crates/gossip/tests/stories.rs
+++ b/crates/gossip/tests/stories.rs
@@ -28,7 +28,9 @@
 }
 
 /// A datagram with such statements, signed by such an instance at its first incarnation.
-fn datagram(own: &Identity, to: MemberId, now: Moment, number: u64, statements: &[(Tag, Vec<u8>)]) -> Vec<u8> {
+fn datagram(
+    own: &Identity, to: MemberId, now: Moment, number: u64, statements: &[(Tag, Vec<u8>)],
+) -> Vec<u8> {
     let card = Card::issue(own, address(200), now.since(Moment::default()).micros() / 1000, false);
     let statements: Vec<_> = statements.iter().map(|(tag, bytes)| (*tag, bytes.as_slice().into())).collect();
     seal(own, Kind::Ping, to, now, number, 0, NOBODY, (1, 0), &card.bytes, &statements, PADDED).0
@@ -86,7 +88,9 @@
     cluster.pass(secs(0.1));
     cluster.kill(3);
     assert!(cluster.until(secs(5.0), Cluster::agree).is_some());
-    let of = |what| cluster.told.iter().filter(|told| told.what == what && told.member.as_deref() == Some("n3")).count();
+    let of = |what| {
+        cluster.told.iter().filter(|told| told.what == what && told.member.as_deref() == Some("n3")).count()
+    };
     assert!(of(What::MemberLeft) >= 9);
     assert_eq!(of(What::MemberGone), 0);
 }
@@ -155,7 +159,11 @@
     cluster.at(0, |now, core| core.heard(now, address(1), &bytes));
     let after = cluster.core(0).counts();
     assert_eq!(after.words_taken, before.words_taken);
-    assert!(after.not_admitted > before.not_admitted && after.forged > before.forged && after.foreign > before.foreign);
+    assert!(
+        after.not_admitted > before.not_admitted
+            && after.forged > before.forged
+            && after.foreign > before.foreign
+    );
     assert_eq!(cluster.doubt(0, "e-1"), 0.0);
 }
 
@@ -242,7 +250,14 @@
     }
     cluster.pass(secs(1.0));
     for node in 0..4 {
-        let pass = Pass::issue(&second, &format!("n{node}"), secret(node as u64).public(), tag(), now, now + secs(90.0));
+        let pass = Pass::issue(
+            &second,
+            &format!("n{node}"),
+            secret(node as u64).public(),
+            tag(),
+            now,
+            now + secs(90.0),
+        );
         let own = Identity::new(secret(node as u64), pass.unwrap(), &both(), now).unwrap();
         cluster.at(node, |now, core| core.rekey(now, own, both()));
         cluster.pass(secs(1.0));
@@ -318,7 +333,9 @@
             let statements = [(Tag::Accusation, accusation.to_bytes().into())];
             let to = cluster.core(target).id();
             let number = 1_000_000 + turn as u64;
-            let bytes = seal(&own, Kind::Ping, to, now, number, 0, NOBODY, (20, 0), &own_card.bytes, &statements, 0).0;
+            let bytes =
+                seal(&own, Kind::Ping, to, now, number, 0, NOBODY, (20, 0), &own_card.bytes, &statements, 0)
+                    .0;
             let from = cluster.nodes[liar].address;
             cluster.inject(from, target, bytes);
         }
@@ -394,16 +411,18 @@
             let place = cluster.nodes[39 - node].address;
             cluster.net.part(place, 1);
         }
-        let parted = |cluster: &Cluster| {
-            cluster.core(0).living() == 40 - small && cluster.core(39).living() == small
-        };
+        let parted =
+            |cluster: &Cluster| cluster.core(0).living() == 40 - small && cluster.core(39).living() == small;
         assert!(cluster.until(secs(30.0), parted).is_some(), "{small} of 40 cut off");
         cluster.kill(10);
         cluster.pass(secs(5.0));
         cluster.net.heal();
         let healed = cluster.until(secs(30.0), Cluster::agree);
-        assert!(healed.is_some(), "{small} of 40 cut off: {:?}",
-            cluster.running().map(|(node, core)| (node, core.living())).collect::<Vec<_>>());
+        assert!(
+            healed.is_some(),
+            "{small} of 40 cut off: {:?}",
+            cluster.running().map(|(node, core)| (node, core.living())).collect::<Vec<_>>()
+        );
     }
 }
 
@@ -415,7 +434,11 @@
     cluster.pass(secs(20.0));
     cluster.at(3, |now, core| core.judged(now, "e-1", Seen::Silent));
     let all = |cluster: &Cluster| (0..20).all(|node| node == 3 || cluster.doubt(node, "e-1") > 0.2);
-    assert!(cluster.until(secs(4.0), all).is_some(), "words get through: {:?}", (0..20).map(|node| cluster.doubt(node, "e-1")).collect::<Vec<_>>());
+    assert!(
+        cluster.until(secs(4.0), all).is_some(),
+        "words get through: {:?}",
+        (0..20).map(|node| cluster.doubt(node, "e-1")).collect::<Vec<_>>()
+    );
     cluster.net.weather = Weather::calm();
     assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
     let replayed: u64 = cluster.running().map(|(_, core)| core.counts().replayed).sum();
@@ -432,7 +455,8 @@
     for (number, kind) in [Kind::Ping, Kind::Pull, Kind::Ask].into_iter().enumerate() {
         let card = Card::issue(&own, address(29), cluster.core(29).card().incarnation, false);
         let about = if kind == Kind::Ask { cluster.core(3).id() } else { NOBODY };
-        let bytes = seal(&own, kind, to, now, 5_000 + number as u64, 0, about, (1, 0), &card.bytes, &[], 600).0;
+        let bytes =
+            seal(&own, kind, to, now, 5_000 + number as u64, 0, about, (1, 0), &card.bytes, &[], 600).0;
         let before = cluster.core(0).counts();
         cluster.at(0, |now, core| core.heard(now, address(250), &bytes));
         let after = cluster.core(0).counts();
@@ -451,8 +475,7 @@
     let own = identity(800, "n800", now);
     for number in 0..1000 {
         let card = Card::issue(&own, address(300 + number), 1_780_000_000_000 + number as u64, false);
-        let bytes =
-            seal(&own, Kind::Ping, NOBODY, now, 1, 0, NOBODY, (1, 0), &card.bytes, &[], PADDED).0;
+        let bytes = seal(&own, Kind::Ping, NOBODY, now, 1, 0, NOBODY, (1, 0), &card.bytes, &[], PADDED).0;
         cluster.at(0, |now, core| core.heard(now, address(300 + number), &bytes));
     }
     let after = cluster.core(0).counts();
--- a/crates/operator/src/bounds.rs
+++ b/crates/operator/src/bounds.rs
@@ -73,7 +73,9 @@
 
 /// What the hidden command does: limits its own process, evaluates, and writes the result with a line feed behind it.
 pub fn serve(template: &Path) -> Result<String, String> {
-    for (resource, most) in [(Resource::DATA, MEMORY), (Resource::AS, 4 * MEMORY), (Resource::CPU, CPU_SECONDS)] {
+    for (resource, most) in
+        [(Resource::DATA, MEMORY), (Resource::AS, 4 * MEMORY), (Resource::CPU, CPU_SECONDS)]
+    {
         resource.set(most, most).map_err(|error| format!("{}: {error}", template.display()))?;
     }
     template::evaluate(template).map(|json| json + "\n")
--- a/crates/operator/src/page.rs
+++ b/crates/operator/src/page.rs
@@ -10,7 +10,9 @@
          Jsonnet (JSON is valid Jsonnet); `woadhook check --operator FILE` checks it and says what is set.\n",
     );
     for (section, says) in SECTIONS {
-        page.push_str(&format!("\n## {section}\n\n{says}\n\n| field | allowed | default | |\n| --- | --- | --- | --- |\n"));
+        page.push_str(&format!(
+            "\n## {section}\n\n{says}\n\n| field | allowed | default | |\n| --- | --- | --- | --- |\n"
+        ));
         for field in FIELDS.iter().filter(|field| field.section() == *section) {
             let default = match field.default {
                 None => "required".to_owned(),
--- a/crates/operator/src/sheet.rs
+++ b/crates/operator/src/sheet.rs
@@ -38,7 +38,8 @@
     pub fn check(json: &str, path: &Path) -> Result<Self, String> {
         let shown = path.display();
         let given: Value = serde_json::from_str(json).map_err(|error| format!("{shown}: {error}"))?;
-        let mut sheet = Self { folder: path.parent().unwrap_or(Path::new(".")).to_path_buf(), ..Self::default() };
+        let mut sheet =
+            Self { folder: path.parent().unwrap_or(Path::new(".")).to_path_buf(), ..Self::default() };
         let mut faults = Vec::new();
         match given.as_object() {
             Some(sections) => {
--- a/crates/operator/src/template.rs
+++ b/crates/operator/src/template.rs
@@ -38,7 +38,9 @@
 }
 
 /// Evaluates all that a value holds, with imports at hand, before it is written out.
-fn manifest<'p>(program: &mut Program<'p>, files: &mut Files<'p>, value: Value<'p>) -> Result<String, String> {
+fn manifest<'p>(
+    program: &mut Program<'p>, files: &mut Files<'p>, value: Value<'p>,
+) -> Result<String, String> {
     let wrapped = "function(value) std.manifestJsonMinified(value)";
     let (context, _) = program.span_manager_mut().insert_source_context(wrapped.len());
     files.read.push((context, "(result)".to_owned(), wrapped.as_bytes().to_vec()));
@@ -90,7 +92,8 @@
         let beside = self.read.iter().find(|(known, ..)| *known == context);
         let beside = beside.and_then(|(_, name, _)| Path::new(name).parent().map(Path::to_path_buf));
         let base = beside.and_then(|folder| folder.canonicalize().ok()).unwrap_or(self.folder.clone());
-        let found = base.join(path).canonicalize().map_err(|error| format!("{at}: import {path}: {error}"))?;
+        let found =
+            base.join(path).canonicalize().map_err(|error| format!("{at}: import {path}: {error}"))?;
         if !found.starts_with(&self.folder) {
             return Err(format!("{at}: import {path}: allowed are files in the template's own folder"));
         }
@@ -126,7 +129,8 @@
         let (span, why) = match error {
             LoadError::Lex(error) => lexed(error),
             LoadError::Parse(ParseError::Expected { span, expected, instead }) => {
-                let expected: Vec<String> = expected.iter().map(|token| plain(&format!("{token:?}"))).collect();
+                let expected: Vec<String> =
+                    expected.iter().map(|token| plain(&format!("{token:?}"))).collect();
                 let instead = plain(&format!("{instead:?}"));
                 (*span, format!("{instead} where one of these is allowed: {}", expected.join(", ")))
             }
--- a/crates/operator/tests/operator.rs
+++ b/crates/operator/tests/operator.rs
@@ -26,11 +26,17 @@
 #[test]
 fn a_template_with_imports_and_functions_stands_for_its_values() {
     let main = format!("local base = import 'lib/base.libsonnet'; {{ gossip: base({GOSSIP}, 100) }}");
-    let folder = folder("whole", &[
-        ("main.jsonnet", &main),
-        ("lib/base.libsonnet", "local more = import 'more.libsonnet'; function(given, period) given + { period_ms: period } + more"),
-        ("lib/more.libsonnet", "{ seeds: ['10.0.0.%d:7946' % n for n in std.range(1, 3)] }"),
-    ]);
+    let folder = folder(
+        "whole",
+        &[
+            ("main.jsonnet", &main),
+            (
+                "lib/base.libsonnet",
+                "local more = import 'more.libsonnet'; function(given, period) given + { period_ms: period } + more",
+            ),
+            ("lib/more.libsonnet", "{ seeds: ['10.0.0.%d:7946' % n for n in std.range(1, 3)] }"),
+        ],
+    );
     let path = folder.join("main.jsonnet");
     let sheet = Sheet::check(&template::evaluate(&path).unwrap(), &path).unwrap();
     let gossip = sheet.section("gossip").unwrap();
@@ -99,7 +105,9 @@
         assert!(told.contains(line), "{line}\nnot in\n{told}");
     }
     assert_eq!(told.lines().count(), 8);
-    assert!(Sheet::check("[]", &path).unwrap_err().contains("a list given, allowed is an object of sections"));
+    assert!(
+        Sheet::check("[]", &path).unwrap_err().contains("a list given, allowed is an object of sections")
+    );
 }
 
 #[test]
@@ -107,12 +115,17 @@
     for field in FIELDS {
         assert!(field.path.contains('.') && !field.says.is_empty(), "{}", field.path);
     }
-    let sheet = Sheet::check(&format!("{{\"log\": {{}}, \"gossip\": {}}}", json_of(GOSSIP)), &PathBuf::from("x"));
+    let sheet =
+        Sheet::check(&format!("{{\"log\": {{}}, \"gossip\": {}}}", json_of(GOSSIP)), &PathBuf::from("x"));
     let sheet = sheet.unwrap();
     let unset = ["gossip.advertise", "gossip.revoked"];
     assert_eq!(sheet.fields().count() + unset.len(), FIELDS.len());
     let page = fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operating/fields.md"));
-    assert_eq!(page.unwrap(), page::fields(), "write it anew with: woadhook fields > docs/operating/fields.md");
+    assert_eq!(
+        page.unwrap(),
+        page::fields(),
+        "write it anew with: woadhook fields > docs/operating/fields.md"
+    );
 }
 
 fn json_of(jsonnet: &str) -> String {
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -146,7 +146,8 @@
 }
 
 fn route(sheet: &Sheet, file: Option<PathBuf>) -> Result<(), String> {
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
+    let signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
     let (reread, rekeyed) = async_channel::bounded(1);
     let orders = signals.filter_map(move |signal| match signal.ok()? {
         Signal::Hup => {
@@ -160,7 +161,8 @@
         _ => Some(Order::Stop),
     });
     let given = config::read()?;
-    let talk = sheet.section("gossip").map(|section| Talk::open(section, Clock::start().now())).transpose()?;
+    let talk =
+        sheet.section("gossip").map(|section| Talk::open(section, Clock::start().now())).transpose()?;
     let listener = TcpListener::bind(given.listen).map_err(|error| format!("{}: {error}", given.listen))?;
     let tasks = Tasks::default();
     let orders = orders.or(rekeyed.map(Order::Rekey));
@@ -168,11 +170,12 @@
 }
 
 /// Only keys, passes and revocations count before the next start.
-fn read_again(file: &Path, reread: &Sender<Result<Keys, String>>) {
-    let keys = read_operator(Some(file))
-        .and_then(|sheet| sheet.section("gossip").map(|section| Keys::read(section, Clock::start().now())).transpose());
+fn read_again(file: &Path, reread: &Sender<Result<Box<Keys>, String>>) {
+    let keys = read_operator(Some(file)).and_then(|sheet| {
+        sheet.section("gossip").map(|section| Keys::read(section, Clock::start().now())).transpose()
+    });
     if let Some(keys) = keys.transpose() {
-        let _ = reread.send_blocking(keys);
+        let _ = reread.send_blocking(keys.map(Box::new));
     }
 }
 
@@ -186,12 +189,20 @@
         }
         let missing = sheet.missing_files();
         if !missing.is_empty() {
-            return Err(missing.iter().map(|fault| format!("{}: {fault}", file.display())).collect::<Vec<_>>().join("\n"));
+            return Err(missing
+                .iter()
+                .map(|fault| format!("{}: {fault}", file.display()))
+                .collect::<Vec<_>>()
+                .join("\n"));
         }
         if let Some(section) = sheet.section("gossip") {
             let keys = Keys::read(section, now).map_err(|fault| format!("{}: {fault}", file.display()))?;
             let days = keys.identity.until().since(now).secs() / 86_400.0;
-            words.push_str(&format!("member {} {}, pass ends in {days:.0} days\n", keys.identity.name(), keys.identity.id()));
+            words.push_str(&format!(
+                "member {} {}, pass ends in {days:.0} days\n",
+                keys.identity.name(),
+                keys.identity.id()
+            ));
         }
     }
     let path = config.or_else(|| env::var_os("LB_CONFIG").map(PathBuf::from));
@@ -199,7 +210,8 @@
         let shown = path.display();
         let text = std::fs::read_to_string(&path).map_err(|error| format!("{shown}: {error}"))?;
         let given = config::parse(&text, None).map_err(|fault| format!("{shown}: {fault}"))?;
-        Instance::start(now, given.seed, &given.settings).map_err(|fault| format!("{shown}: settings: {fault}"))?;
+        Instance::start(now, given.seed, &given.settings)
+            .map_err(|fault| format!("{shown}: settings: {fault}"))?;
         words.push_str(&format!(
             "listen = {}\nbulletin = {}\nmemory_mb = {}\nsockets = {}\n",
             given.listen, given.bulletin, given.memory_mb, given.descriptors
@@ -227,14 +239,22 @@
         Key::Show { file } => show(&file),
         Key::Admit { by, name, days: count, to } => {
             let operator = keyfiles::secret(&by.operator_key)?;
-            let pass = Pass::issue(&operator, &name, by.member, Cluster::named(&by.cluster), now, now + days(count))?;
+            let pass = Pass::issue(
+                &operator,
+                &name,
+                by.member,
+                Cluster::named(&by.cluster),
+                now,
+                now + days(count),
+            )?;
             keyfiles::write_new(&to, pass.to_text().as_bytes(), 0o644)?;
             Ok(format!("{} {}, {count} days\n", pass.name, pass.id()))
         }
         Key::Revoke { by, days: count, list } => {
             let operator = keyfiles::secret(&by.operator_key)?;
             let mut listed = if list.exists() { keyfiles::revocations(&list)? } else { Vec::new() };
-            let new = Revocation::issue(&operator, &by.member, Cluster::named(&by.cluster), now + days(count));
+            let new =
+                Revocation::issue(&operator, &by.member, Cluster::named(&by.cluster), now + days(count));
             listed.retain(|old| old.member != new.member && old.until > now);
             listed.push(new);
             keyfiles::write_revocations(&list, &listed)?;
@@ -248,7 +268,12 @@
         let now = Clock::start().now();
         let left = pass.until.since(now).secs() / 86_400.0;
         let state = if left > 0.0 { format!("ends in {left:.1} days") } else { "has ended".to_owned() };
-        return Ok(format!("pass of {} ({}), {state}\nkey {}\n", pass.name, pass.id(), public_to_text(&pass.key)));
+        return Ok(format!(
+            "pass of {} ({}), {state}\nkey {}\n",
+            pass.name,
+            pass.id(),
+            public_to_text(&pass.key)
+        ));
     }
     if let Ok(list) = keyfiles::revocations(file) {
         return Ok(list.iter().map(|each| format!("revoked {}\n", each.member)).collect());
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -18,8 +18,8 @@
 use crate::codec::Answer;
 use crate::config::address;
 use crate::engine::{Errand, Ground, Peer};
-use crate::gossip::{Note, Notes};
 use crate::front::{MALFORMED, Reply};
+use crate::gossip::{Note, Notes};
 use crate::query::{Dispatch, Rows, Statement, measure};
 
 pub const MAILBOX: usize = 4096;
--- a/crates/router/src/keyfiles.rs
+++ b/crates/router/src/keyfiles.rs
@@ -18,7 +18,9 @@
     let about = file.metadata().map_err(|error| format!("{shown}: {error}"))?;
     let mode = about.permissions().mode() & 0o777;
     if private && mode & 0o077 != 0 {
-        return Err(format!("{shown}: mode {mode:04o}, allowed is what its owner alone can read (0600 or 0400)"));
+        return Err(format!(
+            "{shown}: mode {mode:04o}, allowed is what its owner alone can read (0600 or 0400)"
+        ));
     }
     if about.len() > most {
         return Err(format!("{shown}: {} bytes, allowed are {most}", about.len()));
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -26,7 +26,7 @@
     /// What was read, or what is wrong with it.
     Reload(Result<Given>),
     /// The keys that the operator file names, read again, or what is wrong with them.
-    Rekey(Result<Keys>),
+    Rekey(Result<Box<Keys>>),
     Stop,
 }
 
@@ -44,7 +44,7 @@
             Order::Reload(Err(fault)) => log::error!("the old configuration stays: {fault}"),
             Order::Rekey(Ok(keys)) => {
                 if let Some(notes) = &notes {
-                    notes.tell(Note::Rekey(Box::new(keys)));
+                    notes.tell(Note::Rekey(keys));
                 }
             }
             Order::Rekey(Err(fault)) => log::error!("the old operator file stays: {fault}"),
--- a/crates/router/tests/gossip.rs
+++ b/crates/router/tests/gossip.rs
@@ -1,7 +1,7 @@
 //! Routers that talk, on loopback, and a hostile peer beside them.
 
 use std::net::{SocketAddr, UdpSocket};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use woadhook::{Moment, Span};
 use woadhook_gossip::Seen;
@@ -25,7 +25,8 @@
 /// A member's key with a pass that is good now.
 fn member(number: u64, name: &str, by: &Secret) -> Identity {
     let secret = secret(number);
-    let pass = Pass::issue(by, name, secret.public(), tag(), before(60.0), now() + Span::from_secs(3600.0)).unwrap();
+    let pass =
+        Pass::issue(by, name, secret.public(), tag(), before(60.0), now() + Span::from_secs(3600.0)).unwrap();
     Identity::new(secret, pass, &Ring::new(tag(), vec![by.public()]), now()).unwrap()
 }
 
@@ -60,11 +61,29 @@
         self.number += 1;
         let card = Card::issue(&self.own, self.socket.local_addr().unwrap(), self.incarnation, false);
         let word = Word::issue(
-            &self.own, self.incarnation, self.number, sent, engine, Moment::default(), Seen::Silent, None, 255,
+            &self.own,
+            self.incarnation,
+            self.number,
+            sent,
+            engine,
+            Moment::default(),
+            Seen::Silent,
+            None,
+            255,
         );
         let statements = [(Tag::Word, word.to_bytes().into())];
         let (mut bytes, _) = seal(
-            &self.own, Kind::Ping, NOBODY, sent, self.number, 0, NOBODY, (1, 0), &card.bytes, &statements, PADDED,
+            &self.own,
+            Kind::Ping,
+            NOBODY,
+            sent,
+            self.number,
+            0,
+            NOBODY,
+            (1, 0),
+            &card.bytes,
+            &statements,
+            PADDED,
         );
         if spoilt {
             let last = bytes.len() - 1;
@@ -110,8 +129,7 @@
     let (first, at) = talking(&[dead], vec![], 1);
     let (second, _) = talking(&[engine.address], vec![at], 2);
     assert!(Client::new(&second).pings(1));
-    // Both know "s-0", each at an address of its own.
-    std::thread::sleep(Duration::from_millis(300));
+    // Both know "s-0", each at an address of its own. What is told before they have met is told again.
     let mut client = Client::new(&first);
     client.asks(1, "look", 2_000);
     engine.awaits("GET /load ");
@@ -126,7 +144,7 @@
     let mut list = ring();
     assert!(list.revoke(&revocation(7), now()));
     let keys = Keys { identity: member(1, "n1", &operator()), ring: list };
-    router.orders.send_blocking(Order::Rekey(Ok(keys))).unwrap();
+    router.orders.send_blocking(Order::Rekey(Ok(Box::new(keys)))).unwrap();
     // A fault leaves what is in force.
     router.orders.send_blocking(Order::Rekey(Err("site.jsonnet: bad".to_owned()))).unwrap();
     let mut revoked = false;
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -33,8 +33,22 @@
     let folder = folder(story);
     let operator = said(&folder, &["key", "new", "operator.key"]).unwrap();
     let member = said(&folder, &["key", "new", "n1.key"]).unwrap();
-    let admit = ["key", "admit", "--operator-key", "operator.key", "--cluster", "arhiv", "--member", member.trim(),
-        "--name", "n1", "--days", "30", "--to", "n1.pass"];
+    let admit = [
+        "key",
+        "admit",
+        "--operator-key",
+        "operator.key",
+        "--cluster",
+        "arhiv",
+        "--member",
+        member.trim(),
+        "--name",
+        "n1",
+        "--days",
+        "30",
+        "--to",
+        "n1.pass",
+    ];
     assert!(said(&folder, &admit).unwrap().starts_with("n1 "));
     fs::write(folder.join("operator.pub"), operator.trim()).unwrap();
     fs::write(folder.join("site.jsonnet"), "local operator = std.stripChars(importstr 'operator.pub', '\\n');
@@ -58,17 +72,25 @@
 fn check_says_what_is_set_or_what_is_wrong() {
     let folder = equipped("check");
     let words = said(&folder, &["check", "--operator", "site.jsonnet"]).unwrap();
-    for line in ["gossip.cluster = \"arhiv\"", "gossip.period_ms = 200", "log.format = \"json\"", "member n1 "] {
+    for line in
+        ["gossip.cluster = \"arhiv\"", "gossip.period_ms = 200", "log.format = \"json\"", "member n1 "]
+    {
         assert!(words.contains(line), "{line} in {words}");
     }
     let told = told(&[], Events::default().serve().address, 1024);
     fs::write(folder.join("config.json"), &told).unwrap();
     assert!(said(&folder, &["check", "--config", "config.json"]).unwrap().contains("sockets = 1024"));
     fs::write(folder.join("config.json"), told.replace("\"seed\"", "\"seeds\"")).unwrap();
-    assert_eq!(said(&folder, &["check", "--config", "config.json"]).unwrap_err(), "config.json: lacks seed\n");
+    assert_eq!(
+        said(&folder, &["check", "--config", "config.json"]).unwrap_err(),
+        "config.json: lacks seed\n"
+    );
     fs::write(folder.join("bad.jsonnet"), "{ gossip: { cluster: 7 } }").unwrap();
     let fault = said(&folder, &["check", "--operator", "bad.jsonnet"]).unwrap_err();
-    assert!(fault.contains("bad.jsonnet: gossip.cluster: 7 given, allowed is text of 1 to 64 bytes"), "{fault}");
+    assert!(
+        fault.contains("bad.jsonnet: gossip.cluster: 7 given, allowed is text of 1 to 64 bytes"),
+        "{fault}"
+    );
     fs::remove_file(folder.join("n1.pass")).unwrap();
     let fault = said(&folder, &["check", "--operator", "site.jsonnet"]).unwrap_err();
     assert!(fault.contains("gossip.pass") && fault.contains("n1.pass"), "{fault}");
@@ -78,9 +100,16 @@
 #[test]
 fn a_template_without_end_or_measure_ends_at_the_bounds() {
     let folder = folder("bounds");
-    fs::write(folder.join("time.jsonnet"), "{ log: std.foldl(function(a, b) a + b, std.range(1, 100000000), 0) }").unwrap();
-    fs::write(folder.join("memory.jsonnet"), "local f(s, n) = if n == 0 then s else f(s + s, n - 1) tailstrict; { log: f('xxxxxxxx', 60) }")
-        .unwrap();
+    fs::write(
+        folder.join("time.jsonnet"),
+        "{ log: std.foldl(function(a, b) a + b, std.range(1, 100000000), 0) }",
+    )
+    .unwrap();
+    fs::write(
+        folder.join("memory.jsonnet"),
+        "local f(s, n) = if n == 0 then s else f(s + s, n - 1) tailstrict; { log: f('xxxxxxxx', 60) }",
+    )
+    .unwrap();
     for file in ["time.jsonnet", "memory.jsonnet"] {
         let fault = said(&folder, &["check", "--operator", file]).unwrap_err();
         assert!(fault.contains(file) && fault.contains("bounds"), "{fault}");
@@ -92,14 +121,28 @@
     let folder = equipped("keys");
     let mode = fs::metadata(folder.join("n1.key")).unwrap().permissions().mode() & 0o777;
     assert_eq!(mode, 0o600);
-    assert!(said(&folder, &["key", "new", "n1.key"]).unwrap_err().contains("exists"), "a key is never overwritten");
+    assert!(
+        said(&folder, &["key", "new", "n1.key"]).unwrap_err().contains("exists"),
+        "a key is never overwritten"
+    );
     let secret = fs::read_to_string(folder.join("n1.key")).unwrap();
     let secret = secret.lines().nth(1).unwrap();
     let shown = said(&folder, &["key", "show", "n1.key"]).unwrap();
     assert!(shown.contains("public ") && !shown.contains(secret));
     assert!(said(&folder, &["key", "show", "n1.pass"]).unwrap().starts_with("pass of n1 "));
     let public = shown.split("public ").nth(1).unwrap().trim();
-    let revoke = ["key", "revoke", "--operator-key", "operator.key", "--cluster", "arhiv", "--member", public, "--list", "out"];
+    let revoke = [
+        "key",
+        "revoke",
+        "--operator-key",
+        "operator.key",
+        "--cluster",
+        "arhiv",
+        "--member",
+        public,
+        "--list",
+        "out",
+    ];
     assert!(said(&folder, &revoke).unwrap().contains("1 on the list"));
     assert!(said(&folder, &revoke).unwrap().contains("1 on the list"), "once each");
     assert!(said(&folder, &["key", "show", "out"]).unwrap().starts_with("revoked "));
--- a/crates/router/tests/stories/main.rs
+++ b/crates/router/tests/stories/main.rs
@@ -1,6 +1,5 @@
 //! Short stories on loopback, one for each failure met or feared on sockets.
 
-
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,13 +7,13 @@
 
 use futures_lite::future::{block_on, poll_once};
 use serde_json::json;
-use woadhook_standins::*;
 use woadhook_router::memory::Room;
 use woadhook_router::sockets::Descriptors;
 use woadhook_router::statement::table_group;
 use woadhook_router::stop::Order;
 use woadhook_router::tasks::Tasks;
 use woadhook_router::{codec, config};
+use woadhook_standins::*;
 
 /// An address at which nothing listens; a free port could be another story's by then.
 fn nobody() -> SocketAddr {
--- /dev/null
+++ b/crates/standins/examples/gossip_scale.rs
@@ -0,0 +1,126 @@
+//! What gossip costs and how fast it is, on the virtual network: `cargo run --release -p woadhook-standins --example
+//! gossip_scale -- 3 40 400`. All signatures are real; time is virtual, and only CPU figures are this machine's.
+
+use std::time::Instant;
+
+use woadhook::Span;
+use woadhook_gossip::Seen;
+use woadhook_standins::cluster::{Cluster, secs, usual_pace};
+use woadhook_standins::net::Weather;
+
+/// One instance in four is kept out of the figures, as churn ends and starts it.
+fn counted(node: usize) -> bool {
+    node % 4 != 1
+}
+
+/// Sums over the instances that are counted: datagrams and bytes sent, datagrams received, signatures checked.
+fn sums(cluster: &Cluster) -> [f64; 4] {
+    let mut sums = [0.0; 4];
+    for (_, core) in cluster.running().filter(|(node, _)| counted(*node)) {
+        let counts = core.counts();
+        let parts = [counts.sent, counts.sent_bytes, counts.received, counts.checks];
+        sums.iter_mut().zip(parts).for_each(|(sum, part)| *sum += part as f64);
+    }
+    sums
+}
+
+/// For an instance and second: datagrams and bytes sent, datagrams received, signatures checked.
+fn rates(cluster: &mut Cluster, span: Span, mut each_second: impl FnMut(&mut Cluster, u64)) -> String {
+    let before = sums(cluster);
+    let count = cluster.running().filter(|(node, _)| counted(*node)).count() as f64;
+    for second in 0..span.secs() as u64 {
+        each_second(cluster, second);
+        cluster.pass(secs(1.0));
+    }
+    let after = sums(cluster);
+    let rate = |place: usize| (after[place] - before[place]).max(0.0) / count / span.secs();
+    format!("{:.1} | {:.0} | {:.1} | {:.1}", rate(0), rate(1), rate(2), rate(3))
+}
+
+fn shown(span: Option<Span>) -> String {
+    span.map_or("not in time".to_owned(), |span| format!("{:.2} s", span.secs()))
+}
+
+fn memory() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    statm.split(' ').nth(1).and_then(|pages| pages.parse::<f64>().ok()).unwrap_or(0.0) * 4096.0
+}
+
+fn main() {
+    for count in std::env::args().skip(1).filter_map(|word| word.parse::<usize>().ok()) {
+        let calm_for = if count > 1000 { secs(4.0) } else { secs(20.0) };
+        let empty = memory();
+        let mut cluster = Cluster::new(1, count, Weather::calm(), usual_pace());
+        cluster.list(&["e-1", "e-2", "e-3", "e-4", "e-5", "e-6"]);
+        cluster.acquaint();
+        println!(
+            "## {count} instances\nheld: {:.0} KB an instance",
+            (memory() - empty) / count as f64 / 1024.0
+        );
+        // Until the cards of the start have been told.
+        cluster.pass(if count > 1000 { secs(4.0) } else { secs(20.0) });
+        println!("a second and instance: datagrams sent | bytes sent | datagrams received | checks");
+        println!("calm: {}", rates(&mut cluster, calm_for, |_, _| ()));
+        let started = Instant::now();
+        let before = sums(&cluster);
+        cluster.pass(secs(1.0));
+        let received = (sums(&cluster)[2] - before[2]) * count as f64
+            / (0..count).filter(|node| counted(*node)).count() as f64;
+        println!(
+            "CPU a datagram received, sending and network and all: {:.0} us",
+            started.elapsed().as_secs_f64() * 1e6 / received.max(1.0)
+        );
+        cluster.at(1, |now, core| core.judged(now, "e-2", Seen::Silent));
+        let heard = |cluster: &Cluster| {
+            (0..count).filter(|node| *node != 1 && cluster.doubt(*node, "e-2") > 0.0).count()
+        };
+        println!(
+            "a word reaches half: {}",
+            shown(cluster.until(secs(10.0), |cluster| heard(cluster) * 2 >= count - 1))
+        );
+        println!(
+            "and all, after that: {}",
+            shown(cluster.until(secs(20.0), |cluster| heard(cluster) == count - 1))
+        );
+        cluster.at(1, |now, core| core.judged(now, "e-2", Seen::Well));
+        cluster.kill(2);
+        let knows = |cluster: &Cluster| cluster.running().filter(|(_, core)| core.living() < count).count();
+        println!(
+            "a crashed instance is gone at half: {}",
+            shown(cluster.until(secs(60.0), |cluster| knows(cluster) * 2 >= count - 1))
+        );
+        println!(
+            "and at all, after that: {}",
+            shown(cluster.until(secs(60.0), |cluster| knows(cluster) == count - 1))
+        );
+        cluster.start(2);
+        println!(
+            "and back at all: {}",
+            shown(
+                cluster.until(secs(120.0), |cluster| {
+                    cluster.running().all(|(_, core)| core.living() == count)
+                })
+            )
+        );
+        let churn = if count > 1000 { secs(4.0) } else { secs(20.0) };
+        println!(
+            "churn, an instance ends or starts each second: {}",
+            rates(&mut cluster, churn, |cluster, second| {
+                let node = second as usize / 2 * 4 % (count / 4 * 4).max(4) + 1;
+                if second % 2 == 0 { cluster.kill(node) } else { cluster.start(node) }
+            })
+        );
+        if count <= 400 {
+            let _ = cluster.until(secs(60.0), Cluster::agree);
+            for node in 0..count / 2 {
+                let place = cluster.nodes[node].address;
+                cluster.net.part(place, 1);
+            }
+            cluster.pass(secs(20.0));
+            cluster.net.heal();
+            println!("halves agree again after: {}", shown(cluster.until(secs(300.0), Cluster::agree)));
+        }
+        let most = cluster.running().map(|(_, core)| core.counts().held_back).max();
+        println!("most sends held back by the budget at one instance: {}", most.unwrap_or(0));
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/silent_engine.rs
@@ -0,0 +1,128 @@
+//! One of six engines goes silent before three real routers on loopback, one of which carries a tenth of the traffic, with
+//! gossip and without: `cargo run --release -p woadhook-standins --example silent_engine -- 3` (runs of each kind).
+
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use woadhook::{Moment, Span};
+use woadhook_gossip::keys::{Identity, Pass};
+use woadhook_router::gossip::{Keys, Talk};
+use woadhook_standins::cluster::{operator, ring, secret, tag, usual_pace};
+use woadhook_standins::{Client, Events, Running, Says, Standin, pages, told};
+
+const BEFORE: Duration = Duration::from_secs(5);
+const AFTER: Duration = Duration::from_secs(12);
+/// Jobs a second of each router: 93 in all.
+const RATES: [f64; 3] = [42.0, 42.0, 9.0];
+
+fn now() -> Moment {
+    Moment::from_micros(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64)
+}
+
+fn talk(number: u64, socket: UdpSocket, seeds: Vec<SocketAddr>) -> Talk {
+    let secret = secret(number);
+    let until = now() + Span::from_secs(3600.0);
+    let name = format!("n{number}");
+    let pass = Pass::issue(&operator(), &name, secret.public(), tag(), now(), until).expect("a pass");
+    let identity = Identity::new(secret, pass, &ring(), now()).expect("an identity");
+    let address = socket.local_addr().expect("an address");
+    Talk { socket, keys: Keys { identity, ring: ring() }, address, seeds, pace: usual_pace() }
+}
+
+/// Asks at a rate; gives how long each job took, or that it failed, by when it was asked.
+fn load(client: Client, rate: f64, span: Duration, started: Instant) -> Vec<(f64, Option<f64>)> {
+    let mut reader = Client(client.0.try_clone().expect("a connection"));
+    let mut writer = client;
+    let asked: Arc<Mutex<HashMap<u32, Instant>>> = Arc::default();
+    let most = (rate * span.as_secs_f64()) as u32;
+    let known = asked.clone();
+    let reading = thread::spawn(move || {
+        (0..most)
+            .map(|_| {
+                let (number, result) = reader.hears();
+                let at = known.lock().expect("no panic")[&number];
+                (at.duration_since(started).as_secs_f64(), result.ok().map(|_| at.elapsed().as_secs_f64()))
+            })
+            .collect::<Vec<_>>()
+    });
+    for number in 1..=most {
+        let due = started + Duration::from_secs_f64(f64::from(number) / rate);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        asked.lock().expect("no panic").insert(number, Instant::now());
+        writer.asks(number, "look", 4_000);
+    }
+    reading.join().expect("answers")
+}
+
+fn run(talks: bool) -> (f64, Vec<(usize, usize, f64)>) {
+    let silent = Arc::new(AtomicBool::new(false));
+    let late_sends = Arc::new(AtomicUsize::new(0));
+    let engines: Vec<Standin> = (0..6)
+        .map(|number| {
+            let (silent, late_sends) = (silent.clone(), late_sends.clone());
+            Standin::start(move |call| {
+                if number == 2 && silent.load(Ordering::Relaxed) {
+                    late_sends.fetch_add(usize::from(call.line.starts_with("POST")), Ordering::Relaxed);
+                    return Says::Nothing;
+                }
+                pages(call, &["a\tb\tc\n"])
+            })
+        })
+        .collect();
+    let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+    let sockets: Vec<UdpSocket> = (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a socket")).collect();
+    let seeds: Vec<SocketAddr> =
+        sockets.iter().map(|socket| socket.local_addr().expect("an address")).collect();
+    let routers: Vec<Running> = sockets
+        .into_iter()
+        .enumerate()
+        .map(|(number, socket)| {
+            let given = told(&addresses, Events::default().serve().address, 1024)
+                .replace("\"replicasOfMe\":1", "\"replicasOfMe\":3")
+                .replace("\"myNumber\":0", &format!("\"myNumber\":{number}"));
+            Running::talking(&given, talks.then(|| talk(number as u64, socket, seeds.clone())))
+        })
+        .collect();
+    let started = Instant::now();
+    let loads: Vec<_> = routers
+        .iter()
+        .zip(RATES)
+        .map(|(router, rate)| {
+            let client = Client::new(router);
+            thread::spawn(move || load(client, rate, BEFORE + AFTER, started))
+        })
+        .collect();
+    thread::sleep(BEFORE.saturating_sub(started.elapsed()));
+    silent.store(true, Ordering::Relaxed);
+    let done: Vec<Vec<(f64, Option<f64>)>> =
+        loads.into_iter().map(|load| load.join().expect("a load")).collect();
+    let after = BEFORE.as_secs_f64();
+    let tally = |jobs: &Vec<(f64, Option<f64>)>| {
+        let after: Vec<_> = jobs.iter().filter(|(at, _)| *at >= after).collect();
+        let lost = after.iter().filter(|(_, took)| took.is_none()).count();
+        let slow: Vec<f64> =
+            after.iter().filter(|(_, took)| took.is_none_or(|took| took > 0.5)).map(|(at, _)| *at).collect();
+        let last = slow.iter().fold(0.0, |last: f64, at| last.max(at - BEFORE.as_secs_f64()));
+        (lost, slow.len(), last)
+    };
+    (late_sends.load(Ordering::Relaxed) as f64, done.iter().map(tally).collect())
+}
+
+fn main() {
+    let runs: usize = std::env::args().nth(1).and_then(|word| word.parse().ok()).unwrap_or(3);
+    println!(
+        "gossip | sends into silence | router: lost, slow (over 0.5 s or lost), last slow job asked after (s)"
+    );
+    for _ in 0..runs {
+        for talks in [false, true] {
+            let (sends, routers) = run(talks);
+            let each: Vec<String> =
+                routers.iter().map(|(lost, slow, last)| format!("{lost}, {slow}, {last:.2}")).collect();
+            println!("{talks} | {sends} | {}", each.join(" | "));
+        }
+    }
+}
--- a/crates/standins/src/bulletin.rs
+++ b/crates/standins/src/bulletin.rs
@@ -44,4 +44,3 @@
     json!({"id": id, "host_port": at.to_string(), "locality": "a", "flavor": "k", "cell": 0, "phase": phase,
         "size": 1, "up_since_ms": 0})
 }
-
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -78,7 +78,11 @@
 impl Node {
     fn now(&self, true_now: Moment) -> Moment {
         let (by, behind) = self.clock;
-        if behind { Moment::from_micros(true_now.since(Moment::default()).less(by).micros()) } else { true_now + by }
+        if behind {
+            Moment::from_micros(true_now.since(Moment::default()).less(by).micros())
+        } else {
+            true_now + by
+        }
     }
 }
 
@@ -113,7 +117,8 @@
         let net = Network::new(seed, weather);
         let (nodes, told, heard, places) = (Vec::new(), Vec::new(), VecDeque::new(), HashMap::new());
         let (due, dues) = (BTreeSet::new(), Vec::new());
-        let mut new = Self { now: START + secs(60.0), net, nodes, told, heard, pace, seed, due, dues, places };
+        let mut new =
+            Self { now: START + secs(60.0), net, nodes, told, heard, pace, seed, due, dues, places };
         for number in 0..count {
             new.add(number);
         }
@@ -124,7 +129,12 @@
     pub fn add(&mut self, number: usize) -> usize {
         let node = self.nodes.len();
         let at = address(number);
-        self.nodes.push(Node { core: None, address: at, clock: (Span::ZERO, false), hearsay: BTreeMap::new() });
+        self.nodes.push(Node {
+            core: None,
+            address: at,
+            clock: (Span::ZERO, false),
+            hearsay: BTreeMap::new(),
+        });
         self.dues.push(None);
         self.places.insert(at, node);
         self.start(node);
--- a/crates/standins/src/engines.rs
+++ b/crates/standins/src/engines.rs
@@ -131,4 +131,3 @@
     let head = format!("HTTP/1.1 {status} x\r\n{fields}Content-Length: {}\r\n\r\n", body.len());
     stream.write_all(&[head.as_bytes(), &body].concat()).is_ok() && goes_on
 }
-
--- a/crates/standins/src/routers.rs
+++ b/crates/standins/src/routers.rs
@@ -77,4 +77,3 @@
         assert_eq!(self.ended.recv_timeout(LONG), Ok(Ok(())));
     }
 }
-
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -6,8 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::Value;
-use woadhook::{Decision, EngineId, Forgotten, GroupId, JobId, Listed, Moment, Outcome, Span, TypeId};
 use woadhook::{CellId, KindId, ZoneId};
+use woadhook::{Decision, EngineId, Forgotten, GroupId, JobId, Listed, Moment, Outcome, Span, TypeId};
 use woadhook_door::Instance;
 use woadhook_gossip::Seen;
 
@@ -108,7 +108,15 @@
             let mut instance = Instance::start(now, seed + number as u64, &settings).unwrap();
             for name in &names {
                 let engine = EngineId(instance.engines.admit(name));
-                instance.router.engine_listed(now, engine, ZoneId(0), KindId(0), CellId(0), Listed::Live, None);
+                instance.router.engine_listed(
+                    now,
+                    engine,
+                    ZoneId(0),
+                    KindId(0),
+                    CellId(0),
+                    Listed::Live,
+                    None,
+                );
             }
             let (jobs, out) = (Vec::new(), BTreeMap::new());
             Host { instance, rate: *rate, jobs, out, wake: None, arrivals: 0 }
@@ -223,7 +231,17 @@
                 host.jobs.push(Job { kind, arrived: now, answers: Vec::new(), dispatches: 0 });
                 let group = GroupId((host.arrivals % 7) as usize);
                 let id = JobId(job);
-                host.instance.router.job_arrived(now, id, TypeId(kind), None, group, None, Some(WORK), 10.0, secs(4.0));
+                host.instance.router.job_arrived(
+                    now,
+                    id,
+                    TypeId(kind),
+                    None,
+                    group,
+                    None,
+                    Some(WORK),
+                    10.0,
+                    secs(4.0),
+                );
                 self.pull(router);
             }
             Happening::Ends { router, job, number, outcome } => self.end(router, job, number, outcome),
@@ -255,10 +273,15 @@
             Happening::Turns { engine, fate } => {
                 self.engines[engine].fate = fate;
                 if fate == Fate::Dead {
-                    let lost: Vec<_> = self.hosts.iter().enumerate().flat_map(|(router, host)| {
-                        let here = host.out.iter().filter(move |(_, (at, _))| *at == engine);
-                        here.map(move |((job, number), _)| (router, *job, *number)).collect::<Vec<_>>()
-                    }).collect();
+                    let lost: Vec<_> = self
+                        .hosts
+                        .iter()
+                        .enumerate()
+                        .flat_map(|(router, host)| {
+                            let here = host.out.iter().filter(move |(_, (at, _))| *at == engine);
+                            here.map(move |((job, number), _)| (router, *job, *number)).collect::<Vec<_>>()
+                        })
+                        .collect();
                     for (router, job, number) in lost {
                         self.end(router, job, number, Outcome::Reset);
                     }
@@ -286,7 +309,8 @@
         }
         let over = !host.jobs[job].answers.is_empty();
         host.instance.router.dispatch_ended(now, JobId(job), number, outcome, now.since(sent), None, over);
-        let (name, of) = (self.engines[engine].name.clone(), host.instance.types[host.jobs[job].kind].clone());
+        let (name, of) =
+            (self.engines[engine].name.clone(), host.instance.types[host.jobs[job].kind].clone());
         self.tell(router, |now, core| core.ended(now, &name, &of, outcome));
         self.pull(router);
     }
@@ -295,7 +319,9 @@
         let now = self.now();
         while let Some(decision) = self.hosts[router].instance.router.next_decision(now) {
             match decision {
-                Decision::Dispatch { job, engine, timeout, .. } => self.dispatch(router, job.0, engine, timeout),
+                Decision::Dispatch { job, engine, timeout, .. } => {
+                    self.dispatch(router, job.0, engine, timeout)
+                }
                 Decision::CancelDispatch { job, number } => {
                     let engine = self.hosts[router].out.get(&(job.0, number)).map(|(engine, _)| *engine);
                     let slow = engine.is_some_and(|engine| self.engines[engine].fate == Fate::Silent);
@@ -311,7 +337,9 @@
                 }
                 Decision::Probe { engine } => {
                     let name = self.hosts[router].instance.engines.name(engine.0);
-                    let Some(place) = self.engines.iter().position(|known| known.name == name) else { continue };
+                    let Some(place) = self.engines.iter().position(|known| known.name == name) else {
+                        continue;
+                    };
                     let (after, outcome) = match self.engines[place].fate {
                         Fate::Well => (secs(0.002), Outcome::Done),
                         Fate::Silent => (CONNECT_TIMEOUT, Outcome::TimedOut),
@@ -381,10 +409,12 @@
     /// The mean time to the answer of a router's done jobs that arrived in a stretch, and the longest.
     pub fn times(&self, router: usize, from: Moment, to: Moment) -> (Span, Span) {
         let done = self.hosts[router].jobs.iter().filter(|job| (from..to).contains(&job.arrived));
-        let took: Vec<Span> = done.filter_map(|job| match job.answers.first() {
-            Some((at, Answer::Done)) => Some(at.since(job.arrived)),
-            _ => None,
-        }).collect();
+        let took: Vec<Span> = done
+            .filter_map(|job| match job.answers.first() {
+                Some((at, Answer::Done)) => Some(at.since(job.arrived)),
+                _ => None,
+            })
+            .collect();
         let mean = took.iter().copied().sum::<Span>().times(1.0 / took.len().max(1) as f64);
         (mean, took.into_iter().max().unwrap_or_default())
     }
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -638,7 +638,10 @@
         host.job(LOOKUP, 2);
     }
     host.pull();
-    assert!(host.sent[3..].iter().any(|(_, engine, _)| *engine == E0), "its own answer ends what others said");
+    assert!(
+        host.sent[3..].iter().any(|(_, engine, _)| *engine == E0),
+        "its own answer ends what others said"
+    );
 }
 
 #[test]
@@ -658,7 +661,11 @@
     let (one, other) = (host.job(LOOKUP, 3), host_again.job(LOOKUP, 3));
     host.pull();
     host_again.pull();
-    assert_eq!(host.engines_of(one), host_again.engines_of(other), "after the patience nothing is left of it");
+    assert_eq!(
+        host.engines_of(one),
+        host_again.engines_of(other),
+        "after the patience nothing is left of it"
+    );
 }
 
 #[test]
