--- a/crates/gossip/tests/stories.rs
+++ b/crates/gossip/tests/stories.rs
@@ -1,9 +1,12 @@
 //! Stories of instances that gossip on the virtual network, one for each failure feared.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use woadhook::{Moment, Outcome, Span};
 use woadhook_gossip::keys::{Identity, MemberId, Pass, Ring, Secret};
+use woadhook_gossip::members::{Lapse, Members};
+use woadhook_gossip::news::{About, News};
 use woadhook_gossip::wire::{Accusation, Card, DATAGRAM, Kind, PADDED, Tag, Word, seal};
 use woadhook_gossip::{Counts, Gossip, Seen, What};
 use woadhook_standins::cluster::*;
@@ -348,6 +351,72 @@
     assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
 }
 
+#[test]
+fn a_word_put_into_another_members_mouth_is_not_heard() {
+    let mut cluster = settled(30, 3);
+    let now = cluster.now;
+    let forger = identity(2, "n2", now);
+    let mut word = Word::issue(&forger, 1, 99, now, "e-1", Moment::default(), Seen::Silent, None, 255);
+    word.witness = cluster.core(1).id();
+    let bytes = datagram(&forger, cluster.core(0).id(), now, 9, &[(Tag::Word, word.to_bytes())]);
+    let before = cluster.core(0).counts();
+    cluster.at(0, |now, core| core.heard(now, address(2), &bytes));
+    let after = cluster.core(0).counts();
+    assert_eq!((after.words_taken, after.forged), (before.words_taken, before.forged + 1));
+    assert_eq!(cluster.doubt(0, "e-1"), 0.0);
+}
+
+#[test]
+fn one_witness_under_two_keys_ends_nobody_and_three_do() {
+    let now = START + secs(60.0);
+    let card = |number: u64, name: &str| Rc::new(Card::issue(&identity(number, name, now), address(1), 5, false));
+    let accused = |witnesses: &[(u64, &str)]| {
+        let mut members = Members::new(NOBODY, 20);
+        let subject = card(1, "subject");
+        members.take(now, subject.clone());
+        for (number, name) in witnesses {
+            members.take(now, card(*number, name));
+            let own = identity(*number, name, now);
+            members.accused(now, &Accusation::issue(&own, subject.id, subject.incarnation, now));
+        }
+        let later = now + secs(3.0);
+        let lapses = members.lapse(later, secs(2.0), secs(600.0), secs(5.0));
+        lapses.iter().any(|(id, lapse, _)| *id == subject.id && *lapse == Lapse::Gone)
+    };
+    assert!(!accused(&[(2, "a")]));
+    assert!(!accused(&[(2, "a"), (3, "a"), (4, "a"), (5, "b")]));
+    assert!(accused(&[(2, "a"), (3, "b"), (4, "c")]));
+}
+
+#[test]
+fn halves_find_each_other_again_though_every_seed_is_gone() {
+    let mut cluster = settled(31, 12);
+    (0..3).for_each(|seed| cluster.kill(seed));
+    assert!(cluster.until(secs(10.0), Cluster::agree).is_some());
+    for node in 3..7 {
+        let place = cluster.nodes[node].address;
+        cluster.net.part(place, 1);
+    }
+    let parted = |cluster: &Cluster| cluster.core(3).living() == 4 && cluster.core(8).living() == 5;
+    assert!(cluster.until(secs(20.0), parted).is_some());
+    cluster.net.heal();
+    assert!(cluster.until(secs(30.0), Cluster::agree).is_some());
+}
+
+#[test]
+fn words_are_not_held_up_by_ever_new_cards() {
+    let mut news = News::default();
+    news.add(About::Word(MemberId(1), "e-1".to_owned(), None), vec![0; 150].into());
+    let mut told = 0;
+    for round in 0..12 {
+        for number in 0..4 {
+            news.add(About::Card(MemberId(100 + round * 4 + number)), vec![0; 220].into());
+        }
+        told += news.take(NOBODY, 850, 20).iter().filter(|(tag, _)| *tag == Tag::Word).count();
+    }
+    assert!(told >= 4, "{told} times in a dozen datagrams");
+}
+
 #[test]
 fn a_laggards_words_are_half_faded_and_its_flapping_harms_none() {
     let mut cluster = settled(15, 6);
--- /dev/null
+++ b/crates/pace/src/crawl.rs
@@ -0,0 +1,79 @@
+//! How engines send, against one another: an engine that answers well may still send at a crawl.
+
+use std::collections::BTreeMap;
+
+use woadhook::{Moment, Span};
+
+/// Transfers that a mean remembers.
+const MEMORY: f64 = 16.0;
+/// Bytes below which a transfer tells nothing of a rate.
+const TELLING: usize = 512;
+/// A rate of which others' transfers take less than this is not asked for.
+const UNTOLD: f64 = 4.0;
+
+/// One engine's sending.
+#[derive(Clone, Copy, Debug)]
+struct Sending {
+    /// Seconds a byte, and to the first byte.
+    per_byte: f64,
+    first: f64,
+    samples: f64,
+    last: Moment,
+}
+
+/// Engines by number. A line goes with its engine.
+#[derive(Default)]
+pub struct Standing {
+    engines: BTreeMap<usize, Sending>,
+}
+
+impl Standing {
+    /// A body of so many bytes came in so long, its first byte after so long.
+    pub fn sent(&mut self, now: Moment, engine: usize, bytes: usize, first: Span, body: Span) {
+        if bytes < TELLING {
+            return;
+        }
+        let per_byte = body.secs() / bytes as f64;
+        let sending =
+            self.engines.entry(engine).or_insert(Sending { per_byte, first: first.secs(), samples: 0.0, last: now });
+        sending.samples = (sending.samples + 1.0).min(MEMORY);
+        sending.per_byte += (per_byte - sending.per_byte) / sending.samples;
+        sending.first += (first.secs() - sending.first) / sending.samples;
+        sending.last = now;
+    }
+
+    pub fn forget(&mut self, engine: usize) {
+        self.engines.remove(&engine);
+    }
+
+    /// Seconds a byte at the engine in the middle, if enough was seen of two at least.
+    fn middle(&self) -> Option<f64> {
+        let known = self.engines.values().filter(|sending| sending.samples >= UNTOLD);
+        let mut each: Vec<f64> = known.map(|sending| sending.per_byte).collect();
+        each.sort_by(f64::total_cmp);
+        (each.len() >= 2).then(|| each[(each.len() - 1) / 2])
+    }
+
+    /// The rate below which a body is too slow, in bytes a second: a share of the middle engine's, and never more than `most`.
+    pub fn least(&self, share: f64, most: f64) -> f64 {
+        self.middle().map_or(most, |middle| (share / middle.max(1e-9)).min(most))
+    }
+
+    /// How much longer a body of so many bytes takes from this engine than from the one in the middle.
+    pub fn longer(&self, engine: usize, bytes: f64) -> Span {
+        let Some((own, middle)) = self.engines.get(&engine).zip(self.middle()) else { return Span::ZERO };
+        Span::from_secs((own.per_byte - middle).max(0.0) * bytes)
+    }
+
+    /// An engine's rate in bytes a second, its time to the first byte, and its place among all, the slowest 1.
+    pub fn figures(&self, engine: usize) -> Option<(f64, Span, usize)> {
+        let own = self.engines.get(&engine)?;
+        let slower = self.engines.values().filter(|other| other.per_byte > own.per_byte).count();
+        Some((1.0 / own.per_byte.max(1e-9), Span::from_secs(own.first), slower + 1))
+    }
+
+    /// When an engine last sent a body that told something.
+    pub fn last(&self, engine: usize) -> Option<Moment> {
+        self.engines.get(&engine).map(|sending| sending.last)
+    }
+}
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -668,6 +668,27 @@
     );
 }
 
+#[test]
+fn hearsay_fades() {
+    for (after, first) in [(0, E1), (2_400, E0)] {
+        let mut host = Host::new(|start| {
+            start.fleet.crossing_price = 0.0;
+            start.watching.may_probe = false;
+        });
+        // Work at one engine, and a doubt on the other that weighs more while it is fresh.
+        host.list(0, Listed::Gone, None);
+        (0..4).for_each(|_| drop(host.job(LOOKUP, 1)));
+        host.pull();
+        host.list(0, Listed::Live, None);
+        host.now = host.now + ms(10);
+        host.router.hearsay(host.now, E0, None, 0.5);
+        host.now = host.now + ms(after);
+        let job = host.job(LOOKUP, 2);
+        host.pull();
+        assert_eq!(host.engines_of(job), [first], "after {after} ms");
+    }
+}
+
 #[test]
 fn hearsay_of_one_type_leaves_the_others_alone_and_opens_no_closed_engine() {
     let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
