--- a/crates/gossip/tests/stories.rs
+++ b/crates/gossip/tests/stories.rs
@@ -369,7 +369,8 @@
 #[test]
 fn one_witness_under_two_keys_ends_nobody_and_three_do() {
     let now = START + secs(60.0);
-    let card = |number: u64, name: &str| Rc::new(Card::issue(&identity(number, name, now), address(1), 5, false));
+    let card =
+        |number: u64, name: &str| Rc::new(Card::issue(&identity(number, name, now), address(1), 5, false));
     let accused = |witnesses: &[(u64, &str)]| {
         let mut members = Members::new(NOBODY, 20);
         let subject = card(1, "subject");
@@ -406,7 +407,7 @@
 #[test]
 fn words_are_not_held_up_by_ever_new_cards() {
     let mut news = News::default();
-    news.add(About::Word(MemberId(1), "e-1".to_owned(), None), vec![0; 150].into());
+    news.add(About::Word(MemberId(1), "e-1".to_owned(), None), vec![0; 200].into());
     let mut told = 0;
     for round in 0..12 {
         for number in 0..4 {
--- a/crates/pace/src/crawl.rs
+++ b/crates/pace/src/crawl.rs
@@ -34,8 +34,12 @@
             return;
         }
         let per_byte = body.secs() / bytes as f64;
-        let sending =
-            self.engines.entry(engine).or_insert(Sending { per_byte, first: first.secs(), samples: 0.0, last: now });
+        let sending = self.engines.entry(engine).or_insert(Sending {
+            per_byte,
+            first: first.secs(),
+            samples: 0.0,
+            last: now,
+        });
         sending.samples = (sending.samples + 1.0).min(MEMORY);
         sending.per_byte += (per_byte - sending.per_byte) / sending.samples;
         sending.first += (first.secs() - sending.first) / sending.samples;
--- a/crates/pace/src/shares.rs
+++ b/crates/pace/src/shares.rs
@@ -36,7 +36,16 @@
     pub fn new(limit: usize, peers: usize, apart: f64, factor: f64) -> Self {
         let floor = (limit as f64 * apart.clamp(0.0, 1.0)) as usize / peers.max(1);
         let (held, above, factor) = (0, 0, factor.max(0.0));
-        Self { limit, floor, factor, apart: floor * peers, above, held, peers: BTreeMap::new(), most_peers: peers }
+        Self {
+            limit,
+            floor,
+            factor,
+            apart: floor * peers,
+            above,
+            held,
+            peers: BTreeMap::new(),
+            most_peers: peers,
+        }
     }
 
     /// What each peer finds at any time.
--- a/crates/pace/src/wheel.rs
+++ b/crates/pace/src/wheel.rs
@@ -145,19 +145,16 @@
 
     /// The first slot that holds something, and the tick at which it is reached.
     fn next_slot(&self) -> Option<(usize, usize, u64)> {
-        (0..LEVELS).find_map(|level| {
-            let held = self.held[level];
-            if held == 0 {
-                return None;
-            }
+        // A slot that is being emptied lies at the ticks passed, so it comes before what was moved out of it.
+        let slots = (0..LEVELS).rev().filter(|level| self.held[*level] != 0).map(|level| {
             let shift = BITS * level as u32;
-            let here = (self.passed >> shift) & (SLOTS as u64 - 1);
-            let ahead = held.rotate_right(here as u32).trailing_zeros() as u64;
-            let slot = (here + ahead) % SLOTS as u64;
             let round = self.passed >> shift;
+            let here = round & (SLOTS as u64 - 1);
+            let ahead = u64::from(self.held[level].rotate_right(here as u32).trailing_zeros());
             let at = (round + ahead) << shift;
-            Some((level, slot as usize, at.max(self.passed)))
-        })
+            (level, ((here + ahead) % SLOTS as u64) as usize, at.max(self.passed))
+        });
+        slots.min_by_key(|(.., at)| *at)
     }
 
     /// Puts an entry where its tick belongs, as seen from the ticks passed.
@@ -167,7 +164,11 @@
             let last = self.due_last;
             let entry = &mut self.entries[place as usize];
             (entry.level, entry.before, entry.after) = (DUE, last, NONE);
-            if last == NONE { self.due_first = place } else { self.entries[last as usize].after = place }
+            if last == NONE {
+                self.due_first = place
+            } else {
+                self.entries[last as usize].after = place
+            }
             self.due_last = place;
             return;
         }
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -677,7 +677,9 @@
         });
         // Work at one engine, and a doubt on the other that weighs more while it is fresh.
         host.list(0, Listed::Gone, None);
-        (0..4).for_each(|_| drop(host.job(LOOKUP, 1)));
+        for _ in 0..4 {
+            host.job(LOOKUP, 1);
+        }
         host.pull();
         host.list(0, Listed::Live, None);
         host.now = host.now + ms(10);
