--- a/crates/operator/src/sheet.rs
+++ b/crates/operator/src/sheet.rs
@@ -5,13 +5,13 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use serde_json::Value;
+use serde_json::{Map, Value};
 
 use crate::bounds;
 use crate::table::{FIELDS, Field, Kind, SECTIONS};
 
 /// A checked operator file.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Sheet {
     /// By path; holds each field of the sections that are given, defaults filled in.
     values: BTreeMap<&'static str, Value>,
@@ -25,6 +25,15 @@
     name: &'a str,
 }
 
+impl Default for Sheet {
+    /// As an empty file: sections whose fields all have defaults.
+    fn default() -> Self {
+        let mut sheet = Self { values: BTreeMap::new(), folder: PathBuf::from(".") };
+        sheet.fill_in(&Map::new());
+        sheet
+    }
+}
+
 impl Sheet {
     /// Evaluates a template in a process of its own, which `program` (woadhook itself) is started for, and
     /// checks the result.
@@ -46,6 +55,7 @@
                 for (name, section) in sections {
                     sheet.take_section(name, section, &mut faults);
                 }
+                sheet.fill_in(sections);
             }
             None => faults.push(format!("{} given, allowed is an object of sections", shape(&given))),
         }
@@ -56,6 +66,16 @@
         Err(lines.join("\n"))
     }
 
+    /// Adds the sections that were not given and need nothing.
+    fn fill_in(&mut self, given: &Map<String, Value>) {
+        for (name, _) in SECTIONS.iter().filter(|(name, _)| !given.contains_key(*name)) {
+            let needs = |field: &Field| field.section() == *name && field.default.is_none();
+            if !FIELDS.iter().any(needs) {
+                self.take_section(name, &Value::Object(Map::new()), &mut Vec::new());
+            }
+        }
+    }
+
     fn take_section(&mut self, name: &str, section: &Value, faults: &mut Vec<String>) {
         let fields = || FIELDS.iter().filter(|field| field.section() == name);
         if !SECTIONS.iter().any(|(known, _)| *known == name) {
--- a/crates/operator/src/table.rs
+++ b/crates/operator/src/table.rs
@@ -86,10 +86,28 @@
         "How long a word on an engine counts, fading all the while.").or("10000"),
     field("gossip.forget_s", Kind::Whole(10, 86_400), "seconds",
         "How long a member that is gone or has left is remembered.").or("600"),
+    field("pace.client_sends_bytes_per_s", Kind::Whole(1, 1_000_000), "bytes a second",
+        "The slowest that a client may send a message that it has begun.").or("1000"),
+    field("pace.client_takes_bytes_per_s", Kind::Whole(1, 10_000_000), "bytes a second",
+        "The slowest that a client may take its answers.").or("16000"),
+    field("pace.client_grace_ms", Kind::Whole(100, 60_000), "milliseconds",
+        "How long a client may pause, or be slower from the start.").or("2000"),
+    field("pace.engine_bytes_per_s", Kind::Whole(1, 10_000_000), "bytes a second",
+        "The slowest that an engine may send a page before it is asked for again on a new connection.").or("16000"),
+    field("pace.engine_rate_percent", Kind::Whole(1, 100), "percent",
+        "The same, as a part of the rate of the engine in the middle; the lower of both counts.").or("10"),
+    field("pace.engine_grace_ms", Kind::Whole(50, 10_000), "milliseconds",
+        "How long an engine may pause within a page.").or("500"),
+    field("pace.turn_bytes", Kind::Whole(1_024, 1_048_576), "bytes",
+        "What one connection may read or write before the others have a turn.").or("16384"),
 ];
 
 /// The sections, in the order of the table, and what each is for.
 pub const SECTIONS: &[(&str, &str)] = &[
     ("log", "How log lines are written."),
+    (
+        "pace",
+        "What is too slow, and what one peer may do at a time. Room in memory is shared by rules without settings.",
+    ),
     ("gossip", "Talk among instances. Without this section there is none: no socket is opened, no key read."),
 ];
--- a/crates/pace/src/shares.rs
+++ b/crates/pace/src/shares.rs
@@ -94,14 +94,21 @@
     /// Holds so much more, if that may be.
     pub fn take(&mut self, peer: &P, bytes: usize) -> May {
         let may = self.may(peer, bytes);
-        if may == May::Yes && bytes > 0 {
+        if may == May::Yes {
+            self.charge(peer, bytes);
+        }
+        may
+    }
+
+    /// Holds so much more, whatever may be, as where another account allowed it.
+    pub fn charge(&mut self, peer: &P, bytes: usize) {
+        if bytes > 0 {
             let held = self.peers.entry(peer.clone()).or_default();
             let before = held.saturating_sub(self.floor);
             *held += bytes;
             self.above += held.saturating_sub(self.floor) - before;
             self.held += bytes;
         }
-        may
     }
 
     /// Gives back; no more than the peer holds.
--- a/crates/router/src/bulletin.rs
+++ b/crates/router/src/bulletin.rs
@@ -11,7 +11,7 @@
 use woadhook::Span;
 use woadhook_door::fields::*;
 
-use crate::clock::pass;
+use crate::clock::{Clock, pass};
 use crate::decide::Event;
 use crate::engine::head;
 use crate::http::Connection;
@@ -36,8 +36,8 @@
 /// within `grace` even over a connection that went silent, so each call waits for a quarter of it only; after
 /// a fault it asks again on a new connection soon.
 pub async fn follow(
-    mut address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64, moves: Receiver<Move>,
-    module: Sender<Event>,
+    clock: Clock, mut address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64,
+    moves: Receiver<Move>, module: Sender<Event>,
 ) {
     let part = Arc::new(Semaphore::new(1));
     let patience = grace.times(0.25).min(LONGEST);
@@ -49,7 +49,7 @@
                 pass(patience.times(0.25)).await;
             }
             let path = format!("/bulletins?after={last}&patience={}", patience.micros() / 1000);
-            Heard::Told(ask(&mut connection, &part, address, &path, patience, connect_timeout).await)
+            Heard::Told(ask(clock, &mut connection, &part, address, &path, patience, connect_timeout).await)
         };
         let moved = async {
             match moves.recv().await {
@@ -80,15 +80,17 @@
 
 /// One call, over the connection of the last one if that can be used again.
 async fn ask(
-    connection: &mut Option<Connection>, part: &Arc<Semaphore>, address: SocketAddr, path: &str,
-    patience: Span, connect_timeout: Span,
+    clock: Clock, connection: &mut Option<Connection>, part: &Arc<Semaphore>, address: SocketAddr,
+    path: &str, patience: Span, connect_timeout: Span,
 ) -> io::Result<Value> {
     let mut open = match connection.take().filter(Connection::is_ready) {
         Some(kept) => kept,
-        None => Connection::new(Link::connect(address, connect_timeout, part.acquire_arc().await).await?),
+        None => {
+            Connection::new(Link::connect(address, connect_timeout, part.acquire_arc().await).await?, clock)
+        }
     };
     let head = head("GET", path, address, &[], 0);
-    let call = open.call(&head, &[], LIST_BYTES, || (), |_, _| ());
+    let call = open.call(&head, &[], LIST_BYTES, |_| (), |_, _| ());
     let (status, body) = limited(patience + connect_timeout, call).await?;
     if status != 200 {
         return Err(io::Error::other(format!("status {status}")));
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -1,10 +1,11 @@
 //! The one clock: Unix time as the system tells it at the start, moved on by the monotonic clock.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use async_io::Timer;
 use woadhook::{Moment, Span};
 
+pub use crate::timers::pass;
+
 #[derive(Clone, Copy)]
 pub struct Clock {
     started: Instant,
@@ -23,11 +24,6 @@
 
     /// Comes when the moment has.
     pub async fn until(self, moment: Moment) {
-        let ahead = moment.since(self.unix);
-        Timer::at(self.started + Duration::from_micros(ahead.micros())).await;
+        pass(moment.since(self.now())).await;
     }
 }
-
-pub async fn pass(span: Span) {
-    Timer::after(Duration::from_micros(span.micros())).await;
-}
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -166,7 +166,7 @@
     let listener = TcpListener::bind(given.listen).map_err(|error| format!("{}: {error}", given.listen))?;
     let tasks = Tasks::default();
     let orders = orders.or(rekeyed.map(Order::Rekey));
-    async_io::block_on(tasks.run(serve(tasks, given, listener, orders, talk)))
+    async_io::block_on(tasks.run(serve(tasks, given, listener, orders, talk, sheet)))
 }
 
 /// Only keys, passes and revocations count before the next start.
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -1,6 +1,7 @@
 //! The module's actor: the only owner of its router, its names, its timer and the jobs that are open. It
 //! takes in all that is queued, then pulls decisions until there is none.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -13,6 +14,8 @@
 use woadhook_door::Instance;
 use woadhook_door::fields::*;
 use woadhook_gossip::Seen;
+use woadhook_pace::crawl::Standing;
+use woadhook_pace::rate::Least;
 
 use crate::clock::Clock;
 use crate::codec::Answer;
@@ -23,6 +26,8 @@
 use crate::query::{Dispatch, Rows, Statement, measure};
 
 pub const MAILBOX: usize = 4096;
+/// Events that are taken in before decisions are pulled and others have a turn.
+const TURN: usize = 512;
 /// New priorities that one query has not yet taken.
 const ORDERS: usize = 4;
 
@@ -76,6 +81,13 @@
         roster: Value,
         read: Sender<Result<()>>,
     },
+    /// So much of an answer came from an engine: how long to its first byte, and from there to its last.
+    Sent {
+        engine: EngineId,
+        bytes: usize,
+        first: Span,
+        body: Span,
+    },
     /// What other routers say of an engine, by name.
     Hearsay {
         engine: String,
@@ -146,13 +158,27 @@
     last_answer: Option<Moment>,
     /// The actor that talks with other routers, where they talk.
     notes: Option<Notes>,
+    standing: Standing,
+    /// Bytes of a usual result.
+    usual: f64,
+    /// The slowest that engines may send pages; a share of the middle engine's rate, if that is less than the most.
+    least: Rc<Cell<Least>>,
+    most_least: Least,
+    share: f64,
 }
 
 impl Desk {
     pub fn new(
-        clock: Clock, seed: u64, settings: Value, ground: Ground, module: Sender<Event>, notes: Option<Notes>,
+        clock: Clock, seed: u64, settings: Value, ground: Ground, module: Sender<Event>,
+        notes: Option<Notes>, share: f64,
     ) -> Result<Self> {
+        let (least, most_least) = (ground.least.clone(), ground.least.get());
         Ok(Self {
+            standing: Standing::default(),
+            usual: 0.0,
+            least,
+            most_least,
+            share,
             clock,
             instance: Instance::start(clock.now(), seed, &settings)?,
             settings,
@@ -170,7 +196,8 @@
         })
     }
 
-    pub async fn run(mut self, mailbox: Receiver<Event>) {
+    /// What is urgent, the list and ends of probes, goes ahead of all else.
+    pub async fn run(mut self, urgent: Receiver<Event>, mailbox: Receiver<Event>) {
         loop {
             let wake = self.wake;
             let due = async {
@@ -180,15 +207,19 @@
                 }
                 Ok(None)
             };
-            let Ok(first) = async { mailbox.recv().await.map(Some) }.or(due).await else { return };
-            let queued = std::iter::from_fn(|| mailbox.try_recv().ok()).take(MAILBOX);
-            let turn = || self.turn(first.into_iter().chain(queued));
+            let ahead = async { urgent.recv().await.map(Some) };
+            let next = async { mailbox.recv().await.map(Some) };
+            let Ok(first) = ahead.or(next).or(due).await else { return };
+            let pressing = std::iter::from_fn(|| urgent.try_recv().ok()).take(TURN);
+            let queued = std::iter::from_fn(|| mailbox.try_recv().ok()).take(TURN);
+            let turn = || self.turn(first.into_iter().chain(pressing).chain(queued));
             // Threat: a fault of the module. It costs the jobs that are open, not the process; what was
             // learned is lost too, so it may hurt if it repeats.
             if catch_unwind(AssertUnwindSafe(turn)).is_err() {
                 log::error!("the module panicked and begins again");
                 self.begin_again();
             }
+            future::yield_now().await;
         }
     }
 
@@ -250,6 +281,7 @@
                     self.note(engine, |engine| Note::Answered { engine });
                 }
             }
+            Event::Sent { engine, bytes, first, body } => self.sent(now, engine, bytes, first, body),
             Event::Hearsay { engine, of, doubt } => self.hearsay(now, &engine, of.as_deref(), doubt),
             Event::Listed { roster, read } => {
                 let _ = read.try_send(self.follow_list(now, &roster));
@@ -262,6 +294,16 @@
         }
     }
 
+    /// How an engine sends, against its peers, is part of what a job there takes.
+    fn sent(&mut self, now: Moment, engine: EngineId, bytes: usize, first: Span, body: Span) {
+        self.standing.sent(now, engine.0, bytes, first, body);
+        self.usual += (bytes as f64 - self.usual) / 32.0;
+        let rate = self.standing.least(self.share, self.most_least.rate);
+        self.least.set(Least { rate, ..self.most_least });
+        let longer = self.standing.longer(engine.0, self.usual);
+        self.instance.router.sends_slowly(engine, longer);
+    }
+
     /// Tells the actor that talks with other routers of an engine, if there is one.
     fn note(&self, engine: EngineId, note: impl FnOnce(String) -> Note) {
         if let Some(notes) = &self.notes {
@@ -444,6 +486,7 @@
             Decision::Forget(Forgotten::Key(key)) => self.instance.keys.forget(key.0),
             Decision::Forget(Forgotten::Engine(engine)) => {
                 self.engines.remove(&engine);
+                self.standing.forget(engine.0);
                 self.instance.engines.forget(engine.0);
             }
         }
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/engine.rs
@@ -7,6 +7,7 @@
 
 use async_channel::{Receiver, Sender};
 use woadhook::{EngineId, Outcome, Span};
+use woadhook_pace::rate::Least;
 
 use crate::clock::Clock;
 use crate::decide::Event;
@@ -36,6 +37,10 @@
     pub reports: bool,
     /// For results.
     pub room: Room,
+    /// How slowly pages may come: bytes a second at most asked for, and the grace.
+    pub least: Rc<Cell<Least>>,
+    /// Ends of probes go ahead of what else the module is told.
+    pub urgent: Sender<Event>,
 }
 
 /// What the queries at one engine share.
@@ -79,7 +84,10 @@
             Errand::Run(dispatch, orders) => {
                 engine.ground.tasks.start(query::run(engine, dispatch, orders, module));
             }
-            Errand::Probe(id) => engine.ground.tasks.start(probe(engine, id, module)),
+            Errand::Probe(id) => {
+                let urgent = engine.ground.urgent.clone();
+                engine.ground.tasks.start(probe(engine, id, urgent));
+            }
         }
     }
     engine.ground.queries.close_all(engine.serial);
@@ -102,7 +110,7 @@
     ) -> io::Result<u16> {
         let mut connection = self.lease(pool).await?;
         let head = head(method, path, self.address, &[], body.len());
-        let call = connection.call(&head, body.as_bytes(), BODY_BYTES, || (), field);
+        let call = connection.call(&head, body.as_bytes(), BODY_BYTES, |_| (), field);
         let (status, _) = limited(self.ground.connect_timeout, call).await?;
         Ok(status)
     }
--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,15 +10,17 @@
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{AsyncReadExt, FutureExt, future};
 use woadhook::{Moment, Span};
+use woadhook_pace::rate::{Least, Watch};
+use woadhook_pace::turns::Turn;
 
 use crate::clock::{Clock, pass};
 use crate::codec::{self, Answer, Malformed, Scan};
 use crate::decide::Event;
 use crate::listen::{Guest, Stay};
-use crate::memory::{Held, Room};
+use crate::memory::{Held, Holder, Room};
 use crate::query::Statement;
 use crate::request::Range;
-use crate::sockets::{Link, limited, write_gathered};
+use crate::sockets::{Link, limited, write_at_rate};
 use crate::tasks::Tasks;
 
 /// The most open requests of a connection, and some whose withdrawal is on its way.
@@ -32,8 +35,6 @@
 const MESSAGE_WITHIN: Span = Span::from_micros(1_500_000);
 /// Clients close idle connections after 4 s.
 const IDLE: Span = Span::from_micros(5_000_000);
-/// A client that takes nothing for so long has given up all it asked for.
-const TAKE_WITHIN: Span = Span::from_micros(5_000_000);
 /// For each ping and each request that the door turned away, before the client is read again.
 const PACE: Span = Span::from_micros(2_000);
 /// What a job takes beside its statement, in all tables and tasks.
@@ -55,6 +56,11 @@
     pub come_back: Option<Span>,
     /// How many answers are owed on all connections.
     pub owing: Rc<Cell<usize>>,
+    /// The slowest that a client may send a message, and take its answers.
+    pub sends: Least,
+    pub takes: Least,
+    /// Bytes that a connection may read or write before the others' turn.
+    pub turn: usize,
 }
 
 /// The right to answer one request, once. Dropped unused, no answer is owed any more.
@@ -97,7 +103,12 @@
     let (outbox, answers) = async_channel::bounded(OPEN + ASIDE);
     let (places, aside) = (Arc::new(Semaphore::new(OPEN)), Arc::new(Semaphore::new(ASIDE)));
     let (guest, clock) = (stay.guest.clone(), hall.clock);
-    let reader = Reader { client, places, aside, outbox, guest: guest.clone(), last: Cell::new(0), hall };
+    let address =
+        link.stream.get_ref().peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
+    let holder = Holder { connection: client, address };
+    let (takes, turn) = (hall.takes, Turn::new(hall.turn));
+    let reader =
+        Reader { client, holder, places, aside, outbox, guest: guest.clone(), last: Cell::new(0), hall };
     // What was answered before the reading ended is still written.
     let read = async {
         let end = reader.read(&link).await;
@@ -108,7 +119,7 @@
         future::pending().await
     };
     let written = async {
-        if let Err(error) = write(&link, answers, &guest, clock).await {
+        if let Err(error) = write(&link, answers, &guest, clock, takes, turn).await {
             log::debug!("client {client}: {error}");
         }
     };
@@ -132,7 +143,8 @@
 }
 
 async fn write(
-    link: &Link, answers: Receiver<(u32, Answer, Owed)>, guest: &Guest, clock: Clock,
+    link: &Link, answers: Receiver<(u32, Answer, Owed)>, guest: &Guest, clock: Clock, takes: Least,
+    mut turn: Turn,
 ) -> io::Result<()> {
     let (mut head, mut tail) = (Vec::new(), Vec::new());
     while let Ok((number, answer, _owed)) = answers.recv().await {
@@ -144,14 +156,28 @@
         parts.push(head.as_slice());
         parts.extend(pages.iter().map(Vec::as_slice));
         parts.push(&tail);
-        limited(TAKE_WITHIN, write_gathered(&link.stream, &parts, || ())).await?;
+        write_at_rate(&link.stream, &parts, clock, takes).await?;
         guest.quiet_since.set(clock.now());
+        rest(&mut turn, parts.iter().map(|part| part.len()).sum()).await;
     }
     Ok(())
 }
 
+/// Lets the others have theirs once a turn is used up.
+async fn rest(turn: &mut Turn, bytes: usize) {
+    if turn.spend(bytes) {
+        loop {
+            future::yield_now().await;
+            if turn.again() {
+                break;
+            }
+        }
+    }
+}
+
 struct Reader {
     client: u64,
+    holder: Holder,
     places: Arc<Semaphore>,
     aside: Arc<Semaphore>,
     outbox: Sender<(u32, Answer, Owed)>,
@@ -169,6 +195,7 @@
         let (mut scan, mut scanned) = (Scan::default(), 0);
         // Until when the message under way is to be whole; the first is under way from the start.
         let mut due = Some(self.hall.clock.now() + MESSAGE_WITHIN);
+        let (mut watch, mut turn) = (None, Turn::new(self.hall.turn));
         loop {
             let (mut start, mut turned_away) = (0, 0);
             while let Some(length) =
@@ -176,7 +203,7 @@
             {
                 turned_away += self.take(&buffer[start..start + length]).await.map_err(malformed)?;
                 start += length;
-                (scan, scanned, due) = (Scan::default(), 0, None);
+                (scan, scanned, due, watch) = (Scan::default(), 0, None, None);
             }
             if scan.least_left().saturating_add(scanned as u64) > MESSAGE_BYTES as u64 {
                 self.refuse(&buffer[start..filled]).await.map_err(malformed)?;
@@ -187,7 +214,9 @@
             if filled == buffer.len() {
                 // Threat: many clients with long messages. Those that find no room are closed when theirs is
                 // due.
-                let more = limited(MESSAGE_WITHIN, async { Ok(self.hall.messages.take(filled * 2).await) });
+                let more = limited(MESSAGE_WITHIN, async {
+                    Ok(self.hall.messages.take(self.holder, filled * 2).await)
+                });
                 room = Some(more.await?);
                 buffer.resize(filled * 2, 0);
             } else if filled == 0 && room.take().is_some() {
@@ -195,18 +224,38 @@
             }
             if filled > 0 && due.is_none() {
                 due = Some(self.hall.clock.now() + MESSAGE_WITHIN);
+                watch = Some(Watch::start(self.hall.clock.now(), self.hall.sends));
             }
             if turned_away > 0 {
                 pass(PACE.times(turned_away as f64)).await;
             }
-            filled += match self.read_some(link, &mut buffer[filled..], due).await? {
-                0 => return Ok(()),
-                count => count,
+            let until = due.map(|due| watch.map_or(due, |watch: Watch| due.min(watch.due())));
+            let count = match self.read_some(link, &mut buffer[filled..], until).await {
+                Ok(0) => return Ok(()),
+                Ok(count) => count,
+                Err(error) => return Err(self.too_slow(error, watch)),
             };
+            filled += count;
+            if let Some(watch) = &mut watch {
+                watch.moved(self.hall.clock.now(), count);
+            }
+            rest(&mut turn, count).await;
             self.guest.quiet_since.set(self.hall.clock.now());
         }
     }
 
+    /// A fault of a client that was at a message, with the figures of its slowness.
+    fn too_slow(&self, error: io::Error, watch: Option<Watch>) -> io::Error {
+        match watch.filter(|_| error.kind() == io::ErrorKind::TimedOut) {
+            None => error,
+            Some(watch) => {
+                let (bytes, rate) = watch.figures(self.hall.clock.now());
+                let words = format!("sent {bytes} bytes of a message at {rate:.0} a second");
+                io::Error::new(io::ErrorKind::TimedOut, words)
+            }
+        }
+    }
+
     /// Threat: clients that vanish, idle, or stall in a message would keep their descriptors. None that
     /// awaits an answer is closed between messages.
     async fn read_some(&self, link: &Link, buffer: &mut [u8], due: Option<Moment>) -> io::Result<usize> {
@@ -291,9 +340,14 @@
         let asked = self.hall.range.request(method, message).map_err(malformed)?;
         let full = || Answer::Overloaded(self.hall.come_back);
         let place = self.places.try_acquire_arc().ok_or_else(full)?;
-        let held = self.hall.room.try_take(asked.text.len() + JOB_BYTES).ok_or_else(full)?;
-        let statement =
-            Statement { id: asked.id.into(), class: method.into(), text: asked.text.into(), _held: held };
+        let held = self.hall.room.try_take(self.holder, asked.text.len() + JOB_BYTES).ok_or_else(full)?;
+        let statement = Statement {
+            holder: self.holder,
+            id: asked.id.into(),
+            class: method.into(),
+            text: asked.text.into(),
+            _held: held,
+        };
         let arrival = Event::Arrived {
             client: self.client,
             statement: Rc::new(statement),
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -1,11 +1,15 @@
 //! HTTP/1.1 calls, one at a time on a connection. Answers' heads are parsed where they were read.
 
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 
 use futures_lite::AsyncReadExt;
 use httparse::{EMPTY_HEADER, Response, Status};
-use woadhook::Moment;
+use woadhook::{Moment, Span};
+use woadhook_pace::rate::{Least, Watch};
 
+use crate::clock::Clock;
 use crate::sockets::{Link, Waiting, write_gathered};
 
 const HEAD_BYTES: usize = 4 * 1024;
@@ -14,9 +18,49 @@
 /// Answers of the 1xx kind that one answer may follow.
 const INTERIM: usize = 8;
 
+/// What of the answer under way has come, for whoever waits for it.
+#[derive(Clone, Default)]
+pub struct Flow(Rc<Cell<Option<Came>>>);
+
+/// The first byte of an answer and all since.
+#[derive(Clone, Copy)]
+pub struct Came {
+    pub first: Moment,
+    pub last: Moment,
+    pub bytes: usize,
+    watch: Watch,
+}
+
+impl Came {
+    /// When it has been too slow, if nothing more comes.
+    pub fn due(&self) -> Moment {
+        self.watch.due()
+    }
+}
+
+impl Flow {
+    fn moved(&self, clock: Clock, least: Least, bytes: usize) {
+        let now = clock.now();
+        let new = Came { first: now, last: now, bytes: 0, watch: Watch::start(now, least) };
+        let mut came = self.0.get().unwrap_or(new);
+        came.watch.moved(now, bytes);
+        (came.last, came.bytes) = (now, came.bytes + bytes);
+        self.0.set(Some(came));
+    }
+
+    /// Nothing, before the first byte.
+    pub fn came(&self) -> Option<Came> {
+        self.0.get()
+    }
+}
+
 /// A connection that calls one peer.
 pub struct Connection {
     pub link: Link,
+    pub flow: Flow,
+    /// The slowest that answers may come, as far as [`Flow`] tells of it.
+    pub least: Least,
+    clock: Clock,
     /// What was read and not used yet; empty and without memory between calls.
     buffer: Vec<u8>,
     /// No call is under way and the peer will take another.
@@ -40,8 +84,17 @@
 }
 
 impl Connection {
-    pub fn new(link: Link) -> Self {
-        Self { link, buffer: Vec::new(), reusable: true, idle_since: Moment::default() }
+    pub fn new(link: Link, clock: Clock) -> Self {
+        let least = Least { rate: 0.0, grace: Span::ZERO };
+        Self {
+            link,
+            flow: Flow::default(),
+            least,
+            clock,
+            buffer: Vec::new(),
+            reusable: true,
+            idle_since: Moment::default(),
+        }
     }
 
     /// Whether another call can be made over it: all of the last one was read, and nothing came since.
@@ -53,10 +106,11 @@
     /// hears each field of the answer's head, and `wrote` of each write. An answer that comes with more than
     /// is its own is in doubt, as its length may not be the true one.
     pub async fn call(
-        &mut self, head: &str, body: &[u8], most: usize, wrote: impl FnMut(),
+        &mut self, head: &str, body: &[u8], most: usize, wrote: impl FnMut(usize),
         mut field: impl FnMut(&str, &str),
     ) -> io::Result<(u16, Vec<u8>)> {
         self.reusable = false;
+        self.flow.0.set(None);
         write_gathered(&self.link.stream, &[head.as_bytes(), body], wrote).await?;
         let mut interim = 0;
         let head = loop {
@@ -91,7 +145,13 @@
         self.buffer.resize(filled + READ_BYTES, 0);
         let count = (&self.link.stream).read(&mut self.buffer[filled..]).await;
         self.buffer.truncate(filled + count.as_ref().copied().unwrap_or(0));
-        if count? == 0 { Err(io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
+        match count? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            count => {
+                self.flow.moved(self.clock, self.least, count);
+                Ok(())
+            }
+        }
     }
 
     /// The next `length` bytes: those in the buffer, and the rest read straight to their place.
@@ -100,7 +160,16 @@
         let mut taken = Vec::with_capacity(length);
         taken.extend(self.buffer.drain(..here));
         taken.resize(length, 0);
-        (&self.link.stream).read_exact(&mut taken[here..]).await?;
+        let mut filled = here;
+        while filled < length {
+            match (&self.link.stream).read(&mut taken[filled..]).await? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                count => {
+                    filled += count;
+                    self.flow.moved(self.clock, self.least, count);
+                }
+            }
+        }
         Ok(taken)
     }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod statement;
 pub mod stop;
 pub mod tasks;
+mod timers;
 
 use std::cell::Cell;
 use std::net::TcpListener;
@@ -32,7 +33,10 @@
 
 use async_io::Async;
 use futures_lite::Stream;
+use woadhook::Span;
 use woadhook_door::fields::*;
+use woadhook_operator::Sheet;
+use woadhook_pace::rate::Least;
 
 use crate::clock::Clock;
 use crate::decide::Desk;
@@ -49,7 +53,7 @@
 /// Serves until a planned stop is done, which `orders` hold some time. With `talk` it talks with other routers.
 pub async fn serve(
     tasks: Tasks, given: config::Given, listener: TcpListener, orders: impl Stream<Item = Order> + 'static,
-    talk: Option<Talk>,
+    talk: Option<Talk>, sheet: &Sheet,
 ) -> Result<()> {
     let clock = Clock::start();
     let settings = given.settings;
@@ -70,10 +74,19 @@
     let longest = range.types.iter().map(|(_, timeout)| *timeout).max().unwrap_or_default();
     let come_back = woadhook_door::come_back(limits)?;
 
+    let pace = sheet.section("pace").ok_or("no section pace")?;
+    let least = |rate: &str, grace: &str| Least {
+        rate: pace.whole(rate) as f64,
+        grace: Span::from_micros(pace.whole(grace) * 1000),
+    };
+    let share = pace.whole("engine_rate_percent") as f64 / 100.0;
+    tasks.start(timers::drive());
     let descriptors = Descriptors::share(given.descriptors);
     // Half of the memory in all; the other half is for what each connection and the program itself take.
-    let room = |part: f64| Room::new((given.memory_mb * 1024.0 * 1024.0 * part) as usize);
+    let room =
+        |part: f64| Room::new((given.memory_mb * 1024.0 * 1024.0 * part) as usize, descriptors.most_clients);
     let (module, mailbox) = async_channel::bounded(decide::MAILBOX);
+    let (urgent, pressing) = async_channel::bounded(decide::MAILBOX);
     let ground = Ground {
         clock,
         tasks,
@@ -83,14 +96,16 @@
         connect_timeout,
         reports,
         room: room(0.15),
+        least: Rc::new(Cell::new(least("engine_bytes_per_s", "engine_grace_ms"))),
+        urgent: urgent.clone(),
     };
     let notes = talk.map(|talk| gossip::start(talk, clock, given.seed, tasks, module.clone())).transpose()?;
-    let desk = Desk::new(clock, given.seed, settings, ground, module.clone(), notes.clone())?;
-    tasks.start(desk.run(mailbox));
+    let desk = Desk::new(clock, given.seed, settings, ground, module.clone(), notes.clone(), share)?;
+    tasks.start(desk.run(pressing, mailbox));
     let mut last = 0;
-    bulletin::pass_on_known(&given.known, &mut last, &module).await?;
+    bulletin::pass_on_known(&given.known, &mut last, &urgent).await?;
     let (moves, moved) = async_channel::bounded(1);
-    tasks.start(bulletin::follow(given.bulletin, connect_timeout, grace, last, moved, module.clone()));
+    tasks.start(bulletin::follow(clock, given.bulletin, connect_timeout, grace, last, moved, urgent.clone()));
     let (stop, told_to_stop) = async_channel::bounded(1);
     tasks.start(stop::heed(orders, moves, stop, notes));
 
@@ -105,12 +120,15 @@
         messages: room(0.1),
         come_back,
         owing: owing.clone(),
+        sends: least("client_sends_bytes_per_s", "client_grace_ms"),
+        takes: least("client_takes_bytes_per_s", "client_grace_ms"),
+        turn: pace.whole("turn_bytes") as usize,
     };
     tasks.start(listen::accept(listener, descriptors.clients, clock, hall));
     log::info!("serving on {}", given.listen);
     if told_to_stop.recv().await.is_err() {
         std::future::pending().await
     }
-    stop::wait(clock, longest, &owing, module).await;
+    stop::wait(clock, longest, &owing, urgent).await;
     Ok(())
 }
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -67,7 +67,7 @@
                 limited(within, free).await.map_err(|_| io::Error::from(NO_DESCRIPTOR))?
             }
         };
-        Ok(lease(Connection::new(Link::connect(at, within, permit).await?)))
+        Ok(lease(Connection::new(Link::connect(at, within, permit).await?, self.clock)))
     }
 
     fn latest(&self, engine: u64) -> Option<Connection> {
--- a/crates/router/src/query.rs
+++ b/crates/router/src/query.rs
@@ -7,11 +7,12 @@
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use woadhook::{EngineId, JobId, Moment, Outcome, Progress, Span};
+use woadhook_pace::rate::Least;
 
 use crate::clock::pass;
 use crate::decide::Event;
 use crate::engine::{Engine, head};
-use crate::memory::Held;
+use crate::memory::{Held, Holder};
 use crate::pool::{Lease, NO_DESCRIPTOR};
 use crate::sockets::limited;
 use crate::tasks::Tasks;
@@ -28,11 +29,14 @@
 const PAUSE: Span = Span::from_micros(20_000);
 /// A call without an answer for so long is made again on another connection.
 const ASK_AGAIN: Span = Span::from_micros(500_000);
+/// So often a page that comes too slowly is asked for again; then it is let come as it comes.
+const CRAWLS: usize = 2;
 /// So many answers in a row that make no sense leave no hope for a good one.
 const DOUBTS: usize = 8;
 
 /// What a client asked for, unchanged.
 pub struct Statement {
+    pub holder: Holder,
     pub id: String,
     pub class: String,
     pub text: String,
@@ -205,7 +209,7 @@
     /// so that noise on connections is not taken for its end.
     async fn ask(&self, page: usize, mut lease: Option<Lease>) -> Result<(Answer, Lease), Outcome> {
         let path = format!("/v2/q/{}/{page}", self.dispatch.statement.id);
-        let mut doubts = 0;
+        let (mut doubts, mut crawls) = (0, 0);
         while doubts < DOUBTS {
             let kept = lease.take().filter(|lease| lease.is_ready());
             let opened = match kept {
@@ -214,9 +218,17 @@
             };
             match opened {
                 Ok(mut lease) => {
-                    let call = self.call(&mut lease, "GET", &path, &[], &[], page);
-                    match limited(ASK_AGAIN, call).await {
+                    // An engine that answers at a crawl answers: what has come of a page counts as heard.
+                    let least = self.engine.ground.least.get();
+                    lease.least = if crawls < CRAWLS { least } else { Least { rate: 1.0, ..least } };
+                    match self.flowing(&mut lease, &path, page).await {
                         Ok(answer) => return Ok((answer, lease)),
+                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                            crawls += 1;
+                            log::debug!("engine {}: page {page} {error}", self.engine.address);
+                            self.heard.set(self.now());
+                            continue;
+                        }
                         Err(error) if error.kind() == io::ErrorKind::InvalidData => {
                             doubts += 1;
                             self.heard.set(self.now());
@@ -239,6 +251,34 @@
         Err(Outcome::Error)
     }
 
+    /// One call that is given up where no byte of its answer comes in time, or the rest of it too slowly (told apart
+    /// as `WouldBlock`).
+    async fn flowing(&self, lease: &mut Lease, path: &str, page: usize) -> io::Result<Answer> {
+        let clock = self.engine.ground.clock;
+        let began = self.now();
+        let flow = lease.flow.clone();
+        let slow = async {
+            loop {
+                let came = flow.came();
+                let due = came.map_or(began + ASK_AGAIN, |came| came.due());
+                if clock.now() >= due {
+                    let Some(came) = came else { return Err(io::ErrorKind::TimedOut.into()) };
+                    let span = came.last.since(began).secs();
+                    let words = format!("crawls: {} bytes in {span:.2} s", came.bytes);
+                    return Err(io::Error::new(io::ErrorKind::WouldBlock, words));
+                }
+                clock.until(due).await;
+            }
+        };
+        let answer = self.call(lease, "GET", path, &[], &[], page).or(slow).await?;
+        if let Some(came) = flow.came() {
+            let (engine, bytes) = (self.dispatch.engine, answer.body.len());
+            let (first, body) = (came.first.since(began), came.last.since(came.first));
+            let _ = self.module.try_send(Event::Sent { engine, bytes, first, body });
+        }
+        Ok(answer)
+    }
+
     /// One call for what page 0 or a further page answers; it may be any of the ends, and must make sense.
     async fn call(
         &self, lease: &mut Lease, method: &str, path: &str, fields: &[(&str, &str)], body: &[u8], page: usize,
@@ -252,7 +292,7 @@
             sound &= number.is_some();
             number
         };
-        let wrote = || {
+        let wrote = |_| {
             self.began.set(true);
             self.asked.set(self.now());
         };
@@ -306,7 +346,7 @@
     /// Every page of the result, each whole and in its place.
     async fn collect(&self, first: Answer, mut lease: Lease) -> Result<Rows, Outcome> {
         let most = if first.pages > 1 { RESULT_BYTES } else { first.body.len() };
-        let held = self.engine.ground.room.take(most).await;
+        let held = self.engine.ground.room.take(self.dispatch.statement.holder, most).await;
         let (count, mut bytes, mut pages) = (first.pages, first.body.len(), vec![first.body]);
         while pages.len() < count {
             let (answer, same) = self.ask(pages.len(), Some(lease)).await?;
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -1,5 +1,6 @@
 //! Descriptors: their shares, and the one place where each is given back.
 
+use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
@@ -8,8 +9,9 @@
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{AsyncWrite, FutureExt, future};
 use woadhook::Span;
+use woadhook_pace::rate::{Least, Watch};
 
-use crate::clock::pass;
+use crate::clock::{Clock, pass};
 
 /// Descriptors that are no sockets of peers: standard streams, poller, signals, listener, bulletin.
 const OWN: usize = 24;
@@ -17,6 +19,8 @@
 /// The descriptor limit in parts that cannot starve each other.
 pub struct Descriptors {
     pub clients: Arc<Semaphore>,
+    /// How many clients that allows.
+    pub most_clients: usize,
     /// Starting queries, their news and pages.
     pub queries: Arc<Semaphore>,
     /// Giving queries up and priorities.
@@ -33,6 +37,7 @@
         let part = |count| Arc::new(Semaphore::new(count));
         Self {
             clients: part(clients.max(1)),
+            most_clients: clients.max(1),
             queries: part(queries),
             errands: part(errands),
             probes: part(probes),
@@ -88,9 +93,30 @@
     work.or(late).await
 }
 
+/// Writes all the parts, and no slower than `least`; the error tells how slow the peer took them.
+pub async fn write_at_rate(
+    stream: &Async<TcpStream>, parts: &[&[u8]], clock: Clock, least: Least,
+) -> io::Result<()> {
+    let watch = Cell::new(Watch::start(clock.now(), least));
+    let wrote = |bytes| {
+        let mut moved = watch.get();
+        moved.moved(clock.now(), bytes);
+        watch.set(moved);
+    };
+    let too_slow = async {
+        while !watch.get().is_too_slow(clock.now()) {
+            clock.until(watch.get().due()).await;
+        }
+        let (bytes, rate) = watch.get().figures(clock.now());
+        let words = format!("took {bytes} bytes at {rate:.0} a second, allowed are {:.0}", least.rate);
+        Err(io::Error::new(io::ErrorKind::TimedOut, words))
+    };
+    write_gathered(stream, parts, wrote).or(too_slow).await
+}
+
 /// Writes all the parts in order, as many at once as the system takes. `wrote` hears of each write.
 pub async fn write_gathered(
-    stream: &Async<TcpStream>, parts: &[&[u8]], mut wrote: impl FnMut(),
+    stream: &Async<TcpStream>, parts: &[&[u8]], mut wrote: impl FnMut(usize),
 ) -> io::Result<()> {
     let mut slices: Vec<IoSlice> = parts.iter().map(|part| IoSlice::new(part)).collect();
     let mut left = slices.as_mut_slice();
@@ -103,7 +129,7 @@
         if count == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
-        wrote();
+        wrote(count);
         IoSlice::advance_slices(&mut left, count);
     }
     Ok(())
--- /dev/null
+++ b/crates/router/src/timers.rs
@@ -0,0 +1,114 @@
+//! One timer of the executor under a wheel that holds all deadlines of this thread's router.
+
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::{FutureExt, future};
+use woadhook::{Moment, Span};
+use woadhook_pace::wheel::{Key, Wheel};
+
+/// The least span that is told apart.
+const TICK: Span = Span::from_micros(1_000);
+/// Deadlines that are moved before others have a turn.
+const STEP: usize = 256;
+
+thread_local! {
+    static TIMERS: Timers = Timers::new();
+}
+
+struct Timers {
+    started: Instant,
+    /// Emptied as deadlines end or are dropped.
+    wheel: RefCell<Wheel<Waker>>,
+    /// Until when the driver sleeps; nothing while it is awake.
+    asleep: Cell<Option<Moment>>,
+    earlier: Event,
+}
+
+impl Timers {
+    fn new() -> Self {
+        let wheel = RefCell::new(Wheel::new(Moment::default(), TICK));
+        Self { started: Instant::now(), wheel, asleep: Cell::new(None), earlier: Event::new() }
+    }
+
+    /// On the monotonic clock, since this thread's first deadline.
+    fn now(&self) -> Moment {
+        Moment::from_micros(self.started.elapsed().as_micros() as u64)
+    }
+
+    fn start(&self, at: Moment, waker: Waker) -> Key {
+        let key = self.wheel.borrow_mut().start(at, waker);
+        if self.asleep.get().is_some_and(|until| at < until) {
+            self.earlier.notify(1);
+        }
+        key
+    }
+}
+
+/// Wakes those whose time has come, for as long as the thread's router runs.
+pub async fn drive() {
+    loop {
+        let mut woken = 0;
+        let due = TIMERS.with(|timers| {
+            let now = timers.now();
+            while woken < STEP {
+                woken += 1;
+                let Some(waker) = timers.wheel.borrow_mut().next(now, STEP) else { break };
+                waker.wake();
+            }
+            let due = timers.wheel.borrow().due();
+            let due = due.unwrap_or(now + Span::from_micros(60_000_000));
+            timers.asleep.set((due > now).then_some(due));
+            (due > now).then(|| timers.started + Duration::from_micros(due.since(Moment::default()).micros()))
+        });
+        let Some(due) = due else {
+            future::yield_now().await;
+            continue;
+        };
+        let earlier = TIMERS.with(|timers| timers.earlier.listen());
+        let slept = async {
+            Timer::at(due).await;
+        };
+        slept.or(earlier).await;
+    }
+}
+
+/// Ends when its time has come. Dropped before, it leaves nothing behind.
+pub struct Until {
+    at: Moment,
+    key: Option<Key>,
+}
+
+/// Ends when the span has passed.
+pub fn pass(span: Span) -> Until {
+    Until { at: TIMERS.with(Timers::now) + span, key: None }
+}
+
+impl Future for Until {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        TIMERS.with(|timers| {
+            if let Some(key) = self.key.take() {
+                timers.wheel.borrow_mut().cancel(key);
+            }
+            if timers.now() >= self.at {
+                return Poll::Ready(());
+            }
+            self.key = Some(timers.start(self.at, context.waker().clone()));
+            Poll::Pending
+        })
+    }
+}
+
+impl Drop for Until {
+    fn drop(&mut self) {
+        if let Some(key) = self.key.take() {
+            let _ = TIMERS.try_with(|timers| timers.wheel.borrow_mut().cancel(key));
+        }
+    }
+}
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 
 use rmp::{Marker, decode};
+use socket2::{Domain, Socket, Type};
 
 use crate::LONG;
 use crate::routers::Running;
@@ -18,6 +19,16 @@
         Self(stream)
     }
 
+    /// One that takes little at a time.
+    pub fn narrow(router: &Running) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.set_recv_buffer_size(2_048).unwrap();
+        socket.connect(&router.address.into()).unwrap();
+        let stream: TcpStream = socket.into();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Self(stream)
+    }
+
     pub fn message(number: u32, class: &str, id: &str, wait: u32, statement: &str) -> Vec<u8> {
         let fields = [("id", id), ("wait", &wait.to_string()), ("cost", "10.5"), ("ram", "16")];
         Self::request(number, class, &fields, statement)
--- a/crates/standins/src/routers.rs
+++ b/crates/standins/src/routers.rs
@@ -5,6 +5,7 @@
 use std::thread;
 
 use serde_json::json;
+use woadhook_operator::Sheet;
 use woadhook_router::gossip::Talk;
 use woadhook_router::stop::Order;
 use woadhook_router::tasks::Tasks;
@@ -61,6 +62,11 @@
 
     /// One that talks with other routers.
     pub fn talking(told: &str, talk: Option<Talk>) -> Self {
+        Self::set(told, talk, Sheet::default())
+    }
+
+    /// One with an operator file.
+    pub fn set(told: &str, talk: Option<Talk>, sheet: Sheet) -> Self {
         let given = config::parse(told, None).unwrap();
         let listener = TcpListener::bind(given.listen).unwrap();
         let address = listener.local_addr().unwrap();
@@ -68,7 +74,8 @@
         let (end, ended) = mpsc::channel();
         thread::spawn(move || {
             let tasks = Tasks::default();
-            let _ = end.send(async_io::block_on(tasks.run(serve(tasks, given, listener, heard, talk))));
+            let _ =
+                end.send(async_io::block_on(tasks.run(serve(tasks, given, listener, heard, talk, &sheet))));
         });
         Self { address, orders, ended }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -346,6 +346,13 @@
         }
     }
 
+    /// An engine sends a usual result by so much slower than its peers.
+    pub fn sends_slowly(&mut self, id: EngineId, longer: Span) {
+        if let Some(engine) = self.engines.get_mut(&id) {
+            engine.longer = longer;
+        }
+    }
+
     /// Other routers doubt an engine so far, from 0 to 1; of one type, or all.
     pub fn hearsay(&mut self, now: Moment, id: EngineId, of: Option<TypeId>, doubt: f64) {
         if let Some(engine) = self.engines.get_mut(&id) {
@@ -634,7 +641,7 @@
         let queued = own.sum::<f64>() + average + foreign * self.freshness(engine, now);
         let warm = engine.groups.contains_key(&job.group) && engine.threads_out() <= cores * self.share();
         let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
-        let mut total = (queued / cores + job.work / t.threads) * discount;
+        let mut total = (queued / cores + job.work / t.threads) * discount + engine.longer.secs();
         if t.waits_for_loads || t.is_load {
             total += self.load_hold(engine, job.group, now);
         }
--- a/src/records.rs
+++ b/src/records.rs
@@ -89,6 +89,8 @@
     pub(crate) errors: BTreeMap<Option<TypeId>, (Mean, Moment)>,
     /// What other routers say, by type, and when it came; emptied of what is older than the patience.
     pub(crate) hearsay: BTreeMap<Option<TypeId>, (f64, Moment)>,
+    /// How much longer a usual result takes to come from there than from its peers.
+    pub(crate) longer: Span,
     pub(crate) probe_out: bool,
     pub(crate) probed: Option<Moment>,
     /// While set aside: probes still to answer in a row.
