--- a/crates/router/src/front.rs
+++ b/crates/router/src/front.rs
@@ -114,18 +114,27 @@
         let end = reader.read(&link).await;
         reader.outbox.close();
         if let Err(error) = end {
-            log::debug!("client {client}: {error}");
+            say(client, &error);
         }
         future::pending().await
     };
     let written = async {
         if let Err(error) = write(&link, answers, &guest, clock, takes, turn).await {
-            log::debug!("client {client}: {error}");
+            say(client, &error);
         }
     };
     read.or(written).or(guest.sent_off()).await;
 }
 
+/// Why a connection ended.
+fn say(client: u64, error: &io::Error) {
+    if error.kind() == io::ErrorKind::TimedOut {
+        log::debug!(event = "client_too_slow", client; "client {client}: {error}");
+    } else {
+        log::debug!("client {client}: {error}");
+    }
+}
+
 /// Tells the module when a connection ends, however it does.
 struct Leave {
     client: u64,
--- a/crates/router/src/query.rs
+++ b/crates/router/src/query.rs
@@ -225,7 +225,8 @@
                         Ok(answer) => return Ok((answer, lease)),
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                             crawls += 1;
-                            log::debug!("engine {}: page {page} {error}", self.engine.address);
+                            let at = self.engine.address;
+                            log::debug!(event = "engine_crawls", engine:% = at, page; "engine {at}: page {page} {error}");
                             self.heard.set(self.now());
                             continue;
                         }
--- a/crates/router/tests/slow.rs
+++ b/crates/router/tests/slow.rs
@@ -151,3 +151,27 @@
         assert_eq!(engine.had("POST").len(), 1);
     }
 }
+
+#[test]
+fn a_client_that_pauses_for_three_seconds_gets_all_and_one_that_pauses_too_long_can_tell() {
+    let row = format!("{}\tb\tc\n", "x".repeat(5_900));
+    let page: &'static str = row.leak();
+    let engine = Standin::start(move |call| pages(call, &[page; 8]));
+    for (grace, whole) in [(4_000, true), (500, false)] {
+        let told = told(&[engine.address], Events::default().serve().address, 1024);
+        let sheet = format!(r#"{{"pace": {{"client_grace_ms": {grace}}}}}"#);
+        let router = Running::set(&told, None, Sheet::check(&sheet, Path::new("patient")).unwrap());
+        let mut client = Client::narrow(&router);
+        let most = 60;
+        for number in 1..=most {
+            client.asks(number, "look", 20_000);
+            if number % 20 == 0 {
+                // So that no more than 32 are open, as the protocol wants it.
+                thread::sleep(Duration::from_millis(300));
+            }
+        }
+        thread::sleep(Duration::from_secs(3));
+        let taken = client.takes_all(most);
+        assert_eq!(taken == most as usize, whole, "{taken} whole answers with {grace} ms of grace");
+    }
+}
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -6,6 +6,8 @@
 use rmp::{Marker, decode};
 use socket2::{Domain, Socket, Type};
 
+use woadhook_router::codec;
+
 use crate::LONG;
 use crate::routers::Running;
 
@@ -66,6 +68,28 @@
         result.unwrap() == "true"
     }
 
+    /// How many whole answers come, of so many, until the router ends the connection.
+    pub fn takes_all(&mut self, most: u32) -> usize {
+        let mut bytes = Vec::new();
+        let mut piece = [0; 16 * 1024];
+        let (mut whole, mut scan, mut scanned) = (0, codec::Scan::default(), 0);
+        while whole < most as usize {
+            match self.0.read(&mut piece) {
+                Ok(0) | Err(_) => break,
+                Ok(count) => bytes.extend_from_slice(&piece[..count]),
+            }
+            while let Ok(Some(length)) = codec::whole(&bytes, &mut scan, &mut scanned) {
+                bytes.drain(..length);
+                (scan, scanned) = (codec::Scan::default(), 0);
+                whole += 1;
+                if bytes.is_empty() {
+                    break;
+                }
+            }
+        }
+        whole
+    }
+
     /// Whether the router ended the connection; what it said before is passed over.
     pub fn is_closed(&mut self) -> bool {
         let mut rest = [0; 1024];
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -668,6 +668,19 @@
     );
 }
 
+#[test]
+fn an_engine_that_sends_slowly_is_dearer_and_still_open() {
+    let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+    host.router.sends_slowly(E0, ms(500));
+    let jobs: Vec<JobId> = (0..3).map(|group| host.job(LOOKUP, group)).collect();
+    host.pull();
+    assert!(jobs.iter().all(|job| host.engines_of(*job) == [E1]));
+    host.list(1, Listed::Draining, None);
+    let job = host.job(LOOKUP, 5);
+    host.pull();
+    assert_eq!(host.engines_of(job), [E0]);
+}
+
 #[test]
 fn hearsay_fades() {
     for (after, first) in [(0, E1), (2_400, E0)] {
