Put out members whom a dropped operator key admitted; keep what is known over an own rekey

Read again: after an operator's key was taken out, members it had admitted went on being heard through others, until gone. An own new key threw away credit and replay windows of all. Each with a story; also another instance at a dead one's address.

--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -336,11 +336,6 @@
         }
     }
 
-    /// Words that are kept, and news that wait.
-    pub fn kept(&self) -> (usize, usize) {
-        (self.words.len(), self.news.len())
-    }
-
     /// New keys, as read again. A key that is no longer this instance's leaves.
     pub fn rekey(&mut self, now: Moment, own: Identity, mut ring: Ring) {
         for known in self.ring.revocations() {
@@ -355,13 +350,20 @@
         if own.id() != self.own.id() {
             let left = Card::issue(&self.own, self.address, self.card.incarnation + 1, true);
             self.news.add(About::Card(left.id), left.bytes);
-            let known: Vec<Rc<Card>> = self.members.living().map(|(_, member)| member.card.clone()).collect();
-            self.members = Members::new(own.id(), self.pace.members);
-            for card in known {
-                self.members.take(now, card);
-            }
+            self.members.rename(own.id());
             (self.number, self.word_number, self.probes) = (0, 0, Vec::new());
         }
+        // Threat: a key of the operator was lost, and whom its thief admitted goes on speaking through others.
+        let out: Vec<_> = self
+            .members
+            .iter()
+            .filter(|(_, m)| !self.ring.fits(&m.card.pass, now, self.pace.tolerance))
+            .collect();
+        let out: Vec<(MemberId, String)> =
+            out.into_iter().map(|(id, m)| (id, m.card.pass.name.clone())).collect();
+        for (id, name) in out {
+            self.put_out(id, name);
+        }
         self.own = own;
         self.ending_told = false;
         self.renew(now, 0);
@@ -953,13 +955,18 @@
     fn strike(&mut self, revocation: &Revocation) {
         self.tell_revocation(revocation);
         if let Some(name) = self.members.get(revocation.member).map(|member| member.card.pass.name.clone()) {
-            self.members.remove(revocation.member);
-            self.words.forget(revocation.member);
-            self.news.forget(&About::Card(revocation.member));
-            self.event(What::MemberRevoked, Some(name), None, None);
+            self.put_out(revocation.member, name);
         }
     }
 
+    /// A member is believed no more, and neither is what it said.
+    fn put_out(&mut self, id: MemberId, name: String) {
+        self.members.remove(id);
+        self.words.forget(id);
+        self.news.forget(&About::Card(id));
+        self.event(What::MemberRevoked, Some(name), None, None);
+    }
+
     fn hear_card(&mut self, now: Moment, at_home: bool, card: Card) {
         if card.id == self.id() {
             // Own word from before a restart with a clock that was ahead, or a stolen key.
--- a/crates/gossip/src/members.rs
+++ b/crates/gossip/src/members.rs
@@ -176,6 +176,12 @@
         Self { own, lines: BTreeMap::new(), most, living: 0, suspects: 0, digest: 0 }
     }
 
+    /// This instance has another key from now on; what is known of the others stays.
+    pub fn rename(&mut self, own: MemberId) {
+        self.remove(own);
+        self.own = own;
+    }
+
     pub fn get(&self, id: MemberId) -> Option<&Member> {
         self.lines.get(&id)
     }
--- a/crates/gossip/tests/stories.rs
+++ b/crates/gossip/tests/stories.rs
@@ -277,6 +277,36 @@
     assert!(cluster.told.iter().any(|told| told.what == What::PassEnding));
 }
 
+#[test]
+fn whom_a_lost_operator_key_admitted_is_out_with_that_key() {
+    let mut cluster = settled(32, 4);
+    let (now, stolen) = (cluster.now, secret(78));
+    let both = || Ring::new(tag(), vec![operator().public(), stolen.public()]);
+    cluster.at(0, |now, core| core.rekey(now, identity(0, "n0", now), both()));
+    let pass = Pass::issue(&stolen, "thief", secret(600).public(), tag(), START, START + secs(9e6)).unwrap();
+    let thief = Identity::new(secret(600), pass, &both(), now).unwrap();
+    let hello = datagram(&thief, cluster.core(0).id(), now, 1, &[]);
+    cluster.at(0, |now, core| core.heard(now, address(200), &hello));
+    assert!(cluster.core(0).others().any(|(name, ..)| name == "thief"));
+    cluster.at(0, |now, core| core.rekey(now, identity(0, "n0", now), ring()));
+    assert!(cluster.core(0).others().all(|(name, ..)| name != "thief"));
+    // Through a member that still believes the stolen key, it is not heard either.
+    let carrier = identity(2, "n2", now);
+    let relayed = datagram(&carrier, cluster.core(0).id(), now, 9, &[dead(&thief, now, 5, "e-1")]);
+    cluster.at(0, |now, core| core.heard(now, address(2), &relayed));
+    assert_eq!(cluster.doubt(0, "e-1"), 0.0);
+}
+
+#[test]
+fn another_instance_at_the_address_of_one_that_died_takes_its_place() {
+    let mut cluster = settled(33, 6);
+    cluster.kill(4);
+    let new = cluster.add(4);
+    assert!(cluster.until(secs(15.0), Cluster::agree).is_some());
+    assert!(cluster.core(0).others().any(|(name, at, _)| name == format!("n{new}") && at == address(4)));
+    assert!(cluster.core(0).others().all(|(name, ..)| name != "n4"));
+}
+
 #[test]
 fn an_instance_that_changes_its_own_key_is_one_witness_and_one_member() {
     let mut cluster = settled(12, 5);
--- a/crates/operator/src/table.rs
+++ b/crates/operator/src/table.rs
@@ -79,7 +79,7 @@
     field("gossip.checks_per_s", Kind::Whole(20, 10_000), "signatures a second",
         "The most that this instance checks; what comes beyond is dropped unread.").or("400"),
     field("gossip.members", Kind::Whole(2, 16_384), "members",
-        "The most that are remembered, at about 0.6 KB each.").or("4096"),
+        "The most that are remembered, at about half a KB each.").or("4096"),
     field("gossip.clock_tolerance_ms", Kind::Whole(100, 60_000), "milliseconds",
         "By how much clocks of instances may differ.").or("5000"),
     field("gossip.word_lifetime_ms", Kind::Whole(500, 60_000), "milliseconds",
