Take out what nobody uses; size of a usual result beside the standing it weighs

Read again: flags, the greediest peer and three getters had no caller; the mean of results was worked out by page and in the actor. A lasting error of the gossip socket could hold the thread, a waker was dropped under the wheel's borrow, and a late transfer could bring back the line of a forgotten engine.

--- a/crates/operator/src/sheet.rs
+++ b/crates/operator/src/sheet.rs
@@ -147,10 +147,6 @@
         self.value(field).and_then(Value::as_u64).unwrap_or_default()
     }
 
-    pub fn flag(&self, field: &str) -> bool {
-        self.value(field).and_then(Value::as_bool).unwrap_or_default()
-    }
-
     pub fn address(&self, field: &str) -> Option<SocketAddr> {
         self.value(field)?.as_str()?.parse().ok()
     }
@@ -173,7 +169,6 @@
 /// The value as the getters read it, if the kind allows it.
 fn normal(kind: Kind, value: &Value) -> Option<Value> {
     match kind {
-        Kind::Flag => value.is_boolean().then(|| value.clone()),
         Kind::Choice(words) => words.contains(&value.as_str()?).then(|| value.clone()),
         Kind::Text(most) => (1..=most).contains(&value.as_str()?.len()).then(|| value.clone()),
         Kind::Whole(least, most) => {
@@ -197,7 +192,6 @@
 
 fn of_kind(kind: Kind) -> String {
     match kind {
-        Kind::Flag => "true or false".to_owned(),
         Kind::Choice(words) => format!("one of {}", words.join(", ")),
         Kind::Text(most) => format!("text of 1 to {most} bytes"),
         Kind::Whole(least, most) => format!("a whole number from {least} to {most}"),
--- a/crates/operator/src/table.rs
+++ b/crates/operator/src/table.rs
@@ -3,7 +3,6 @@
 /// What a field holds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Kind {
-    Flag,
     /// One of these words.
     Choice(&'static [&'static str]),
     /// Text of so many bytes at most, and one at least.
--- a/crates/pace/src/crawl.rs
+++ b/crates/pace/src/crawl.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use woadhook::{Moment, Span};
+use woadhook::Span;
 
 /// Transfers that a mean remembers.
 const MEMORY: f64 = 16.0;
@@ -18,32 +18,36 @@
     per_byte: f64,
     first: f64,
     samples: f64,
-    last: Moment,
 }
 
+/// Results that the usual size remembers.
+const RESULTS: f64 = 32.0;
+
 /// Engines by number. A line goes with its engine.
 #[derive(Default)]
 pub struct Standing {
+    /// Bytes of a usual result.
+    usual: f64,
     engines: BTreeMap<usize, Sending>,
 }
 
 impl Standing {
     /// A body of so many bytes came in so long, its first byte after so long.
-    pub fn sent(&mut self, now: Moment, engine: usize, bytes: usize, first: Span, body: Span) {
+    pub fn sent(&mut self, engine: usize, bytes: usize, first: Span, body: Span) {
         if bytes < TELLING {
             return;
         }
         let per_byte = body.secs() / bytes as f64;
-        let sending = self.engines.entry(engine).or_insert(Sending {
-            per_byte,
-            first: first.secs(),
-            samples: 0.0,
-            last: now,
-        });
+        let sending =
+            self.engines.entry(engine).or_insert(Sending { per_byte, first: first.secs(), samples: 0.0 });
         sending.samples = (sending.samples + 1.0).min(MEMORY);
         sending.per_byte += (per_byte - sending.per_byte) / sending.samples;
         sending.first += (first.secs() - sending.first) / sending.samples;
-        sending.last = now;
+    }
+
+    /// A whole result of so many bytes.
+    pub fn result(&mut self, bytes: usize) {
+        self.usual += (bytes as f64 - self.usual) / RESULTS;
     }
 
     pub fn forget(&mut self, engine: usize) {
@@ -63,10 +67,10 @@
         self.middle().map_or(most, |middle| (share / middle.max(1e-9)).min(most))
     }
 
-    /// How much longer a body of so many bytes takes from this engine than from the one in the middle.
-    pub fn longer(&self, engine: usize, bytes: f64) -> Span {
+    /// How much longer a usual result takes from this engine than from the one in the middle.
+    pub fn longer(&self, engine: usize) -> Span {
         let Some((own, middle)) = self.engines.get(&engine).zip(self.middle()) else { return Span::ZERO };
-        Span::from_secs((own.per_byte - middle).max(0.0) * bytes)
+        Span::from_secs((own.per_byte - middle).max(0.0) * self.usual)
     }
 
     /// An engine's rate in bytes a second, its time to the first byte, and its place among all, the slowest 1.
@@ -75,9 +79,4 @@
         let slower = self.engines.values().filter(|other| other.per_byte > own.per_byte).count();
         Some((1.0 / own.per_byte.max(1e-9), Span::from_secs(own.first), slower + 1))
     }
-
-    /// When an engine last sent a body that told something.
-    pub fn last(&self, engine: usize) -> Option<Moment> {
-        self.engines.get(&engine).map(|sending| sending.last)
-    }
 }
--- a/crates/pace/src/shares.rs
+++ b/crates/pace/src/shares.rs
@@ -53,10 +53,6 @@
         self.floor
     }
 
-    pub fn limit(&self) -> usize {
-        self.limit
-    }
-
     /// Held by all together.
     pub fn held(&self) -> usize {
         self.held
@@ -124,12 +120,6 @@
         }
     }
 
-    /// Who holds most above its floor, and how much: the first to go where a place is needed.
-    pub fn greediest(&self) -> Option<(&P, usize)> {
-        let above = self.peers.iter().map(|(peer, held)| (peer, held.saturating_sub(self.floor)));
-        above.filter(|(_, above)| *above > 0).max_by_key(|(_, above)| *above)
-    }
-
     /// Peers that hold something.
     pub fn peers(&self) -> usize {
         self.peers.len()
--- a/crates/pace/src/turns.rs
+++ b/crates/pace/src/turns.rs
@@ -27,9 +27,4 @@
         self.left = (self.left + self.quantum).min(self.quantum);
         self.left > 0
     }
-
-    /// It waited for its peer: nothing is saved up.
-    pub fn rested(&mut self) {
-        self.left = self.quantum;
-    }
 }
--- a/crates/pace/tests/properties.rs
+++ b/crates/pace/tests/properties.rs
@@ -191,7 +191,6 @@
     }
     assert!(shares.held() > 90_000);
     assert_eq!(shares.take(&9, shares.floor()), May::Yes);
-    assert!(shares.greediest().is_some());
     let alone = Shares::<u32>::new(100_000, 10, 0.5, 1.0);
     assert_eq!(alone.most(), 5_000 + 25_000, "one peer gets half of what is common");
     assert_eq!(alone.may(&1, 30_001), May::Never);
@@ -203,21 +202,23 @@
     for _ in 0..8 {
         for engine in 0..5 {
             let body = if engine == 3 { ms(2_000) } else { ms(10) };
-            standing.sent(at(0), engine, 6_000, ms(5), body);
+            standing.sent(engine, 6_000, ms(5), body);
         }
-        standing.sent(at(0), 4, 10, ms(5), ms(9_000));
+        standing.sent(4, 10, ms(5), ms(9_000));
     }
-    assert!(standing.longer(3, 6_000.0) > ms(1_900));
-    assert_eq!(standing.longer(4, 6_000.0), Span::ZERO, "ten bytes tell nothing");
-    assert_eq!(standing.longer(9, 6_000.0), Span::ZERO);
+    (0..400).for_each(|_| standing.result(6_000));
+    assert!(standing.longer(3) > ms(1_900));
+    assert_eq!(standing.longer(4), Span::ZERO, "ten bytes tell nothing");
+    assert_eq!(standing.longer(9), Span::ZERO);
     let (rate, first, place) = standing.figures(3).unwrap();
     assert_eq!((rate.round(), first, place), (3_000.0, ms(5), 1));
     let least = standing.least(0.1, 1e9);
     assert!((59_000.0..61_000.0).contains(&least), "{least}");
     // All at a crawl: then that is the middle.
     let mut all = Standing::default();
-    (0..6).for_each(|engine| (0..5).for_each(|_| all.sent(at(0), engine, 6_000, ms(5), ms(2_000))));
-    assert_eq!(all.longer(2, 6_000.0), Span::ZERO);
+    (0..6).for_each(|engine| (0..5).for_each(|_| all.sent(engine, 6_000, ms(5), ms(2_000))));
+    all.result(6_000);
+    assert_eq!(all.longer(2), Span::ZERO);
     assert!(all.least(0.5, 16_000.0) <= 1_600.0);
     all.forget(2);
     assert!(all.figures(2).is_none());
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -159,8 +159,6 @@
     /// The actor that talks with other routers, where they talk.
     notes: Option<Notes>,
     standing: Standing,
-    /// Bytes of a usual result.
-    usual: f64,
     /// The slowest that engines may send pages; a share of the middle engine's rate, if that is less than the most.
     least: Rc<Cell<Least>>,
     most_least: Least,
@@ -175,7 +173,6 @@
         let (least, most_least) = (ground.least.clone(), ground.least.get());
         Ok(Self {
             standing: Standing::default(),
-            usual: 0.0,
             least,
             most_least,
             share,
@@ -262,6 +259,7 @@
                 }
                 let reply = if outcome == Outcome::Done { self.reply_to(job) } else { None };
                 if let Some((reply, rows)) = reply.zip(rows) {
+                    self.standing.result(rows.pages.iter().map(Vec::len).sum());
                     reply.send(Answer::Served(rows));
                 }
                 let over = self.jobs[&job].reply.is_none();
@@ -281,7 +279,7 @@
                     self.note(engine, |engine| Note::Answered { engine });
                 }
             }
-            Event::Sent { engine, bytes, first, body } => self.sent(now, engine, bytes, first, body),
+            Event::Sent { engine, bytes, first, body } => self.sent(engine, bytes, first, body),
             Event::Hearsay { engine, of, doubt } => self.hearsay(now, &engine, of.as_deref(), doubt),
             Event::Listed { roster, read } => {
                 let _ = read.try_send(self.follow_list(now, &roster));
@@ -295,12 +293,14 @@
     }
 
     /// How an engine sends, against its peers, is part of what a job there takes.
-    fn sent(&mut self, now: Moment, engine: EngineId, bytes: usize, first: Span, body: Span) {
-        self.standing.sent(now, engine.0, bytes, first, body);
-        self.usual += (bytes as f64 - self.usual) / 32.0;
+    fn sent(&mut self, engine: EngineId, bytes: usize, first: Span, body: Span) {
+        if !self.engines.contains_key(&engine) {
+            return;
+        }
+        self.standing.sent(engine.0, bytes, first, body);
         let rate = self.standing.least(self.share, self.most_least.rate);
         self.least.set(Least { rate, ..self.most_least });
-        let longer = self.standing.longer(engine.0, self.usual);
+        let longer = self.standing.longer(engine.0);
         self.instance.router.sends_slowly(engine, longer);
     }
 
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -13,7 +13,7 @@
 use woadhook_gossip::{Do, Gossip, Pace, Seen};
 use woadhook_operator::Section;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, pass};
 use crate::decide::Event;
 use crate::keyfiles;
 use crate::tasks::Tasks;
@@ -23,6 +23,9 @@
 /// Datagrams that are taken in before others have a turn: each may cost a few signatures, some 0.2 ms in all.
 const TURN: usize = 4;
 
+/// After a failed read of the socket.
+const PAUSE: Span = Span::from_micros(20_000);
+
 /// What this instance met.
 pub enum Note {
     Judged { engine: String, seen: Seen },
@@ -176,8 +179,8 @@
                 }
                 future::yield_now().await;
             }
-            // An address that refused a datagram is told here too; members find out by their pings.
-            Heard::Datagram(Err(_)) => future::yield_now().await,
+            // Such an error may last, and must not hold the thread; members find out by their pings.
+            Heard::Datagram(Err(_)) => pass(PAUSE).await,
             Heard::Note(note) => take_in(&mut core, now, note),
             Heard::List(list) => core.listed(&list),
             Heard::Due => {}
--- a/crates/router/src/timers.rs
+++ b/crates/router/src/timers.rs
@@ -94,7 +94,9 @@
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
         TIMERS.with(|timers| {
             if let Some(key) = self.key.take() {
-                timers.wheel.borrow_mut().cancel(key);
+                // A waker may do more than nothing as it is dropped, so not under the wheel's borrow.
+                let waker = timers.wheel.borrow_mut().cancel(key);
+                drop(waker);
             }
             if timers.now() >= self.at {
                 return Poll::Ready(());
