Let several routers use a cold engine at once, beside the limit; stories of processes

Lines: warm_enough gave each budget window at a cold engine to one of 273 routers, whose few jobs (2 s of work in a second) can't fill it; wait_and_run counted a cold engine as average, so that the turn's holder rarely chose it; dispatch held its jobs back by the limit on warm engines.

Change: a window's budget goes to as many routers as it holds usual jobs of the largest type by the settings; a cold engine is costed as holding own work only, at its start capacity; its work is outside the limit and its answers don't move it. Engines have a mark from their names, the same at all routers: turns and the homes of loads no longer rest on indices, which differ after a restart.

--- a/crates/adapter/src/flint.rs
+++ b/crates/adapter/src/flint.rs
@@ -163,7 +163,8 @@
         let zone = ZoneId(place(&instance.zones, text(item, "area")?, "area")?);
         let kind = KindId(place(&instance.kinds, text(item, "familyType")?, "familyType")?);
         let cell = CellId(whole(item, "stripe").unwrap_or(0) as usize);
-        instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up);
+        let mark = instance.engines.mark(engine.0);
+        instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up, mark);
         named.push(engine);
     }
     match mode {
--- a/crates/door/src/names.rs
+++ b/crates/door/src/names.rs
@@ -1,6 +1,9 @@
 //! Maps the names of a protocol to small indices and back, at the door.
 
 use std::collections::HashMap;
+use std::hash::Hasher;
+
+use fnv::FnvHasher;
 
 /// Names and their indices. A forgotten index is given out again, so that it stays as small as what is held.
 #[derive(Default)]
@@ -29,6 +32,13 @@
         self.indices.get(name).copied()
     }
 
+    /// A number from the name, the same at every router and spread over all its bits.
+    pub fn mark(&self, index: usize) -> u64 {
+        let mut hash = FnvHasher::default();
+        hash.write(self.names[index].as_bytes());
+        hash.finish()
+    }
+
     pub fn name(&self, index: usize) -> &str {
         &self.names[index]
     }
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -253,6 +253,7 @@
             Event::Ended { job, number, outcome, took, told, rows } => {
                 let Some(open) = self.jobs.get_mut(&job) else { return };
                 let (at, kind) = (open.out.remove(&number), open.kind);
+                log::debug!(event = "dispatch_ended", job = open.statement.id, number, outcome:? = outcome, took_us = took.micros(); "dispatch ended");
                 if let Some((engine, _)) = at {
                     let of = &self.instance.types[kind.0];
                     self.note(engine, |engine| Note::Ended { engine, of: of.clone(), outcome });
@@ -347,6 +348,7 @@
         let open = Open { client, statement, kind, deadline, reply, dispatches: 0, out: HashMap::new() };
         self.jobs.insert(job, open);
         let (router, expires) = (&mut self.instance.router, deadline.since(now));
+        log::debug!(event = "job_taken", job = self.instance.jobs.name(job.0), of = self.instance.types[kind.0]; "job taken");
         router.job_arrived(now, job, kind, tenant, group, key, Some(told), memory, expires);
     }
 
@@ -431,7 +433,8 @@
 
     fn list(&mut self, now: Moment, engine: EngineId, line: Line) {
         let Line { at, zone, kind, cell, listed, came_up } = line;
-        self.instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up);
+        let mark = self.instance.engines.mark(engine.0);
+        self.instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up, mark);
         if let Some(known) = self.engines.get_mut(&engine).filter(|known| known.line.at == at) {
             return known.list(line);
         }
@@ -454,8 +457,14 @@
                     orders.close();
                 }
             }
-            Decision::Throttle { job, come_back } => self.answer(job, Answer::Overloaded(come_back)),
-            Decision::CancelForGood { job } => self.answer(job, Answer::Failed("Internal")),
+            Decision::Throttle { job, come_back } => {
+                log::debug!(event = "job_throttled", job = self.instance.jobs.name(job.0); "job throttled");
+                self.answer(job, Answer::Overloaded(come_back));
+            }
+            Decision::CancelForGood { job } => {
+                log::debug!(event = "job_cancelled", job = self.instance.jobs.name(job.0); "job cancelled for good");
+                self.answer(job, Answer::Failed("Internal"));
+            }
             Decision::Probe { engine } => {
                 let known = self.engines.get(&engine);
                 if !known.is_some_and(|known| known.peer.send(Errand::Probe(engine))) {
@@ -499,6 +508,7 @@
         }
         let number = open.dispatches;
         open.dispatches += 1;
+        log::debug!(event = "dispatched", job = open.statement.id, number, engine = self.instance.engines.name(engine.0); "dispatched");
         let statement = open.statement.clone();
         let until = until.min(open.deadline);
         let dispatch = Dispatch { job, number, engine, statement, decided: now, until, priority };
@@ -524,7 +534,8 @@
         (self.instance.jobs, self.instance.keys, self.instance.engines) = (old.jobs, old.keys, old.engines);
         for (engine, Known { line, .. }) in &self.engines {
             let Line { zone, kind, cell, listed, came_up, .. } = *line;
-            self.instance.router.engine_listed(now, *engine, zone, kind, cell, listed, came_up);
+            let mark = self.instance.engines.mark(engine.0);
+            self.instance.router.engine_listed(now, *engine, zone, kind, cell, listed, came_up, mark);
         }
     }
 }
--- a/crates/standins/src/bulletin.rs
+++ b/crates/standins/src/bulletin.rs
@@ -25,6 +25,12 @@
         self.0.1.notify_all();
     }
 
+    /// All so far, in the form in which a router is told what is known.
+    pub fn all(&self) -> Value {
+        let events = self.0.0.lock().unwrap();
+        json!({"no": events.iter().filter_map(|event| event["no"].as_u64()).max(), "items": *events})
+    }
+
     /// All after a number; waits for the first of them as long as the call says.
     pub fn answer(&self, call: &Call) -> Says {
         let asked = |name: &str| {
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -68,6 +68,15 @@
         result.unwrap() == "true"
     }
 
+    /// Whether a ping is answered with true; an end of the connection is none.
+    pub fn tries_ping(&mut self) -> bool {
+        let ping = [&[0x94, 0x00, 1, 0xa4], &b"ping"[..], &[0x91, 0x80]].concat();
+        let mut answer = [0; 6];
+        // [1, 1, nil, [true, ...: the fourth byte is the error, the sixth the result.
+        let whole = self.0.write_all(&ping).and_then(|()| self.0.read_exact(&mut answer));
+        whole.is_ok() && answer == [0x94, 0x01, 0x01, 0xc0, 0x92, 0xc3]
+    }
+
     /// How many whole answers come, of so many, until the router ends the connection.
     pub fn takes_all(&mut self, most: u32) -> usize {
         let mut bytes = Vec::new();
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,402 @@
+//! A fleet of the built program: routers in processes of their own over stand-in engines and bulletins, callers at each
+//! router, a schedule of faults, and the rules counted over all processes together.
+
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use rmp::{Marker, decode};
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use woadhook_router::codec;
+
+use crate::LONG;
+use crate::bulletin::{Events, member};
+use crate::clients::Client;
+use crate::engines::{Call, Says, Standin, pages, says};
+use crate::faults::{Fault, Schedule};
+use crate::processes::Process;
+use crate::routers::told;
+
+/// The work that each job is told to be, in milliseconds of one thread.
+const COST: u64 = 400;
+/// How long a caller waits for an answer, as the router is told.
+const WAIT: u32 = 2_000;
+/// An answer later than this has not come: the wait, and what a slow machine may add.
+const ANSWERED: Duration = Duration::from_secs(15);
+/// Between an answer and the caller's next job.
+const BETWEEN: Duration = Duration::from_millis(30);
+/// Callers at each router, each with one job at a time.
+const CALLERS: usize = 3;
+
+/// What the settings of such a fleet promise, in milliseconds.
+pub const GRACE: u64 = 4_000;
+pub const FALL: u64 = 2_000;
+const FACTOR: f64 = 2.0;
+const START_CAPACITY: f64 = 0.3;
+const CORES: f64 = 8.0;
+
+/// What engines and callers saw, over all processes together; as long as a story.
+#[derive(Default)]
+struct Seen {
+    /// Engine, job, when it came.
+    posts: Vec<(usize, String, Instant)>,
+    answers: Vec<Asked>,
+    /// When each engine was told to drain.
+    drained: HashMap<usize, Instant>,
+    cold: HashMap<usize, Instant>,
+    /// When each router was killed or told to end.
+    killed: Vec<(usize, Instant)>,
+    ended: Vec<(usize, Instant)>,
+}
+
+struct Asked {
+    router: usize,
+    id: String,
+    at: Instant,
+    /// When its connection came up.
+    since: Instant,
+    /// Done, another answer, or none as the connection ended.
+    got: io::Result<bool>,
+}
+
+struct Place {
+    engine: Standin,
+    bad: Arc<AtomicBool>,
+}
+
+/// One router's bulletin, which moves with a configuration.
+struct Feed {
+    open: Arc<AtomicBool>,
+    standin: Standin,
+}
+
+pub struct Fleet {
+    routers: Vec<Process>,
+    engines: Vec<Place>,
+    events: Events,
+    number: u64,
+    feeds: Vec<Feed>,
+    seen: Arc<Mutex<Seen>>,
+    over: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl Fleet {
+    /// So many routers of the program over so many engines, with callers at each router.
+    pub fn start(program: &str, folder: &Path, routers: usize, engines: usize) -> Self {
+        let (seen, events): (Arc<Mutex<Seen>>, Events) = Default::default();
+        let engines: Vec<Place> = (0..engines).map(|number| place(number, seen.clone())).collect();
+        let members = engines.iter().enumerate().map(|(number, place)| line(number, place, "SERVING", 0));
+        let members: Vec<Value> = members.collect();
+        events.add(1, members.clone());
+        let feeds: Vec<Feed> = (0..routers).map(|_| feed(&events)).collect();
+        let routers = feeds.iter().enumerate().map(|(number, feed)| {
+            let mut given: Value =
+                serde_json::from_str(&told(&[], feed.standin.address, 512)).expect("a configuration");
+            given["known"]["items"][0]["roster"]["members"] = json!(members);
+            (given["settings"]["replicasOfMe"], given["settings"]["myNumber"]) =
+                (json!(routers), json!(number));
+            let rules = &mut given["settings"]["obligations"];
+            (rules["fallUs"], rules["stopSendingWithinUs"]) = (json!(FALL * 1000), json!(GRACE * 1000));
+            (rules["overloadFactor"], rules["startCapacity"]) = (json!(FACTOR), json!(START_CAPACITY));
+            (rules["coldUs"], given["limits"]["memory_mb"]) = (json!(60_000_000), json!(32));
+            Process::start(program, folder, &format!("n{number}"), &given.to_string())
+        });
+        let routers: Vec<Process> = routers.collect();
+        routers.iter().for_each(Process::ready);
+        let over: Arc<AtomicBool> = Arc::default();
+        let callers = (0..routers.len() * CALLERS).map(|number| {
+            let (router, seen, over) = (number % routers.len(), seen.clone(), over.clone());
+            let address = routers[router].address;
+            thread::spawn(move || call(router, number, address, &seen, &over))
+        });
+        let callers = callers.collect();
+        Self { routers, engines, events, number: 1, feeds, seen, over, callers }
+    }
+
+    /// Lets a schedule happen, one fault after another.
+    pub fn suffer(&mut self, schedule: &Schedule) {
+        for (fault, pause) in &schedule.faults {
+            match fault {
+                Fault::Kill(routers) => self.kill(routers),
+                Fault::Roll(routers) => routers.iter().for_each(|router| self.roll(*router)),
+                Fault::Pause(router, millis) => {
+                    self.routers[*router].signal(Signal::STOP);
+                    thread::sleep(Duration::from_millis(*millis));
+                    self.routers[*router].signal(Signal::CONT);
+                }
+                Fault::Move => self.relocate(),
+                Fault::Replace(engines) => self.replace(engines),
+                Fault::Bad(engine) => self.engines[*engine].bad.store(true, Ordering::Relaxed),
+            }
+            thread::sleep(Duration::from_millis(*pause));
+        }
+    }
+
+    /// Routers killed all at once, and started again.
+    pub fn kill(&mut self, routers: &[usize]) {
+        for router in routers {
+            self.routers[*router].kill();
+            self.seen.lock().unwrap().killed.push((*router, Instant::now()));
+        }
+        routers.iter().for_each(|router| self.again(*router));
+        routers.iter().for_each(|router| self.routers[*router].ready());
+    }
+
+    fn roll(&mut self, router: usize) {
+        self.seen.lock().unwrap().ended.push((router, Instant::now()));
+        self.routers[router].signal(Signal::TERM);
+        let status = self.routers[router].ends();
+        assert!(status.success(), "{} ended with {status}", self.routers[router].name);
+        self.again(router);
+        self.routers[router].ready();
+    }
+
+    /// Starts a router from nothing, told the bulletin so far.
+    fn again(&mut self, router: usize) {
+        let known = self.events.all();
+        self.routers[router].tell(|given| given["known"] = known);
+        self.routers[router].again();
+    }
+
+    /// Every router's bulletin moves; the old ones tell nothing further.
+    fn relocate(&mut self) {
+        for (router, old) in self.routers.iter().zip(&mut self.feeds) {
+            let new = feed(&self.events);
+            router.tell(|given| given["bulletin"] = json!(new.standin.address.to_string()));
+            router.signal(Signal::HUP);
+            old.open.store(false, Ordering::Relaxed);
+            *old = new;
+        }
+    }
+
+    /// Engines drain and go, and new ones come in their places, cold.
+    pub fn replace(&mut self, engines: &[usize]) {
+        let first = self.engines.len();
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        for number in first..first + engines.len() {
+            self.engines.push(place(number, self.seen.clone()));
+            self.seen.lock().unwrap().cold.insert(number, Instant::now());
+        }
+        let new = (first..first + engines.len()).map(|at| line(at, &self.engines[at], "SERVING", now));
+        let new = new.collect();
+        self.tell(new);
+        for phase in ["DRAINING", "DELETED"] {
+            let old = engines.iter().map(|at| line(*at, &self.engines[*at], phase, 0)).collect();
+            self.tell(old);
+            let mut seen = self.seen.lock().unwrap();
+            engines.iter().for_each(|at| _ = seen.drained.entry(*at).or_insert_with(Instant::now));
+        }
+    }
+
+    fn tell(&mut self, members: Vec<Value>) {
+        self.number += 1;
+        self.events.add(self.number, members);
+    }
+
+    /// Lets time pass, until so long after the last notice to drain that its grace is over by as much again.
+    pub fn settle(&self) {
+        let last = self.seen.lock().unwrap().drained.values().max().copied();
+        let until = last.map_or(Instant::now(), |last| last + Duration::from_millis(2 * GRACE));
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+
+    /// Waits until every router has done a job asked for from now on, then ends the callers and counts; the first
+    /// broken rule, if any, in words.
+    pub fn verdict(mut self) -> Result<Tally, String> {
+        let (from, by) = (Instant::now(), Instant::now() + LONG);
+        let serves = |seen: &Seen, router: usize| {
+            seen.answers.iter().any(|a| a.router == router && a.at >= from && matches!(a.got, Ok(true)))
+        };
+        for router in 0..self.routers.len() {
+            while !serves(&self.seen.lock().unwrap(), router) {
+                if Instant::now() > by {
+                    return Err(format!("{} does not serve in the end", self.routers[router].name));
+                }
+                thread::sleep(Duration::from_millis(10));
+            }
+        }
+        self.over.store(true, Ordering::Relaxed);
+        for caller in self.callers.drain(..) {
+            caller.join().map_err(|_| "a caller met what no answer may be".to_owned())?;
+        }
+        if let Some(dead) = self.routers.iter_mut().find_map(|r| (!r.lives()).then(|| r.name.clone())) {
+            return Err(format!("{dead} ended by itself"));
+        }
+        let seen = self.seen.lock().unwrap();
+        let told = |id: &str| self.routers.iter().flat_map(|r| r.on_job(id)).collect::<Vec<_>>().join("\n");
+        one_answer(&seen).map_err(|(fault, id)| format!("{fault}\n{}", told(&id)))?;
+        no_effect_twice(&seen).map_err(|(fault, id)| format!("{fault}\n{}", told(&id)))?;
+        nothing_after_the_grace(&seen)?;
+        cold_engines_hold(&seen)?;
+        let done = seen.answers.iter().filter(|asked| matches!(asked.got, Ok(true))).count();
+        let cold = seen.posts.iter().filter(|(engine, ..)| seen.cold.contains_key(engine)).count();
+        Ok(Tally { asked: seen.answers.len(), done, to_cold: cold })
+    }
+}
+
+/// What happened, for a story to see that it was a story at all.
+#[derive(Debug)]
+pub struct Tally {
+    pub asked: usize,
+    pub done: usize,
+    pub to_cold: usize,
+}
+
+/// What is wrong, and the job that shows it.
+type Broken = (String, String);
+
+/// Rule 1: an answer for each job, unless its router was killed, or was told to end before the job came.
+fn one_answer(seen: &Seen) -> Result<(), Broken> {
+    for Asked { router, id, at, since, got } in &seen.answers {
+        let killed = seen.killed.iter().any(|(of, when)| of == router && when >= since);
+        // Of those that came after the word to end, the last may meet the closed door.
+        let ended = |when: &Instant| at >= when && at.duration_since(*when) < ANSWERED;
+        let ended = seen.ended.iter().any(|(of, when)| of == router && ended(when));
+        if let (Err(error), false, false) = (got, killed, ended) {
+            return Err((format!("job {id} at router {router} got no answer: {error}"), id.clone()));
+        }
+    }
+    Ok(())
+}
+
+/// Rule 2: a run-once job came to one engine at most, as no engine here says that it never ran.
+fn no_effect_twice(seen: &Seen) -> Result<(), Broken> {
+    let mut came: HashMap<&str, usize> = HashMap::new();
+    for (_, id, _) in seen.posts.iter().filter(|(_, id, _)| is_load(id)) {
+        let count = came.entry(id).or_default();
+        *count += 1;
+        if *count > 1 {
+            return Err((format!("run-once job {id} came to engines twice"), id.clone()));
+        }
+    }
+    Ok(())
+}
+
+/// Rule 3.
+fn nothing_after_the_grace(seen: &Seen) -> Result<(), String> {
+    let late = seen.posts.iter().find(|(engine, _, at)| {
+        let told = seen.drained.get(engine);
+        told.is_some_and(|told| at.saturating_duration_since(*told) > Duration::from_millis(GRACE))
+    });
+    late.map_or(Ok(()), |(engine, id, _)| Err(format!("job {id} came to engine {engine} after its grace")))
+}
+
+/// Rule 4: no more work to a cold engine in any window than its budget, from all routers together.
+fn cold_engines_hold(seen: &Seen) -> Result<(), String> {
+    let most = FACTOR * START_CAPACITY * CORES * FALL as f64 / COST as f64;
+    for engine in seen.cold.keys() {
+        let at: Vec<Instant> =
+            seen.posts.iter().filter(|post| post.0 == *engine).map(|post| post.2).collect();
+        for (place, first) in at.iter().enumerate() {
+            let within =
+                at[place..].iter().take_while(|at| at.duration_since(*first).as_millis() < u128::from(FALL));
+            let count = within.count();
+            if count as f64 > most {
+                return Err(format!(
+                    "{count} jobs in a window at cold engine {engine}, {most} are its budget"
+                ));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn is_load(id: &str) -> bool {
+    id.starts_with('f')
+}
+
+fn line(number: usize, place: &Place, phase: &str, up_since: u64) -> Value {
+    let mut member = member(&format!("s-{number}"), place.engine.address, phase);
+    member["up_since_ms"] = json!(up_since);
+    member
+}
+
+fn place(number: usize, seen: Arc<Mutex<Seen>>) -> Place {
+    let bad: Arc<AtomicBool> = Arc::default();
+    let fails = bad.clone();
+    let engine = Standin::start(move |call| {
+        if call.line.starts_with("POST") {
+            let id = call.fields.iter().find_map(|field| field.strip_prefix("X-Trace: ")).unwrap_or_default();
+            seen.lock().unwrap().posts.push((number, id.to_owned(), Instant::now()));
+        }
+        if fails.load(Ordering::Relaxed) { says(500, &[], "") } else { pages(call, &["a\tb\tc\n"]) }
+    });
+    Place { engine, bad }
+}
+
+fn feed(events: &Events) -> Feed {
+    let open = Arc::new(AtomicBool::new(true));
+    let (told, events) = (open.clone(), events.clone());
+    let standin = Standin::start(move |call: &Call| {
+        if !told.load(Ordering::Relaxed) {
+            return Says::Cut;
+        }
+        let answer = events.answer(call);
+        if told.load(Ordering::Relaxed) { answer } else { Says::Cut }
+    });
+    Feed { open, standin }
+}
+
+/// A caller: one job after another, over a new connection where the old one ended; one in ten runs once.
+fn call(router: usize, caller: usize, at: std::net::SocketAddr, seen: &Mutex<Seen>, over: &AtomicBool) {
+    let (mut connection, mut number, mut count) = (None, 0, 0_u64);
+    let mut since = Instant::now();
+    while !over.load(Ordering::Relaxed) {
+        let Some(stream) = &mut connection else {
+            since = Instant::now();
+            connection = TcpStream::connect(at).ok();
+            (number, count) = (0, count + 1);
+            if let Some(stream) = &connection {
+                let _ = stream.set_read_timeout(Some(ANSWERED));
+            } else {
+                thread::sleep(Duration::from_millis(10));
+            }
+            continue;
+        };
+        number += 1;
+        count += 1;
+        let load = count.is_multiple_of(10);
+        let id = format!("{}{caller:05x}{count:010x}", if load { 'f' } else { '0' });
+        let fields =
+            [("id", id.as_str()), ("wait", &WAIT.to_string()), ("cost", &COST.to_string()), ("ram", "16")];
+        let class = if load { "load" } else { "look" };
+        let text = format!("select 1 from sales_{}.x", count % 7);
+        let asked = Instant::now();
+        let sent = stream.write_all(&Client::request(number, class, &fields, &text));
+        let got = sent.and_then(|()| hear(stream, number));
+        if got.is_err() {
+            connection = None;
+        }
+        seen.lock().unwrap().answers.push(Asked { router, id, at: asked, since, got });
+        thread::sleep(BETWEEN);
+    }
+}
+
+/// The next answer, which must be to this message: whether it is a result.
+fn hear(stream: &mut TcpStream, number: u32) -> io::Result<bool> {
+    let (mut bytes, mut piece) = (Vec::new(), [0; 4096]);
+    let (mut scan, mut scanned) = (codec::Scan::default(), 0);
+    loop {
+        let count = stream.read(&mut piece)?;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        bytes.extend_from_slice(&piece[..count]);
+        if let Some(length) = codec::whole(&bytes, &mut scan, &mut scanned).expect("what can be read") {
+            assert_eq!(length, bytes.len(), "one answer to one job");
+            break;
+        }
+    }
+    let mut message = &bytes[..];
+    assert_eq!(codec::array(&mut message).expect("an answer"), 4);
+    assert_eq!(codec::number(&mut message).expect("an answer"), 1);
+    assert_eq!(codec::number(&mut message).expect("an answer"), number, "the answer to this job");
+    Ok(decode::read_marker(&mut message).is_ok_and(|marker| marker == Marker::Null))
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,7 +5,10 @@
 pub mod clients;
 pub mod cluster;
 pub mod engines;
+pub mod faults;
+pub mod fleet;
 pub mod net;
+pub mod processes;
 pub mod routers;
 pub mod world;
 
--- /dev/null
+++ b/crates/standins/src/processes.rs
@@ -0,0 +1,137 @@
+//! The built program in processes of its own, and what may befall them: killed, told to end, stopped for a while,
+//! told to read its configuration again. A process ends with its guard, also when a story panics.
+
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::LONG;
+use crate::clients::Client;
+
+/// One router as a process. It keeps its name and its address over restarts, as on the platform.
+pub struct Process {
+    program: PathBuf,
+    config: PathBuf,
+    log: PathBuf,
+    pub name: String,
+    pub address: SocketAddr,
+    child: Option<Child>,
+}
+
+impl Process {
+    /// Starts `program`, told `told` under such a name, at an address that is free; its files go to `folder`.
+    pub fn start(program: &str, folder: &Path, name: &str, told: &str) -> Self {
+        fs::create_dir_all(folder).expect("a folder");
+        let address = free_address();
+        let mut given: Value = serde_json::from_str(told).expect("a configuration");
+        (given["name"], given["listen"]) = (json!(name), json!(address.to_string()));
+        let config = folder.join(format!("{name}.json"));
+        fs::write(&config, given.to_string()).expect("a file");
+        let log = folder.join(format!("{name}.log"));
+        let mut process =
+            Self { program: program.into(), config, log, name: name.to_owned(), address, child: None };
+        process.again();
+        process
+    }
+
+    /// Starts it from nothing, under its name and at its address.
+    pub fn again(&mut self) {
+        assert!(self.child.is_none(), "{} runs", self.name);
+        let log = File::options().create(true).append(true).open(&self.log).expect("a log");
+        let mut command = Command::new(&self.program);
+        command.env("LB_CONFIG", &self.config).env_remove("LB_LISTEN").env_remove("RUST_LOG");
+        command.env("RUST_LOG", "woadhook_router=debug").args(["--log-format", "json"]);
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+        self.child = Some(child.expect("the program starts"));
+    }
+
+    /// Changes what it is told from its next reading on.
+    pub fn tell(&self, change: impl FnOnce(&mut Value)) {
+        let text = fs::read_to_string(&self.config).expect("a file");
+        let mut given = serde_json::from_str(&text).expect("a configuration");
+        change(&mut given);
+        // In one step, as a router may read it at any time.
+        let new = self.config.with_extension("new");
+        fs::write(&new, given.to_string()).expect("a file");
+        fs::rename(new, &self.config).expect("a file");
+    }
+
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        let id = self.id().and_then(|id| Pid::from_raw(id as i32)).expect("it runs");
+        kill_process(id, signal).expect("a signal");
+    }
+
+    /// Ends it outright.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Waits for the end of one that was told to end.
+    pub fn ends(&mut self) -> ExitStatus {
+        let (mut child, by) = (self.child.take().expect("it runs"), Instant::now() + LONG);
+        loop {
+            if let Some(status) = child.try_wait().expect("a child") {
+                return status;
+            }
+            if Instant::now() > by {
+                let _ = child.kill();
+                let _ = child.wait();
+                panic!("{} did not end", self.name);
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Whether it runs on: it was started and has not ended by itself.
+    pub fn lives(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| child.try_wait().expect("a child").is_none())
+    }
+
+    /// Waits until it answers `ping` with true.
+    pub fn ready(&self) {
+        let by = Instant::now() + LONG;
+        while !self.pings() {
+            assert!(Instant::now() < by, "{} is not ready:\n{}", self.name, self.said());
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn pings(&self) -> bool {
+        let Ok(stream) = TcpStream::connect(self.address) else { return false };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(2)));
+        Client(stream).tries_ping()
+    }
+
+    /// All that it has logged, over its restarts.
+    pub fn said(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// The lines of its log on a job, by the job's id.
+    pub fn on_job(&self, id: &str) -> Vec<String> {
+        self.said().lines().filter(|line| line.contains(id)).map(str::to_owned).collect()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("an address")
+}
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -116,6 +116,7 @@
                     CellId(0),
                     Listed::Live,
                     None,
+                    instance.engines.mark(engine.0),
                 );
             }
             let (jobs, out) = (Vec::new(), BTreeMap::new());
@@ -267,7 +268,8 @@
                 let name = self.engines[engine].name.clone();
                 let instance = &mut self.hosts[router].instance;
                 let id = EngineId(instance.engines.admit(&name));
-                instance.router.engine_listed(now, id, ZoneId(0), KindId(0), CellId(0), listed, None);
+                let mark = instance.engines.mark(id.0);
+                instance.router.engine_listed(now, id, ZoneId(0), KindId(0), CellId(0), listed, None, mark);
                 self.pull(router);
             }
             Happening::Turns { engine, fate } => {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -7,8 +7,8 @@
 //! Beside it stand six mechanisms, and one legality check that every dispatch passes (`legal`):
 //!
 //! 1. a limit on the threads in flight, with parts for engines and loads; the rest waits (`judge`, `homes`),
-//! 2. engines set aside on silence, resets or failed connects, back after probes (`watch`), which hearsay of other
-//!    routers brings forward (`hearsay`),
+//! 2. engines set aside on silence, resets or failed connects, back after probes (`watch`), which hearsay of
+//!    other routers brings forward (`hearsay`),
 //! 3. a budget of work for cold engines, at which the routers take turns (`warm_enough`),
 //! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
 //! 5. time-outs and further dispatches (`lost`, `cancel_lost`),
@@ -21,7 +21,7 @@
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
-use crate::records::{Dispatch, Engine, Job, Mean, Report, Sent, Turns};
+use crate::records::{Dispatch, Engine, Job, Mean, Report, Sent, Turns, sla_of, t_run};
 use crate::time::{Moment, Span};
 
 /// Samples that a mean remembers.
@@ -42,8 +42,12 @@
 const SILENT_PERIODS: f64 = 2.5;
 /// Answered probes in a row that bring an engine back.
 const ANSWERS_TO_RETURN: u32 = 2;
-/// Part of the cold-start budget that a turn uses: two turns may meet, and usual work is not quite known.
+/// Part of the cold-start budget that a window uses: two may meet, and usual work is not quite known.
 const COLD_MARGIN: f64 = 0.4;
+/// What a usual job takes of its SLA time on its threads, until it is learned.
+const USUAL_PART: f64 = 0.5;
+/// Part of a load's SLA time that what waits for loads stands on average where others' loads of its group go.
+const HELD_PART: f64 = 0.1;
 /// Own dispatches for each probe that only asks for a report.
 const DISPATCHES_PER_PROBE: u32 = 5;
 /// A dispatch is lost when what remains of it exceeds so many usual runs.
@@ -86,7 +90,7 @@
     fn new(types: &[ReservationType]) -> Self {
         let each = |value, samples| vec![Mean::new(value, samples); types.len()];
         Self {
-            work: types.iter().map(|t| Mean::new(t.sla.secs() * t.threads, 4.0)).collect(),
+            work: types.iter().map(|t| Mean::new(first_work(t), 4.0)).collect(),
             all_work: Mean::new(0.0, 0.0),
             work_bias: each(1.0, 4.0),
             memory_bias: vec![(1.25, 0.0); types.len()],
@@ -254,8 +258,8 @@
         let good = outcome == Outcome::Done && took <= sla_of(t, record.work).times(GOOD_PART);
         let failed = matches!(outcome, Outcome::Reset | Outcome::NotConnected);
         let silent = failed || dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued);
-        let (kind, id) = (record.kind, dispatch.engine);
-        if (good || !silent) && !dispatch.judged {
+        let (kind, id, judged) = (record.kind, dispatch.engine, dispatch.judged);
+        if (good || !silent) && !judged && self.engines.get(&id).is_none_or(|e| !self.is_cold(e, now)) {
             self.judge(now, kind, good);
         }
         if let Some(engine) = self.engines.get_mut(&id) {
@@ -360,9 +364,9 @@
         }
     }
 
-    /// What is left of a doubt: it fades over the patience, and the first own word since ends it. Threat: a router
-    /// with few jobs meets a hung engine late. It also catches engines that fail others. It may hurt where others
-    /// lie, so it brings a probe forward and adds to an estimate, and neither `legal` nor `watch` reads it.
+    /// What is left of a doubt: it fades over the patience, and the first own word since ends it. Threat: a
+    /// router with few jobs meets a hung engine late. It also catches engines that fail others. It may hurt
+    /// where others lie, so it only brings a probe forward and adds to an estimate.
     fn doubt(&self, engine: &Engine, of: Option<TypeId>, now: Moment) -> f64 {
         let ended = engine.errors.get(&of).map_or(Moment::default(), |(_, last)| *last);
         let own = if of.is_none() { engine.heard } else { ended };
@@ -374,9 +378,9 @@
     /// One line of the engine list.
     pub fn engine_listed(
         &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, listed: Listed,
-        came_up: Option<Moment>,
+        came_up: Option<Moment>, mark: u64,
     ) {
-        let fresh = Engine { came_up, cold_since: came_up, heard: now, ..Engine::default() };
+        let fresh = Engine { mark, came_up, cold_since: came_up, heard: now, ..Engine::default() };
         let engine = self.engines.entry(id).or_insert(fresh);
         (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
         if came_up > engine.came_up {
@@ -425,8 +429,7 @@
     /// What the in-flight limit starts from and falls to: this router's part of the usable cores, cold ones
     /// at their start capacity, with room for bursts and without.
     fn first_limit(&self, usable: &[(EngineId, &Engine)], now: Moment) -> (f64, f64) {
-        let able = |e: &Engine| if self.cold_from(e, now).is_some() { self.cold.start_capacity } else { 1.0 };
-        let cores: f64 = usable.iter().map(|(_, e)| self.cores(e.kind) * able(e)).sum();
+        let cores: f64 = usable.iter().map(|(_, e)| self.able_cores(e, now)).sum();
         let part = (cores * self.share()).max(1.0);
         (part + BURST_ROOTS * part.sqrt(), part)
     }
@@ -435,7 +438,7 @@
     /// first cut and for each `GOOD_PER_BAD` later, if in use; a bad answer cuts it by its part of a round.
     fn judge(&mut self, now: Moment, kind: TypeId, good: bool) {
         let (usable, threads) = (self.usable(), self.types[kind.0].threads);
-        let ((first, least), out) = (self.first_limit(&usable, now), threads_out(&usable));
+        let ((first, least), out) = (self.first_limit(&usable, now), self.threads_out(&usable, now));
         if !good {
             self.was_cut = true;
             self.fill = (self.fill - threads / first).max(least / first);
@@ -444,6 +447,11 @@
         }
     }
 
+    /// Own threads out that the limit counts: cold engines have their budget instead.
+    fn threads_out(&self, engines: &[(EngineId, &Engine)], now: Moment) -> f64 {
+        engines.iter().filter(|(_, e)| !self.is_cold(e, now)).map(|(_, e)| e.threads_out()).sum()
+    }
+
     /// This router's part of the fleet.
     fn share(&self) -> f64 {
         1.0 / self.fleet.replicas.max(1) as f64
@@ -594,24 +602,29 @@
         self.further.ration.as_ref().is_none_or(|ration| left(ration) >= 1.0)
     }
 
-    /// Rule 4: the routers take turns at a cold engine, one window each by the common clock and the engine's
-    /// start, so that small parts need no splitting; two turns that meet in a window stay within the budget.
-    /// After its own start, a router lets a whole window pass: what it sent there before is not known.
+    /// Rule 4: routers take turns at a cold engine, one window each by the common clock and its mark; as many
+    /// together as usual jobs of the largest type, by the settings, fit in it. Two windows that meet
+    /// stay within the budget. After its own start, a router lets one pass: what it sent before is not known.
     fn warm_enough(&self, engine: &Engine, kind: TypeId, now: Moment) -> bool {
-        let cold = &self.cold;
-        let Some(since) = self.cold_from(engine, now) else { return true };
-        let clock = |at: Moment| at.since(Moment::default()).micros();
-        let turn = clock(now) / cold.fall.micros().max(1) + clock(since);
-        let mine = turn % self.fleet.replicas.max(1) as u64 == self.fleet.number as u64;
-        let budget = cold.factor * cold.start_capacity * self.cores(engine.kind) * cold.fall.secs();
-        let sent: f64 = engine.sent.iter().map(|(_, work)| work).sum();
-        let fits = sent + self.estimates.work[kind.0].value <= budget * COLD_MARGIN;
-        mine && fits && now.since(self.started) > cold.fall
+        let (c, all) = (&self.cold, self.fleet.replicas.max(1) as u64);
+        let window = |at: Moment| at.since(Moment::default()).micros() / c.fall.micros().max(1);
+        let budget = COLD_MARGIN * c.factor * c.start_capacity * self.cores(engine.kind) * c.fall.secs();
+        let largest = self.types.iter().map(first_work).fold(0.0, f64::max);
+        let together = (budget / largest).floor().clamp(1.0, all as f64);
+        let turn = engine.mark % all + window(now) * together as u64;
+        let mine = (turn + all - self.fleet.number as u64 % all) % all < together as u64;
+        let sent = engine.sent.iter().filter(|(at, _)| window(*at) == window(now)).map(|(_, work)| work);
+        let fits = sent.sum::<f64>() + self.estimates.work[kind.0].value <= budget / together;
+        !self.is_cold(engine, now) || (mine && fits && now.since(self.started) > c.fall)
     }
 
-    /// Since when an engine is cold, if it is.
-    fn cold_from(&self, engine: &Engine, now: Moment) -> Option<Moment> {
-        engine.cold_since.filter(|since| now.since(*since) < self.cold.cold_for)
+    fn is_cold(&self, engine: &Engine, now: Moment) -> bool {
+        engine.cold_since.is_some_and(|since| now.since(since) < self.cold.cold_for)
+    }
+
+    /// The cores of an engine, fewer while it is cold.
+    fn able_cores(&self, engine: &Engine, now: Moment) -> f64 {
+        self.cores(engine.kind) * if self.is_cold(engine, now) { self.cold.start_capacity } else { 1.0 }
     }
 
     /// Queued work of others, in seconds of one thread, as the last report tells it; none if unheard.
@@ -634,7 +647,8 @@
     /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
     fn wait_and_run(&self, job: &Job, id: EngineId, engine: &Engine, average: f64, now: Moment) -> f64 {
         let t = &self.types[job.kind.0];
-        let (cores, mean) = (self.cores(engine.kind), self.estimates.all_work.value);
+        let (cores, mean) = (self.able_cores(engine, now), self.estimates.all_work.value);
+        let average = if self.is_cold(engine, now) { 0.0 } else { average };
         let seen = engine.report.map(|report| report.at);
         let own = engine.out.values().map(|s| if seen.is_some_and(|at| s.at < at) { mean } else { s.work });
         let foreign = self.foreign_work(engine).unwrap_or(average) - average;
@@ -678,7 +692,7 @@
     /// behind them on idle engines. It also stops bursts of loads; it may hurt where most work is loads.
     fn homes(&self, group: GroupId, usable: &[(EngineId, &Engine)]) -> Vec<EngineId> {
         let mut homes: Vec<EngineId> = usable.iter().map(|(id, _)| *id).collect();
-        homes.sort_by_cached_key(|id| Pcg32::new(group.0 as u64, id.0 as u64).random::<u32>());
+        homes.sort_by_cached_key(|id| Pcg32::new(group.0 as u64, self.engines[id].mark).random::<u32>());
         homes.truncate(homes.len().div_ceil(2));
         homes
     }
@@ -711,25 +725,28 @@
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut engines = self.usable();
-        let (out, limit) = (threads_out(&engines), self.fill * self.first_limit(&engines, now).0);
+        let (out, limit) = (self.threads_out(&engines, now), self.fill * self.first_limit(&engines, now).0);
         engines.shuffle(&mut ties);
         let word = |e: &Engine| Some((self.foreign_work(e)?, self.freshness(e, now)));
         let heard = self.engines.values().filter_map(word);
         let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
+        let (average, held) = (heard.0 / heard.1, self.load_run().secs() * HELD_PART * (1.0 - self.share()));
         let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
         let (job, engine) = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
             let here = |e: EngineId| job.dispatches.iter().any(|d| d.outcome.is_none() && d.engine == e);
-            let threads = self.types[job.kind.0].threads;
+            let t = &self.types[job.kind.0];
             let most = limit * if job.work < mean { SHORT_ROOM } else { 1.0 };
-            let room = out == 0.0 || out + threads <= most;
-            let fits = |e: &Engine| room && (e.out.is_empty() || e.threads_out() + threads <= part);
-            let may = |e: &Engine| fits(e) && self.legal(*id, job, e, now);
-            let homes = self.types[job.kind.0].is_load.then(|| self.homes(job.group, &engines));
+            let room = out == 0.0 || out + t.threads <= most;
+            let fits = |e: &Engine| room && (e.out.is_empty() || e.threads_out() + t.threads <= part);
+            let may = |e: &Engine| (self.is_cold(e, now) || fits(e)) && self.legal(*id, job, e, now);
+            let homes = if t.is_load || t.waits_for_loads { self.homes(job.group, &engines) } else { vec![] };
             let alone = |e: &Engine| self.own_loads(e, job.group).next().is_none();
-            let open = |id, e: &Engine| homes.as_ref().is_none_or(|homes| homes.contains(&id) && alone(e));
+            let open = |id, e: &Engine| !t.is_load || (homes.contains(&id) && alone(e));
             let allowed = engines.iter().filter(|(id, e)| may(e) && !here(*id) && open(*id, e));
-            let costs = allowed.map(|(id, e)| (self.wait_and_run(job, *id, e, heard.0 / heard.1, now), *id));
+            let held = |id| if t.waits_for_loads && homes.contains(&id) { held } else { 0.0 };
+            let costs =
+                allowed.map(|(id, e)| (held(*id) + self.wait_and_run(job, *id, e, average, now), *id));
             costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
         })?;
         self.send(now, job, engine)
@@ -836,14 +853,7 @@
     }
 }
 
-fn threads_out(engines: &[(EngineId, &Engine)]) -> f64 {
-    engines.iter().map(|(_, e)| e.threads_out()).sum()
-}
-
-fn t_run(t: &ReservationType, work: f64) -> Span {
-    Span::from_secs(work / t.threads)
-}
-
-fn sla_of(t: &ReservationType, work: f64) -> Span {
-    t.sla + t_run(t, work).times(t.sla_stretch)
+/// Usual work by the settings alone, in seconds of one thread.
+fn first_work(t: &ReservationType) -> f64 {
+    t.sla.secs() * t.threads * USUAL_PART
 }
--- a/src/records.rs
+++ b/src/records.rs
@@ -69,6 +69,8 @@
 /// One engine of the list; dropped when gone and nothing is out there.
 #[derive(Default)]
 pub(crate) struct Engine {
+    /// A number that all routers have for it alike.
+    pub(crate) mark: u64,
     pub(crate) zone: ZoneId,
     pub(crate) kind: KindId,
     pub(crate) cell: CellId,
@@ -138,3 +140,13 @@
         self.value += (sample - self.value) / self.samples;
     }
 }
+
+/// How long a job runs where all its threads get a core.
+pub(crate) fn t_run(t: &ReservationType, work: f64) -> Span {
+    Span::from_secs(work / t.threads)
+}
+
+/// The SLA time of a job, as its type states it.
+pub(crate) fn sla_of(t: &ReservationType, work: f64) -> Span {
+    t.sla + t_run(t, work).times(t.sla_stretch)
+}
--- a/tests/stories/host.rs
+++ b/tests/stories/host.rs
@@ -119,7 +119,8 @@
     /// Lists an engine; it stands in the zone, is of the kind and belongs to the cell of its own number.
     pub fn list(&mut self, engine: usize, listed: Listed, came_up: Option<Moment>) {
         let (zone, kind, cell) = (ZoneId(engine % 2), KindId(engine % 2), CellId(engine));
-        self.router.engine_listed(self.now, EngineId(engine), zone, kind, cell, listed, came_up);
+        let mark = engine as u64;
+        self.router.engine_listed(self.now, EngineId(engine), zone, kind, cell, listed, came_up, mark);
     }
 
     /// A job of 100 ms of work on a table group.
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -375,6 +375,7 @@
 #[test]
 fn a_warm_engine_is_costed_optimistically_until_it_is_full_of_own_threads() {
     let mut host = Host::new(|start| {
+        start.types.truncate(1);
         start.fleet.crossing_price = 0.0;
         start.fleet.replicas = 4;
     });
@@ -516,6 +517,145 @@
     assert!(most <= 80 && all >= 60, "{most} in a window, {all} in all");
 }
 
+/// Jobs sent to one of two engines that is cold, in a burst of `jobs` at every router, by router; the other is full.
+fn burst_at_a_cold_engine(replicas: usize, jobs: usize, mark: u64) -> Vec<usize> {
+    let each = (0..replicas).map(|number| {
+        let mut host = Host::new(|start| {
+            (start.fleet.replicas, start.fleet.number) = (replicas, number);
+            start.types.iter_mut().for_each(|t| t.sla = ms(300));
+            start.types.truncate(1);
+        });
+        host.list(1, Listed::Gone, None);
+        host.pass(10_000);
+        let (at, zone) = (host.now, ZoneId(0));
+        host.router.engine_listed(at, E1, zone, KindId(1), CellId(1), Listed::Live, Some(at), mark);
+        host.report(E0, 60.0);
+        for group in 0..jobs {
+            host.job(LOOKUP, group);
+        }
+        host.pull();
+        host.sent.iter().filter(|(_, engine, _)| *engine == E1).count()
+    });
+    each.collect()
+}
+
+#[test]
+fn several_routers_have_the_turn_together_where_jobs_are_small_against_a_window() {
+    for mark in [0, 7, 1 << 40] {
+        let sent = burst_at_a_cold_engine(60, 40, mark);
+        // A window holds 0.4 of 8 s, 21 usual jobs of 0.15 s by the settings: so many routers, a job or so each.
+        let (routers, jobs) = (sent.iter().filter(|jobs| **jobs > 0).count(), sent.iter().sum::<usize>());
+        assert!(
+            (15..=21).contains(&routers) && (15..=40).contains(&jobs),
+            "{routers} routers sent {jobs} jobs"
+        );
+        assert!(sent.iter().all(|jobs| *jobs <= 2), "no router more than its part: {sent:?}");
+    }
+}
+
+#[test]
+fn work_at_a_cold_engine_is_outside_the_limit_and_bad_answers_there_leave_it() {
+    let sent = burst_at_a_cold_engine(1, 60, 0);
+    // A window holds 0.4 of 8 s: 21 jobs of 0.15 s by the settings, 32 of the 0.1 s that they are told to be.
+    assert!((21..=32).contains(&sent[0]), "{sent:?}");
+    let mut host = Host::new(|start| start.types.iter_mut().for_each(|t| t.sla = ms(300)));
+    host.list(0, Listed::Gone, None);
+    host.list(1, Listed::Gone, None);
+    host.pass(10_000);
+    host.list(2, Listed::Live, None);
+    host.list(3, Listed::Live, Some(host.now));
+    (0..200).for_each(|group| _ = host.job(LOOKUP, group));
+    host.pull();
+    let (warm, cold): (Vec<_>, Vec<_>) =
+        std::mem::take(&mut host.sent).into_iter().partition(|(_, engine, _)| *engine == EngineId(2));
+    assert!(!warm.is_empty() && !cold.is_empty());
+    for (jobs, took) in [(&cold, 5_000), (&warm, 20)] {
+        for (job, ..) in jobs {
+            host.router.dispatch_ended(host.now, *job, 0, Outcome::Done, ms(took), None, true);
+        }
+    }
+    host.pull();
+    let again = host.sent.iter().filter(|(_, engine, _)| *engine == EngineId(2)).count();
+    assert!(
+        again >= warm.len(),
+        "late answers of a cold engine cut the limit from {} to {again}",
+        warm.len()
+    );
+}
+
+#[test]
+fn turns_at_engines_that_start_together_fall_to_different_routers() {
+    let turns = |mark| burst_at_a_cold_engine(60, 40, mark);
+    let (first, second) = (turns(0), turns(30));
+    assert!(first.iter().zip(&second).all(|(one, other)| *one == 0 || *other == 0), "{first:?} {second:?}");
+}
+
+#[test]
+fn a_cold_engine_in_turn_is_taken_as_empty_and_what_is_out_there_leaves_the_limit() {
+    assert_eq!(burst_at_a_cold_engine(1, 1, 0), [1], "the other engine has 60 held queries");
+    let filled = |cold: bool| {
+        let mut host = Host::new(|start| start.types.truncate(1));
+        host.list(1, Listed::Gone, None);
+        host.pass(10_000);
+        if cold {
+            host.list(1, Listed::Live, Some(host.now));
+            host.report(E0, 60.0);
+            (0..10).for_each(|group| _ = host.job(LOOKUP, group));
+            host.pull();
+            assert!(host.sent.iter().all(|(_, engine, _)| *engine == E1));
+            host.report(E0, 0.0);
+        }
+        (0..100).for_each(|group| _ = host.job(LOOKUP, group));
+        host.pull();
+        host.sent.iter().filter(|(_, engine, _)| *engine == E0).count()
+    };
+    assert!(filled(true) >= filled(false), "{} and {}", filled(true), filled(false));
+}
+
+#[test]
+fn routers_that_number_the_engines_differently_send_the_loads_of_a_group_to_the_same() {
+    let homes = |turned: usize| {
+        let mut host = Host::new(|start| start.fleet.crossing_price = 0.0);
+        (0..2).for_each(|engine| host.list(engine, Listed::Gone, None));
+        for mark in 0..8 {
+            let id = EngineId(2 + (mark + turned) % 8);
+            let (zone, kind) = (ZoneId(0), KindId(0));
+            host.router.engine_listed(host.now, id, zone, kind, CellId(0), Listed::Live, None, mark as u64);
+        }
+        (0..8).for_each(|_| _ = host.job(LOAD, 3));
+        host.pull();
+        let mut at: Vec<usize> = host.sent.iter().map(|(_, id, _)| (id.0 - 2 + 8 - turned) % 8).collect();
+        at.sort();
+        at
+    };
+    assert_eq!(homes(0), homes(3));
+    assert!(homes(0).len() > 1);
+}
+
+#[test]
+fn what_waits_for_loads_keeps_off_the_engines_of_other_routers_loads_of_its_group() {
+    let mut host = Host::new(|start| {
+        start.fleet.crossing_price = 0.0;
+        start.fleet.replicas = 50;
+    });
+    (2..8).for_each(|engine| host.list(engine, Listed::Live, None));
+    let mut of_group = |kind| {
+        let mut at: Vec<EngineId> = vec![];
+        for _ in 0..40 {
+            let job = host.job(kind, 3);
+            host.pull();
+            at.extend(host.engines_of(job));
+            host.end(job, 0, Outcome::Done, 50);
+        }
+        at.sort();
+        at.dedup();
+        at
+    };
+    let (loads, lookups) = (of_group(LOAD), of_group(LOOKUP));
+    assert!(!loads.is_empty() && !lookups.is_empty());
+    assert!(lookups.iter().all(|engine| !loads.contains(engine)), "{lookups:?} among {loads:?}");
+}
+
 #[test]
 fn notes_that_foretell_a_miss_cut_the_limit_before_the_answer() {
     let mut host = Host::new(|_| ());
