Fleet stories: queries that run on while faults come; jobs taken after SIGTERM count

Need: engines answered at once, so that nothing was owed when a router was told to end, and any job within 15 s after that word was excused. Now one query in eight runs for 0.9 s, and jobs up to 0.2 s after the word are owed an answer.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -29,6 +29,10 @@
 const WAIT: u32 = 2_000;
 /// An answer later than this has not come: the wait, and what a slow machine may add.
 const ANSWERED: Duration = Duration::from_secs(15);
+/// How long one query in eight runs, so that something is always out when a fault comes.
+const RUN: Duration = Duration::from_millis(900);
+/// A router told to end takes what comes for longer than this.
+const STILL_TAKEN: Duration = Duration::from_millis(200);
 /// Between an answer and the caller's next job.
 const BETWEEN: Duration = Duration::from_millis(30);
 /// Callers at each router, each with one job at a time.
@@ -252,12 +256,12 @@
 /// What is wrong, and the job that shows it.
 type Broken = (String, String);
 
-/// Rule 1: an answer for each job, unless its router was killed, or was told to end before the job came.
+/// Rule 1: an answer for each job, unless its router was killed, or was told to end some time before the job came.
 fn one_answer(seen: &Seen) -> Result<(), Broken> {
     for Asked { router, id, at, since, got } in &seen.answers {
         let killed = seen.killed.iter().any(|(of, when)| of == router && when >= since);
-        // Of those that came after the word to end, the last may meet the closed door.
-        let ended = |when: &Instant| at >= when && at.duration_since(*when) < ANSWERED;
+        let past = |when: &Instant| when >= since || at.saturating_duration_since(*when) < ANSWERED;
+        let ended = |when: &Instant| *at >= *when + STILL_TAKEN && past(when);
         let ended = seen.ended.iter().any(|(of, when)| of == router && ended(when));
         if let (Err(error), false, false) = (got, killed, ended) {
             return Err((format!("job {id} at router {router} got no answer: {error}"), id.clone()));
@@ -321,12 +325,26 @@
 fn place(number: usize, seen: Arc<Mutex<Seen>>) -> Place {
     let bad: Arc<AtomicBool> = Arc::default();
     let fails = bad.clone();
+    // Until when each slow query runs; as long as a story.
+    let mut runs: HashMap<String, Instant> = HashMap::new();
     let engine = Standin::start(move |call| {
+        let id = call.line.split(['/', ' ']).nth(4).unwrap_or_default().to_owned();
         if call.line.starts_with("POST") {
             let id = call.fields.iter().find_map(|field| field.strip_prefix("X-Trace: ")).unwrap_or_default();
             seen.lock().unwrap().posts.push((number, id.to_owned(), Instant::now()));
+            if id.ends_with(['3', 'a']) {
+                runs.insert(id.to_owned(), Instant::now() + RUN);
+                return says(202, &[], "");
+            }
+        }
+        if fails.load(Ordering::Relaxed) {
+            return says(500, &[], "");
+        }
+        let runs_on = call.line.starts_with("GET") && runs.get(&id).is_some_and(|end| Instant::now() < *end);
+        if runs_on {
+            return Says::Slow(202, vec![], vec![], 16, Duration::from_millis(20));
         }
-        if fails.load(Ordering::Relaxed) { says(500, &[], "") } else { pages(call, &["a\tb\tc\n"]) }
+        pages(call, &["a\tb\tc\n"])
     });
     Place { engine, bad }
 }
