Keep notes of cold engines, too, from cutting the in-flight limit

Now judge itself passes over what a cold engine does, in one place. The story of bad answers there tells such notes as well and fails without it (limit 16 -> 11).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -259,8 +259,8 @@
         let failed = matches!(outcome, Outcome::Reset | Outcome::NotConnected);
         let silent = failed || dispatch.stood || matches!(outcome, Outcome::Cancelled | Outcome::NotIssued);
         let (kind, id, judged) = (record.kind, dispatch.engine, dispatch.judged);
-        if (good || !silent) && !judged && self.engines.get(&id).is_none_or(|e| !self.is_cold(e, now)) {
-            self.judge(now, kind, good);
+        if (good || !silent) && !judged {
+            self.judge(now, kind, id, good);
         }
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.out.remove(&(job, number));
@@ -295,8 +295,8 @@
                 let foretold = now.since(dispatch.sent).times(1.0 / share.max(1e-3));
                 let misses = foretold > sla_of(t, record.work) && !dispatch.stood;
                 if misses && !std::mem::replace(&mut dispatch.judged, true) {
-                    let kind = record.kind;
-                    self.judge(now, kind, false);
+                    let (kind, at) = (record.kind, dispatch.engine);
+                    self.judge(now, kind, at, false);
                 }
             }
             Progress::Spills(missing) => {
@@ -436,7 +436,11 @@
 
     /// The in-flight limit, in threads at all usable engines: it grows by one for each good answer until its
     /// first cut and for each `GOOD_PER_BAD` later, if in use; a bad answer cuts it by its part of a round.
-    fn judge(&mut self, now: Moment, kind: TypeId, good: bool) {
+    /// What a cold engine does says nothing of it: its work is not counted.
+    fn judge(&mut self, now: Moment, kind: TypeId, at: EngineId, good: bool) {
+        if self.engines.get(&at).is_some_and(|engine| self.is_cold(engine, now)) {
+            return;
+        }
         let (usable, threads) = (self.usable(), self.types[kind.0].threads);
         let ((first, least), out) = (self.first_limit(&usable, now), self.threads_out(&usable, now));
         if !good {
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -569,6 +569,10 @@
     let (warm, cold): (Vec<_>, Vec<_>) =
         std::mem::take(&mut host.sent).into_iter().partition(|(_, engine, _)| *engine == EngineId(2));
     assert!(!warm.is_empty() && !cold.is_empty());
+    for (job, ..) in &cold[..cold.len() / 2] {
+        // A note tells of a tenth done after a second, which foretells a miss.
+        host.router.progressed(host.now + ms(1_000), *job, 0, Progress::Share(0.1));
+    }
     for (jobs, took) in [(&cold, 5_000), (&warm, 20)] {
         for (job, ..) in jobs {
             host.router.dispatch_ended(host.now, *job, 0, Outcome::Done, ms(took), None, true);
