Words of exchange below fronts and backs; gossip's core in files by concern

Change: `exchange` holds what fronts, decisions, backs and lists say to each other; fronts/rpc, backs/sql and lists/bulletin are files of their own above it; a reply is a right with what it gives back inside, whatever front made it.

--- a/crates/gossip/src/keys.rs
+++ b/crates/gossip/src/keys.rs
@@ -13,7 +13,7 @@
 use woadhook::{Moment, Span};
 use zeroize::Zeroizing;
 
-use crate::wire::{Reader, Writer};
+use crate::bytes::{Reader, Writer};
 
 /// The longest name of an instance, in bytes.
 pub const NAME_BYTES: usize = 32;
--- a/crates/gossip/src/wire.rs
+++ b/crates/gossip/src/wire.rs
@@ -6,6 +6,7 @@
 
 use woadhook::Moment;
 
+use crate::bytes::{Reader, Writer};
 use crate::keys::{Cluster, Identity, MemberId, Pass, Revocation, Sealed, micros, verify};
 
 /// The largest datagram, in bytes: fits the least MTU of IPv6 with room for tunnels.
@@ -18,77 +19,6 @@
 const MAGIC: [u8; 3] = *b"WG\x01";
 const SIGNATURE: usize = 64;
 
-/// Reads big-endian fields from the front of a slice.
-pub struct Reader<'a>(&'a [u8]);
-
-impl<'a> Reader<'a> {
-    pub fn new(bytes: &'a [u8]) -> Self {
-        Self(bytes)
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
-    pub fn take(&mut self, count: usize) -> Option<&'a [u8]> {
-        let (taken, rest) = self.0.split_at_checked(count)?;
-        self.0 = rest;
-        Some(taken)
-    }
-
-    pub fn array<const N: usize>(&mut self) -> Option<[u8; N]> {
-        self.take(N)?.try_into().ok()
-    }
-
-    pub fn u8(&mut self) -> Option<u8> {
-        self.array::<1>().map(|[byte]| byte)
-    }
-
-    pub fn u16(&mut self) -> Option<u16> {
-        self.array().map(u16::from_be_bytes)
-    }
-
-    pub fn u64(&mut self) -> Option<u64> {
-        self.array().map(u64::from_be_bytes)
-    }
-
-    /// Bytes behind a length of one byte, `most` at most.
-    pub fn short(&mut self, most: usize) -> Option<&'a [u8]> {
-        let length = self.u8().map(usize::from).filter(|length| *length <= most)?;
-        self.take(length)
-    }
-}
-
-#[derive(Default)]
-pub struct Writer(Vec<u8>);
-
-impl Writer {
-    pub fn bytes(&mut self, bytes: &[u8]) {
-        self.0.extend_from_slice(bytes);
-    }
-
-    pub fn u8(&mut self, value: u8) {
-        self.0.push(value);
-    }
-
-    pub fn u16(&mut self, value: u16) {
-        self.bytes(&value.to_be_bytes());
-    }
-
-    pub fn u64(&mut self, value: u64) {
-        self.bytes(&value.to_be_bytes());
-    }
-
-    pub fn short(&mut self, bytes: &[u8]) {
-        self.u8(bytes.len() as u8);
-        self.bytes(bytes);
-    }
-
-    pub fn into_bytes(self) -> Vec<u8> {
-        self.0
-    }
-}
-
 /// What a datagram asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -395,7 +325,7 @@
         let (living, digest) = (from.u16()?, from.u64()?);
         let length = from.u16()?.into();
         let card = from.take(length)?;
-        let statements = from.0;
+        let statements = from.rest();
         let read = Self {
             kind,
             cluster,
@@ -472,7 +402,7 @@
     own: &Identity, kind: Kind, to: MemberId, sent: Moment, number: u64, re: u64, about: MemberId,
     view: (u16, u64), card: &[u8], statements: &[Tagged], fill: usize,
 ) -> (Vec<u8>, u64) {
-    let mut out = Writer(Vec::with_capacity(DATAGRAM));
+    let mut out = Writer::with_room(DATAGRAM);
     out.bytes(&MAGIC);
     out.u8(kind as u8);
     for part in [own.pass.cluster.0, own.id().0, to.0, micros(sent), number, re, about.0] {
@@ -487,13 +417,13 @@
         out.u16(bytes.len() as u16);
         out.bytes(bytes);
     }
-    let missing = fill.min(DATAGRAM).saturating_sub(out.0.len() + SIGNATURE);
+    let missing = fill.min(DATAGRAM).saturating_sub(out.so_far().len() + SIGNATURE);
     if missing >= STATEMENT_HEAD {
         out.u8(PADDING);
         out.u16((missing - STATEMENT_HEAD) as u16);
-        out.0.resize(out.0.len() + missing - STATEMENT_HEAD, 0);
+        out.bytes(&vec![0; missing - STATEMENT_HEAD]);
     }
-    let signature = own.secret.sign(Sealed::Envelope, &out.0);
+    let signature = own.secret.sign(Sealed::Envelope, out.so_far());
     out.bytes(&signature);
     (out.into_bytes(), mark(&signature))
 }
--- /dev/null
+++ b/crates/router/src/backs.rs
@@ -0,0 +1,3 @@
+//! One engine protocol each.
+
+pub mod sql;
--- /dev/null
+++ b/crates/router/src/backs/sql/engine.rs
@@ -0,0 +1,70 @@
+//! What the queries and probes at one engine share.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_channel::Sender;
+use woadhook::Span;
+use woadhook_pace::rate::Least;
+
+use crate::clock::Clock;
+use crate::exchange::Event;
+use crate::http::head;
+use crate::memory::Room;
+use crate::pool::{Lease, Pool};
+use crate::sockets::limited;
+use crate::tasks::Tasks;
+
+/// No answer to an errand holds more.
+const BODY_BYTES: usize = 4 * 1024;
+/// What all engines' actors are given alike.
+#[derive(Clone)]
+pub struct Ground {
+    pub clock: Clock,
+    pub tasks: Tasks,
+    pub queries: Rc<Pool>,
+    pub errands: Rc<Pool>,
+    pub probes: Rc<Pool>,
+    pub connect_timeout: Span,
+    /// Whether probes ask for a load report.
+    pub reports: bool,
+    /// For results.
+    pub room: Room,
+    /// How slowly pages may come: bytes a second at most asked for, and the grace.
+    pub least: Rc<Cell<Least>>,
+    /// Ends of probes go ahead of what else the module is told.
+    pub urgent: Sender<Event>,
+}
+
+/// What the queries at one engine share.
+pub struct Engine {
+    pub ground: Ground,
+    /// Tells this actor's connections from those of an earlier one.
+    pub serial: u64,
+    pub address: SocketAddr,
+    /// Whether nothing was heard of its draining or end.
+    pub open: Cell<bool>,
+}
+
+impl Engine {
+    pub async fn lease(&self, pool: &Rc<Pool>) -> io::Result<Lease> {
+        pool.lease(self.serial, self.address, self.ground.connect_timeout).await
+    }
+
+    /// A short call beside the queries' own: giving up or a new priority.
+    pub async fn errand(&self, method: &str, path: &str, body: &str) -> io::Result<u16> {
+        self.short_call(&self.ground.errands, method, path, body, |_, _| ()).await
+    }
+
+    pub async fn short_call(
+        &self, pool: &Rc<Pool>, method: &str, path: &str, body: &str, field: impl FnMut(&str, &str),
+    ) -> io::Result<u16> {
+        let mut connection = self.lease(pool).await?;
+        let head = head(method, path, self.address, &[], body.len());
+        let call = connection.call(&head, body.as_bytes(), BODY_BYTES, |_| (), field);
+        let (status, _) = limited(self.ground.connect_timeout, call).await?;
+        Ok(status)
+    }
+}
--- a/crates/router/src/engine.rs
+++ b/crates/router/src/backs/sql/peer.rs
@@ -1,4 +1,4 @@
-//! An actor an engine: it starts queries and probes there, and owns what they share.
+//! An actor an engine: it starts queries and probes there.
 
 use std::cell::Cell;
 use std::io;
@@ -6,52 +6,18 @@
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
-use woadhook::{EngineId, Outcome, Span};
-use woadhook_pace::rate::Least;
+use woadhook::{EngineId, Outcome};
 
-use crate::clock::Clock;
-use crate::decide::Event;
-use crate::memory::Room;
-use crate::pool::{Lease, NO_DESCRIPTOR, Pool};
-use crate::query::{self, Dispatch};
-use crate::sockets::limited;
-use crate::tasks::Tasks;
+use crate::backs::sql::engine::{Engine, Ground};
+use crate::backs::sql::query;
+use crate::exchange::{Dispatch, Event};
+use crate::pool::NO_DESCRIPTOR;
 
 const MAILBOX: usize = 1024;
-/// No answer to an errand holds more.
-const BODY_BYTES: usize = 4 * 1024;
 /// A probe that breaks, makes no sense or hears nothing is made again so often, as that may be noise on the
 /// connection.
 const PROBES: usize = 3;
 
-/// What all engines' actors are given alike.
-#[derive(Clone)]
-pub struct Ground {
-    pub clock: Clock,
-    pub tasks: Tasks,
-    pub queries: Rc<Pool>,
-    pub errands: Rc<Pool>,
-    pub probes: Rc<Pool>,
-    pub connect_timeout: Span,
-    /// Whether probes ask for a load report.
-    pub reports: bool,
-    /// For results.
-    pub room: Room,
-    /// How slowly pages may come: bytes a second at most asked for, and the grace.
-    pub least: Rc<Cell<Least>>,
-    /// Ends of probes go ahead of what else the module is told.
-    pub urgent: Sender<Event>,
-}
-
-/// What the queries at one engine share.
-pub struct Engine {
-    pub ground: Ground,
-    serial: u64,
-    pub address: SocketAddr,
-    /// Whether nothing was heard of its draining or end.
-    pub open: Cell<bool>,
-}
-
 pub enum Errand {
     Run(Dispatch, Receiver<u8>),
     Probe(EngineId),
@@ -95,39 +61,6 @@
     engine.ground.probes.close_all(engine.serial);
 }
 
-impl Engine {
-    pub async fn lease(&self, pool: &Rc<Pool>) -> io::Result<Lease> {
-        pool.lease(self.serial, self.address, self.ground.connect_timeout).await
-    }
-
-    /// A short call beside the queries' own: giving up or a new priority.
-    pub async fn errand(&self, method: &str, path: &str, body: &str) -> io::Result<u16> {
-        self.short_call(&self.ground.errands, method, path, body, |_, _| ()).await
-    }
-
-    async fn short_call(
-        &self, pool: &Rc<Pool>, method: &str, path: &str, body: &str, field: impl FnMut(&str, &str),
-    ) -> io::Result<u16> {
-        let mut connection = self.lease(pool).await?;
-        let head = head(method, path, self.address, &[], body.len());
-        let call = connection.call(&head, body.as_bytes(), BODY_BYTES, |_| (), field);
-        let (status, _) = limited(self.ground.connect_timeout, call).await?;
-        Ok(status)
-    }
-}
-
-/// The head of a call.
-pub fn head(method: &str, path: &str, to: SocketAddr, fields: &[(&str, &str)], length: usize) -> String {
-    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\n");
-    for (name, value) in fields {
-        head.extend([name, ": ", value, "\r\n"]);
-    }
-    if length > 0 || method != "GET" {
-        head.push_str(&format!("Content-Length: {length}\r\n"));
-    }
-    head + "\r\n"
-}
-
 async fn probe(engine: Rc<Engine>, id: EngineId, module: Sender<Event>) {
     let mut outcome = Outcome::NotConnected;
     for _ in 0..PROBES {
--- a/crates/router/src/query.rs
+++ b/crates/router/src/backs/sql/query.rs
@@ -6,13 +6,13 @@
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
-use woadhook::{EngineId, JobId, Moment, Outcome, Progress, Span};
+use woadhook::{JobId, Moment, Outcome, Progress, Span};
 use woadhook_pace::rate::Least;
 
+use crate::backs::sql::engine::Engine;
 use crate::clock::pass;
-use crate::decide::Event;
-use crate::engine::{Engine, head};
-use crate::memory::{Held, Holder};
+use crate::exchange::{Dispatch, Event, Rows, measure};
+use crate::http::head;
 use crate::pool::{Lease, NO_DESCRIPTOR};
 use crate::sockets::limited;
 use crate::tasks::Tasks;
@@ -34,31 +34,6 @@
 /// So many answers in a row that make no sense leave no hope for a good one.
 const DOUBTS: usize = 8;
 
-/// What a client asked for, unchanged.
-pub struct Statement {
-    pub holder: Holder,
-    pub id: String,
-    pub class: String,
-    pub text: String,
-    pub _held: Held,
-}
-
-pub struct Dispatch {
-    pub job: JobId,
-    pub number: usize,
-    pub engine: EngineId,
-    pub statement: Rc<Statement>,
-    pub decided: Moment,
-    pub until: Moment,
-    pub priority: u8,
-}
-
-/// A whole result, and the room it takes.
-pub struct Rows {
-    pub pages: Vec<Vec<u8>>,
-    _held: Held,
-}
-
 /// Tells the module how a dispatch ended: once, and whatever becomes of its task.
 struct Verdict {
     job: JobId,
@@ -358,7 +333,7 @@
             lease = same;
             pages.push(answer.body);
         }
-        Ok(Rows { pages, _held: held })
+        Ok(Rows::new(pages, held))
     }
 
     /// Passes on new priorities until the query's time is up or it is given up.
@@ -420,11 +395,6 @@
     }
 }
 
-/// A figure that a peer tells, if it can be one.
-pub fn measure(text: &str) -> Option<f64> {
-    text.trim().parse().ok().filter(|figure| (0.0..1e12).contains(figure))
-}
-
 /// Whether these are rows of text, each with all its columns and its end.
 fn whole_rows(page: &[u8]) -> bool {
     let whole = |row: &str| {
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -17,13 +17,11 @@
 use woadhook_pace::crawl::Standing;
 use woadhook_pace::rate::Least;
 
+use crate::backs::sql::engine::Ground;
+use crate::backs::sql::peer::{Errand, Peer};
 use crate::clock::Clock;
-use crate::codec::Answer;
 use crate::config::address;
-use crate::engine::{Errand, Ground, Peer};
-use crate::front::{MALFORMED, Reply};
-use crate::gossip::{Note, Notes};
-use crate::query::{Dispatch, Rows, Statement, measure};
+use crate::exchange::{Answer, Dispatch, Event, MALFORMED, Note, Notes, Reply, Statement, measure};
 
 pub const MAILBOX: usize = 4096;
 /// Events that are taken in before decisions are pulled and others have a turn.
@@ -31,74 +29,6 @@
 /// New priorities that one query has not yet taken.
 const ORDERS: usize = 4;
 
-/// What the module's actor is told.
-pub enum Event {
-    Arrived {
-        client: u64,
-        statement: Rc<Statement>,
-        kind: TypeId,
-        group: GroupId,
-        tenant: Option<String>,
-        key: Option<String>,
-        told: Span,
-        memory: f64,
-        deadline: Moment,
-        reply: Reply,
-    },
-    Withdrawn {
-        client: u64,
-        number: u32,
-    },
-    ClientGone {
-        client: u64,
-    },
-    Ping {
-        reply: Reply,
-    },
-    Ended {
-        job: JobId,
-        number: usize,
-        outcome: Outcome,
-        took: Span,
-        told: Option<(Span, f64)>,
-        rows: Option<Rows>,
-    },
-    Progressed {
-        job: JobId,
-        number: usize,
-        progress: Progress,
-    },
-    Reported {
-        engine: EngineId,
-        stats: String,
-    },
-    ProbeEnded {
-        engine: EngineId,
-        outcome: Outcome,
-    },
-    /// Changes of the list; the answer tells whether they could be read.
-    Listed {
-        roster: Value,
-        read: Sender<Result<()>>,
-    },
-    /// So much of an answer came from an engine: how long to its first byte, and from there to its last.
-    Sent {
-        engine: EngineId,
-        bytes: usize,
-        first: Span,
-        body: Span,
-    },
-    /// What other routers say of an engine, by name.
-    Hearsay {
-        engine: String,
-        of: Option<String>,
-        doubt: f64,
-    },
-    Stopping {
-        by: Moment,
-    },
-}
-
 /// A job that the module holds.
 struct Open {
     client: u64,
--- /dev/null
+++ b/crates/router/src/exchange.rs
@@ -0,0 +1,191 @@
+//! What fronts, decisions, backs and other sources of words say to each other. This file lies below all of them, so
+//! that a new one is a file of its own.
+
+use std::rc::Rc;
+
+use async_channel::{Receiver, Sender};
+use serde_json::Value;
+use woadhook::*;
+use woadhook_door::fields::Result;
+use woadhook_gossip::Seen;
+
+use crate::keyfiles::Keys;
+use crate::memory::{Held, Holder};
+
+/// The error for what can't be taken, whatever is wrong with it.
+pub const MALFORMED: &str = "Malformed";
+
+/// What the module's actor is told.
+pub enum Event {
+    Arrived {
+        client: u64,
+        statement: Rc<Statement>,
+        kind: TypeId,
+        group: GroupId,
+        tenant: Option<String>,
+        key: Option<String>,
+        told: Span,
+        memory: f64,
+        deadline: Moment,
+        reply: Reply,
+    },
+    Withdrawn {
+        client: u64,
+        number: u32,
+    },
+    ClientGone {
+        client: u64,
+    },
+    Ping {
+        reply: Reply,
+    },
+    Ended {
+        job: JobId,
+        number: usize,
+        outcome: Outcome,
+        took: Span,
+        told: Option<(Span, f64)>,
+        rows: Option<Rows>,
+    },
+    Progressed {
+        job: JobId,
+        number: usize,
+        progress: Progress,
+    },
+    Reported {
+        engine: EngineId,
+        stats: String,
+    },
+    ProbeEnded {
+        engine: EngineId,
+        outcome: Outcome,
+    },
+    /// Changes of the list; the answer tells whether they could be read.
+    Listed {
+        roster: Value,
+        read: Sender<Result<()>>,
+    },
+    /// So much of an answer came from an engine: how long to its first byte, and from there to its last.
+    Sent {
+        engine: EngineId,
+        bytes: usize,
+        first: Span,
+        body: Span,
+    },
+    /// What other routers say of an engine, by name.
+    Hearsay {
+        engine: String,
+        of: Option<String>,
+        doubt: f64,
+    },
+    Stopping {
+        by: Moment,
+    },
+}
+
+/// What a client asked for, unchanged.
+pub struct Statement {
+    pub holder: Holder,
+    pub id: String,
+    pub class: String,
+    pub text: String,
+    /// The room that it takes.
+    pub held: Held,
+}
+
+pub struct Dispatch {
+    pub job: JobId,
+    pub number: usize,
+    pub engine: EngineId,
+    pub statement: Rc<Statement>,
+    pub decided: Moment,
+    pub until: Moment,
+    pub priority: u8,
+}
+
+/// A whole result, and the room it takes.
+pub struct Rows {
+    pub pages: Vec<Vec<u8>>,
+    _held: Held,
+}
+
+impl Rows {
+    pub fn new(pages: Vec<Vec<u8>>, held: Held) -> Self {
+        Self { pages, _held: held }
+    }
+}
+
+/// What answers a request.
+pub enum Answer {
+    Served(Rows),
+    Overloaded(Option<Span>),
+    Failed(&'static str),
+    Pong(bool),
+}
+
+/// The right to answer one request, once. Dropped unused, no answer is owed any more.
+pub struct Reply {
+    number: u32,
+    give: Box<dyn FnOnce(Answer)>,
+}
+
+impl Reply {
+    /// `give` owns whatever is given back once the answer is written, or owed no more.
+    pub fn new(number: u32, give: impl FnOnce(Answer) + 'static) -> Self {
+        Self { number, give: Box::new(give) }
+    }
+
+    /// The id that the client gave its request.
+    pub fn number(&self) -> u32 {
+        self.number
+    }
+
+    pub fn send(self, answer: Answer) {
+        (self.give)(answer);
+    }
+}
+
+/// What this instance met.
+pub enum Note {
+    Judged { engine: String, seen: Seen },
+    Ended { engine: String, of: String, outcome: Outcome },
+    Answered { engine: String },
+    Rekey(Box<Keys>),
+    Stopping,
+}
+
+/// The engines on the list, and when each came up.
+pub type List = Vec<(String, Moment)>;
+
+/// The way to the actor.
+#[derive(Clone)]
+pub struct Notes {
+    notes: Sender<Note>,
+    /// Holds the latest list only.
+    lists: Sender<List>,
+}
+
+/// Notes that wait; what comes beyond is one observation less.
+const NOTES: usize = 1024;
+
+impl Notes {
+    /// The way to an actor, and its ends for notes and for lists.
+    pub fn new() -> (Self, Receiver<Note>, Receiver<List>) {
+        let (notes, taken) = async_channel::bounded(NOTES);
+        let (lists, listed) = async_channel::bounded(1);
+        (Self { notes, lists }, taken, listed)
+    }
+
+    pub fn tell(&self, note: Note) {
+        let _ = self.notes.try_send(note);
+    }
+
+    pub fn list(&self, list: List) {
+        let _ = self.lists.force_send(list);
+    }
+}
+
+/// A figure that a peer tells, if it can be one.
+pub fn measure(text: &str) -> Option<f64> {
+    text.trim().parse().ok().filter(|figure| (0.0..1e12).contains(figure))
+}
--- /dev/null
+++ b/crates/router/src/fronts.rs
@@ -0,0 +1,3 @@
+//! One client protocol each.
+
+pub mod rpc;
--- a/crates/router/src/codec.rs
+++ b/crates/router/src/fronts/rpc/codec.rs
@@ -5,9 +5,8 @@
 use rmp::Marker;
 use rmp::decode::{self, NumValueReadError, ValueReadError};
 use rmp::encode;
-use woadhook::Span;
 
-use crate::query::Rows;
+use crate::exchange::Answer;
 
 pub const REQUEST: u32 = 0;
 pub const ANSWER: u32 = 1;
@@ -153,14 +152,6 @@
     body(message)
 }
 
-/// What answers a request.
-pub enum Answer {
-    Served(Rows),
-    Overloaded(Option<Span>),
-    Failed(&'static str),
-    Pong(bool),
-}
-
 /// Writes what stands before and behind the pages of an answer.
 pub fn write(number: u32, answer: &Answer, head: &mut Vec<u8>, tail: &mut Vec<u8>) -> io::Result<()> {
     encode::write_array_len(head, 4)?;
--- a/crates/router/src/front.rs
+++ b/crates/router/src/fronts/rpc/front.rs
@@ -14,12 +14,11 @@
 use woadhook_pace::turns::Turn;
 
 use crate::clock::{Clock, pass};
-use crate::codec::{self, Answer, Malformed, Scan};
-use crate::decide::Event;
-use crate::listen::{Guest, Stay};
+use crate::exchange::{Answer, Event, MALFORMED, Reply, Statement};
+use crate::fronts::rpc::codec::{self, Malformed, Scan};
+use crate::fronts::rpc::guests::{Guest, Stay};
+use crate::fronts::rpc::request::Range;
 use crate::memory::{Held, Holder, Room};
-use crate::query::Statement;
-use crate::request::Range;
 use crate::sockets::{Link, limited, write_at_rate};
 use crate::tasks::Tasks;
 
@@ -39,8 +38,6 @@
 const PACE: Span = Span::from_micros(2_000);
 /// What a job takes beside its statement, in all tables and tasks.
 const JOB_BYTES: usize = 8 * 1024;
-/// The error for what can't be taken, whatever is wrong with it.
-pub const MALFORMED: &str = "Malformed";
 
 /// What all connections of clients are given alike.
 #[derive(Clone)]
@@ -63,13 +60,6 @@
     pub turn: usize,
 }
 
-/// The right to answer one request, once. Dropped unused, no answer is owed any more.
-pub struct Reply {
-    number: u32,
-    outbox: Sender<(u32, Answer, Owed)>,
-    owed: Owed,
-}
-
 /// A place among the open requests of a connection, and one of the answers that the router owes; kept until
 /// the answer is written.
 struct Owed {
@@ -85,18 +75,6 @@
     }
 }
 
-impl Reply {
-    /// The id that the client gave its request.
-    pub fn number(&self) -> u32 {
-        self.number
-    }
-
-    /// The outbox has a place for each reply; where the connection is gone, nobody is answered.
-    pub fn send(self, answer: Answer) {
-        let _ = self.outbox.try_send((self.number, answer, self.owed));
-    }
-}
-
 /// Serves one connection until either side ends it or its place is needed, then withdraws its jobs.
 pub async fn serve(link: Link, client: u64, stay: Stay, hall: Hall) {
     let _leave = Leave { client, module: hall.module.clone(), tasks: hall.tasks };
@@ -337,8 +315,11 @@
         let (guest, owing) = (self.guest.clone(), self.hall.owing.clone());
         owing.set(owing.get() + 1);
         guest.open.set(guest.open.get() + 1);
-        let owed = Owed { _place: place, owing, guest };
-        Reply { number, outbox: self.outbox.clone(), owed }
+        let (owed, outbox) = (Owed { _place: place, owing, guest }, self.outbox.clone());
+        // The outbox has a place for each reply; where the connection is gone, nobody is answered.
+        Reply::new(number, move |answer| {
+            let _ = outbox.try_send((number, answer, owed));
+        })
     }
 
     /// A request with a number is answered in any case, if only with an error or a refusal.
@@ -355,7 +336,7 @@
             id: asked.id.into(),
             class: method.into(),
             text: asked.text.into(),
-            _held: held,
+            held,
         };
         let arrival = Event::Arrived {
             client: self.client,
--- a/crates/router/src/listen.rs
+++ b/crates/router/src/fronts/rpc/guests.rs
@@ -1,23 +1,11 @@
-//! Takes in the connections of clients, as many as their part of the descriptors allows.
+//! Who is connected, and which connection goes where a new one needs its place.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::TcpListener;
 use std::rc::Rc;
-use std::sync::Arc;
 
-use async_io::Async;
-use async_lock::Semaphore;
 use event_listener::Event;
-use futures_lite::future::yield_now;
-use woadhook::{Moment, Span};
-
-use crate::clock::{Clock, pass};
-use crate::front::{self, Hall};
-use crate::sockets::{Link, limited};
-
-/// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
-const PAUSE: Span = Span::from_micros(20_000);
+use woadhook::Moment;
 
 /// The connections that are taken in; each is emptied from it as it ends.
 #[derive(Clone, Default)]
@@ -68,7 +56,7 @@
 
     /// Threat: connections held for good, or opened by hundreds, would keep usual clients out. The longest
     /// quiet one without an open request goes, which a client opens anew at worst.
-    fn send_off_one(&self) {
+    pub fn send_off_one(&self) {
         let guests = self.0.borrow();
         let quiet = guests.values().filter(|guest| guest.open.get() == 0 && !guest.told_to_leave.get());
         if let Some(guest) = quiet.min_by_key(|guest| guest.quiet_since.get()) {
@@ -77,27 +65,3 @@
         }
     }
 }
-
-pub async fn accept(listener: Async<TcpListener>, part: Arc<Semaphore>, clock: Clock, hall: Hall) {
-    let guests = Guests::default();
-    for client in 0.. {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("accept: {error}");
-                pass(PAUSE).await;
-                continue;
-            }
-        };
-        let mut permit = part.try_acquire_arc();
-        while permit.is_none() {
-            guests.send_off_one();
-            permit = limited(PAUSE, async { Ok(part.acquire_arc().await) }).await.ok();
-        }
-        let Some(permit) = permit else { continue };
-        let stay = guests.enter(client, clock.now());
-        hall.tasks.start(front::serve(Link::accepted(stream, permit), client, stay, hall.clone()));
-        // Those taken in before are heard first.
-        yield_now().await;
-    }
-}
--- /dev/null
+++ b/crates/router/src/fronts/rpc/listen.rs
@@ -0,0 +1,41 @@
+//! Takes in the connections of clients, as many as their part of the descriptors allows.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use async_io::Async;
+use async_lock::Semaphore;
+use futures_lite::future::yield_now;
+use woadhook::Span;
+
+use crate::clock::{Clock, pass};
+use crate::fronts::rpc::front::{self, Hall};
+use crate::fronts::rpc::guests::Guests;
+use crate::sockets::{Link, limited};
+
+/// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
+const PAUSE: Span = Span::from_micros(20_000);
+
+pub async fn accept(listener: Async<TcpListener>, part: Arc<Semaphore>, clock: Clock, hall: Hall) {
+    let guests = Guests::default();
+    for client in 0.. {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("accept: {error}");
+                pass(PAUSE).await;
+                continue;
+            }
+        };
+        let mut permit = part.try_acquire_arc();
+        while permit.is_none() {
+            guests.send_off_one();
+            permit = limited(PAUSE, async { Ok(part.acquire_arc().await) }).await.ok();
+        }
+        let Some(permit) = permit else { continue };
+        let stay = guests.enter(client, clock.now());
+        hall.tasks.start(front::serve(Link::accepted(stream, permit), client, stay, hall.clone()));
+        // Those taken in before are heard first.
+        yield_now().await;
+    }
+}
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -6,85 +6,23 @@
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::{FutureExt, future};
-use woadhook::{Moment, Outcome, Span};
+use woadhook::{Moment, Span};
 use woadhook_door::fields::Result;
-use woadhook_gossip::keys::{Cluster, Identity, Ring, public_from_text};
 use woadhook_gossip::wire::DATAGRAM;
 use woadhook_gossip::{Do, Gossip, Pace, Seen};
 use woadhook_operator::Section;
 
 use crate::clock::{Clock, pass};
-use crate::decide::Event;
-use crate::keyfiles;
+use crate::exchange::{Event, List, Note, Notes};
+use crate::keyfiles::Keys;
 use crate::tasks::Tasks;
 
-/// Notes of the module's actor that wait; what comes beyond is one observation less.
-const MAILBOX: usize = 1024;
 /// Datagrams that are taken in before others have a turn: each may cost a few signatures, some 0.2 ms in all.
 const TURN: usize = 4;
 
 /// After a failed read of the socket.
 const PAUSE: Span = Span::from_micros(20_000);
 
-/// What this instance met.
-pub enum Note {
-    Judged { engine: String, seen: Seen },
-    Ended { engine: String, of: String, outcome: Outcome },
-    Answered { engine: String },
-    Rekey(Box<Keys>),
-    Stopping,
-}
-
-/// The engines on the list, and when each came up.
-type List = Vec<(String, Moment)>;
-
-/// The way to the actor.
-#[derive(Clone)]
-pub struct Notes {
-    notes: Sender<Note>,
-    /// Holds the latest list only.
-    lists: Sender<List>,
-}
-
-impl Notes {
-    pub fn tell(&self, note: Note) {
-        let _ = self.notes.try_send(note);
-    }
-
-    pub fn list(&self, list: List) {
-        let _ = self.lists.force_send(list);
-    }
-}
-
-/// Who this instance is, and whom it believes.
-pub struct Keys {
-    pub identity: Identity,
-    pub ring: Ring,
-}
-
-impl Keys {
-    /// Reads the files that the operator file's section names.
-    pub fn read(section: Section<'_>, now: Moment) -> Result<Self> {
-        let named = |field: &str| section.file(field).ok_or_else(|| format!("gossip.{field}: names no file"));
-        let operators = section.texts("operator_keys").into_iter().map(public_from_text);
-        let operators: Vec<[u8; 32]> =
-            operators.collect::<Result<_>>().map_err(|fault| format!("gossip.operator_keys: {fault}"))?;
-        if operators.is_empty() {
-            return Err("gossip.operator_keys: empty, so no pass would be believed".to_owned());
-        }
-        let mut ring = Ring::new(Cluster::named(section.text("cluster")), operators);
-        if let Some(path) = section.file("revoked") {
-            for revocation in keyfiles::revocations(&path)? {
-                ring.revoke(&revocation, now);
-            }
-        }
-        let (key, pass) = (named("key")?, named("pass")?);
-        let secret = keyfiles::secret(&key)?;
-        let identity = Identity::new(secret, keyfiles::pass(&pass)?, &ring, now);
-        Ok(Self { identity: identity.map_err(|fault| format!("{}: {fault}", pass.display()))?, ring })
-    }
-}
-
 /// All that is needed to begin.
 pub struct Talk {
     pub socket: UdpSocket,
@@ -133,10 +71,9 @@
     log::info!(event = "gossip_started", member = identity.name(), address:% = address; "talking with other instances");
     // Apart from the module's own draws.
     let core = Gossip::new(clock.now(), seed.rotate_left(17), identity, ring, address, seeds, pace);
-    let (notes, taken) = async_channel::bounded(MAILBOX);
-    let (lists, listed) = async_channel::bounded(1);
+    let (notes, taken, listed) = Notes::new();
     tasks.start(run(core, socket, clock, taken, listed, module));
-    Ok(Notes { notes, lists })
+    Ok(notes)
 }
 
 enum Heard {
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use futures_lite::AsyncReadExt;
@@ -241,3 +242,15 @@
 fn broken(what: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
+
+/// The head of a call.
+pub fn head(method: &str, path: &str, to: SocketAddr, fields: &[(&str, &str)], length: usize) -> String {
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {to}\r\n");
+    for (name, value) in fields {
+        head.extend([name, ": ", value, "\r\n"]);
+    }
+    if length > 0 || method != "GET" {
+        head.push_str(&format!("Content-Length: {length}\r\n"));
+    }
+    head + "\r\n"
+}
--- a/crates/router/src/keyfiles.rs
+++ b/crates/router/src/keyfiles.rs
@@ -5,7 +5,9 @@
 use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
 use std::path::Path;
 
-use woadhook_gossip::keys::{Pass, Revocation, Secret};
+use woadhook::Moment;
+use woadhook_gossip::keys::{Cluster, Identity, Pass, Revocation, Ring, Secret, public_from_text};
+use woadhook_operator::Section;
 use zeroize::Zeroizing;
 
 /// No key file holds more; a list of revocations holds up to `LIST_BYTES`.
@@ -65,3 +67,33 @@
     write_new(&new, Revocation::list_to_text(list).as_bytes(), 0o644)?;
     std::fs::rename(&new, path).map_err(|error| format!("{}: {error}", path.display()))
 }
+
+/// Who this instance is, and whom it believes.
+pub struct Keys {
+    pub identity: Identity,
+    pub ring: Ring,
+}
+
+impl Keys {
+    /// Reads the files that the operator file's section names.
+    pub fn read(section: Section<'_>, now: Moment) -> Result<Self, String> {
+        let named = |field: &str| section.file(field).ok_or_else(|| format!("gossip.{field}: names no file"));
+        let operators = section.texts("operator_keys").into_iter().map(public_from_text);
+        let operators: Vec<[u8; 32]> = operators
+            .collect::<Result<_, String>>()
+            .map_err(|fault| format!("gossip.operator_keys: {fault}"))?;
+        if operators.is_empty() {
+            return Err("gossip.operator_keys: empty, so no pass would be believed".to_owned());
+        }
+        let mut ring = Ring::new(Cluster::named(section.text("cluster")), operators);
+        if let Some(path) = section.file("revoked") {
+            for revocation in revocations(&path)? {
+                ring.revoke(&revocation, now);
+            }
+        }
+        let (key, pass) = (named("key")?, named("pass")?);
+        let secret = self::secret(&key)?;
+        let identity = Identity::new(secret, self::pass(&pass)?, &ring, now);
+        Ok(Self { identity: identity.map_err(|fault| format!("{}: {fault}", pass.display()))?, ring })
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,26 +1,22 @@
 //! A router: clients on one side, sql engines on the other, and the decision module between them.
 //!
-//! The files follow a request: `listen` accepts a client, `front` reads its requests with `codec`, `request`
-//! checks them, `statement` finds the table group, `decide` lets the module decide, `engine` and `query`
-//! carry dispatches out over `http` connections of `pool`, and `front` writes the answer. `bulletin` follows
-//! the list of engines, `gossip` talks with other routers where the operator file says so, `sockets` and
-//! `memory` own what is scarce, `stop` heeds what the operators order.
+//! The files follow a request: `fronts` accept clients, read and check what they ask, and write the one answer; `statement`
+//! finds the table group, `decide` lets the module decide, `backs` carry dispatches out over `http` connections of `pool`.
+//! `lists` follow the engines, `gossip` talks with other routers where the operator file says so, `sockets` and `memory` own
+//! what is scarce, `stop` heeds what the operators order. What these say to each other stands in `exchange`, below them all.
 
-mod bulletin;
+mod backs;
 pub mod clock;
-pub mod codec;
 pub mod config;
 mod decide;
-mod engine;
-mod front;
+mod exchange;
+mod fronts;
 pub mod gossip;
 mod http;
 pub mod keyfiles;
-mod listen;
+mod lists;
 pub mod memory;
 mod pool;
-mod query;
-mod request;
 pub mod sockets;
 pub mod statement;
 pub mod stop;
@@ -38,14 +34,18 @@
 use woadhook_operator::Sheet;
 use woadhook_pace::rate::Least;
 
+pub use crate::fronts::rpc::codec;
+
+use crate::backs::sql::engine::Ground;
 use crate::clock::Clock;
 use crate::decide::Desk;
-use crate::engine::Ground;
-use crate::front::Hall;
+use crate::fronts::rpc::front::Hall;
+use crate::fronts::rpc::listen;
+use crate::fronts::rpc::request::Range;
 use crate::gossip::Talk;
+use crate::lists::bulletin;
 use crate::memory::Room;
 use crate::pool::Pool;
-use crate::request::Range;
 use crate::sockets::Descriptors;
 use crate::stop::Order;
 use crate::tasks::Tasks;
--- /dev/null
+++ b/crates/router/src/lists.rs
@@ -0,0 +1,3 @@
+//! One source of the engine list each.
+
+pub mod bulletin;
--- a/crates/router/src/bulletin.rs
+++ b/crates/router/src/lists/bulletin.rs
@@ -12,9 +12,8 @@
 use woadhook_door::fields::*;
 
 use crate::clock::{Clock, pass};
-use crate::decide::Event;
-use crate::engine::head;
-use crate::http::Connection;
+use crate::exchange::Event;
+use crate::http::{Connection, head};
 use crate::sockets::{Link, limited};
 
 const LIST_BYTES: usize = 4 * 1024 * 1024;
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -8,11 +8,11 @@
 use woadhook::Span;
 use woadhook_door::fields::Result;
 
-use crate::bulletin::Move;
 use crate::clock::{Clock, pass};
 use crate::config::Given;
-use crate::decide::Event;
-use crate::gossip::{Keys, Note, Notes};
+use crate::exchange::{Event, Note, Notes};
+use crate::keyfiles::Keys;
+use crate::lists::bulletin::Move;
 
 /// Requests may come for so long after SIGTERM.
 const STILL_COMING: Span = Span::from_micros(600_000);
--- a/crates/standins/examples/silent_engine.rs
+++ b/crates/standins/examples/silent_engine.rs
@@ -10,7 +10,8 @@
 
 use woadhook::{Moment, Span};
 use woadhook_gossip::keys::{Identity, Pass};
-use woadhook_router::gossip::{Keys, Talk};
+use woadhook_router::gossip::Talk;
+use woadhook_router::keyfiles::Keys;
 use woadhook_standins::cluster::{operator, ring, secret, tag, usual_pace};
 use woadhook_standins::{Client, Events, Running, Says, Standin, pages, told};
 
