Relays between all parties of the stories of several processes; cuts, one-way cuts, resets

Need: stories of several processes could kill, stop and restart routers, but nothing stood between two parties: no cut, one-way cut, reset, delay or loss could be caused.

Change: `relays` is a network on loopback that the story commands by party, zone or region, one way or both, for connections and datagrams. Datagrams go out from the address that others know their sender by, so gossip's proof of addresses holds unchanged. The fleet is laid out in zones, with keys and operator files made for it; each router reaches engines, bulletin and callers through relays only.

Seen on the way: a router's address that was free was at times taken by one of the stories' own connections before the program bound it, and the program's own error did not reach its log; processes now have addresses of their own, and the log tells it.

--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -7,9 +7,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use woadhook_standins::faults::{Fault, Schedule};
-use woadhook_standins::fleet::{Fleet, Tally};
+use woadhook_standins::faults::{Fault, Schedule, shrink};
+use woadhook_standins::fleet::{Fleet, Layout, Tally};
 use woadhook_standins::processes::Process;
+use woadhook_standins::relays::{Side, Way};
 use woadhook_standins::{Events, told};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_woadhook");
@@ -22,7 +23,11 @@
 
 /// Plays a schedule before ten routers and ten engines; its seed and faults are told if a rule breaks.
 fn play(story: &str, schedule: &Schedule) -> Tally {
-    let mut fleet = Fleet::start(PROGRAM, &folder(story), 10, 10);
+    play_at(story, Layout::plain(10, 10), schedule)
+}
+
+fn play_at(story: &str, layout: Layout, schedule: &Schedule) -> Tally {
+    let mut fleet = Fleet::start(PROGRAM, &folder(story), layout);
     fleet.suffer(schedule);
     fleet.settle();
     let tally = fleet.verdict().unwrap_or_else(|fault| panic!("{fault}\nafter {schedule:?}"));
@@ -59,6 +64,64 @@
     play("roll", &Schedule { seed: 0, faults });
 }
 
+/// Less than the grace and than a caller's wait, so that what a cut holds up still comes within both.
+const CUT: u64 = 1_200;
+
+#[test]
+fn a_zone_cut_off_on_both_sides_goes_on_serving_and_answers_all_it_took() {
+    let (one, rest) = (Side::zone("z1"), Side::All);
+    let within = (one.clone(), one.clone(), Way::default());
+    let cut = vec![(one.clone(), rest.clone(), Way::CUT), (rest, one, Way::CUT), within];
+    let faults = vec![(Fault::Lay(cut.clone(), CUT), 300), (Fault::Lay(cut, CUT / 2), 0)];
+    play_at("zone", Layout::zoned(9, 9, 3, 1), &Schedule { seed: 0, faults });
+}
+
+#[test]
+fn a_way_that_is_cut_one_way_only_runs_no_load_twice() {
+    let (one, other) = (Side::zone("z0"), Side::zone("z1"));
+    let back = vec![(other.clone(), one.clone(), Way::CUT)];
+    let there = vec![(one.clone(), other.clone(), Way::CUT)];
+    let faults = vec![
+        (Fault::Lay(back.clone(), CUT), 200),
+        (Fault::Lay(there, CUT), 200),
+        (Fault::Reset(one, other), 0),
+        (Fault::Lay(back, CUT), 0),
+    ];
+    play_at("one-way", Layout::zoned(8, 8, 2, 2), &Schedule { seed: 0, faults });
+}
+
+#[test]
+fn ways_between_zones_that_fail_by_a_schedule_from_a_seed_break_no_rule() {
+    for seed in [11, 12] {
+        let layout = Layout::zoned(9, 9, 3, seed);
+        let schedule = Schedule::draw_ways(seed, 6, &layout.zone_names(), 9, CUT);
+        play_at(&format!("ways-{seed}"), layout, &schedule);
+    }
+}
+
+/// A search over seeds, outside CI: `WAYS=100..140 cargo test --test fleet -- --ignored search`.
+#[test]
+#[ignore = "takes minutes; found seeds become stories"]
+fn search_for_a_schedule_of_ways_that_breaks_a_rule() {
+    let told = std::env::var("WAYS").unwrap_or_else(|_| "100..104".to_owned());
+    let (from, to) = told.split_once("..").expect("FROM..TO");
+    let breaks = |schedule: &Schedule| {
+        let layout = Layout::zoned(9, 9, 3, schedule.seed);
+        let mut fleet = Fleet::start(PROGRAM, &folder("search"), layout);
+        fleet.suffer(schedule);
+        fleet.settle();
+        fleet.verdict().err()
+    };
+    for seed in from.parse::<u64>().unwrap()..to.parse().unwrap() {
+        let zones = Layout::zoned(9, 9, 3, seed).zone_names();
+        let schedule = Schedule::draw_ways(seed, 8, &zones, 9, CUT);
+        if let Some(fault) = breaks(&schedule) {
+            let least = shrink(&schedule, |fewer| breaks(fewer).is_some());
+            panic!("seed {seed}: {fault}\nleft of it: {least:?}");
+        }
+    }
+}
+
 #[test]
 fn the_same_seed_draws_the_same_schedule() {
     let drawn = |seed| format!("{:?}", Schedule::draw(seed, 300, 80));
@@ -66,6 +129,16 @@
     assert_ne!(drawn(7), drawn(8));
 }
 
+#[test]
+fn a_schedule_shrinks_to_the_faults_that_matter() {
+    let whole = Schedule::draw(3, 10, 10);
+    let matters = |schedule: &Schedule| {
+        let has = |sought: &dyn Fn(&Fault) -> bool| schedule.faults.iter().any(|(fault, _)| sought(fault));
+        has(&|fault| matches!(fault, Fault::Kill(_))) && has(&|fault| matches!(fault, Fault::Bad(_)))
+    };
+    assert_eq!(shrink(&whole, matters).faults.len(), 2);
+}
+
 /// The lines of `deploy/balancer.toml` for a key.
 fn deployed(key: &str) -> String {
     let file = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../deploy/balancer.toml");
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -4,8 +4,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
+use crate::relays::{Side, Way};
+
 /// What happens to the fleet; routers and engines by number.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Fault {
     /// Routers are killed, and started again from nothing.
     Kill(Vec<usize>),
@@ -19,6 +21,20 @@
     Replace(Vec<usize>),
     /// An engine answers every call with an error from now on.
     Bad(usize),
+    /// What goes between such sides goes so, each way as it is told, for so many milliseconds; then all goes as before.
+    Lay(Vec<(Side, Side, Way)>, u64),
+    /// Connections that are up from one side to another are reset.
+    Reset(Side, Side),
+    /// Routers stand still for so many milliseconds, all of them together.
+    Halt(Vec<usize>, u64),
+}
+
+impl Fault {
+    /// Nothing goes between two sides, either way.
+    pub fn cut(one: &Side, other: &Side, millis: u64) -> Self {
+        let there = (one.clone(), other.clone(), Way::CUT);
+        Fault::Lay(vec![there, (other.clone(), one.clone(), Way::CUT)], millis)
+    }
 }
 
 /// Faults in the order in which they happen, each with the pause after it in milliseconds.
@@ -50,7 +66,52 @@
             Fault::Bad(bad),
         ];
         faults.shuffle(&mut chance);
+        Self::with_pauses(seed, faults, chance)
+    }
+
+    /// So many faults of the ways between zones, in an order from the seed: cuts both ways and one way, a slow and unsteady
+    /// way, resets under requests, beside a kill, a pause, or a bulletin that moves. A cut is shorter than `longest`
+    /// milliseconds.
+    pub fn draw_ways(seed: u64, count: usize, zones: &[String], routers: usize, longest: u64) -> Self {
+        let mut chance = Pcg32::seed_from_u64(seed);
+        let faults = (0..count).map(|_| {
+            let first = chance.random_range(0..zones.len());
+            let other = (first + chance.random_range(1..zones.len().max(2))) % zones.len();
+            let (one, other) = (Side::Zone(zones[first].clone()), Side::Zone(zones[other].clone()));
+            let router = chance.random_range(0..routers);
+            let span = chance.random_range(longest / 4..longest);
+            let unsteady = Way { delay: (1, 60), loss: 0.3, twice: 0.2, ..Way::default() };
+            match chance.random_range(0..8) {
+                0 | 1 => Fault::cut(&one, &other, span),
+                2 => Fault::Lay(vec![(one, other, Way::CUT)], span),
+                3 => Fault::Lay(vec![(one.clone(), other.clone(), unsteady), (other, one, unsteady)], span),
+                4 => Fault::Reset(one, other),
+                5 => Fault::Kill(vec![router]),
+                6 => Fault::Halt(vec![router, (router + 1) % routers], span),
+                _ => Fault::Move,
+            }
+        });
+        let faults = faults.collect();
+        Self::with_pauses(seed, faults, chance)
+    }
+
+    fn with_pauses(seed: u64, faults: Vec<Fault>, mut chance: Pcg32) -> Self {
         let faults = faults.into_iter().map(|fault| (fault, chance.random_range(100..400))).collect();
         Self { seed, faults }
     }
 }
+
+/// What is left of a failing schedule when one fault after another is taken out, as long as it goes on failing.
+pub fn shrink(schedule: &Schedule, mut fails: impl FnMut(&Schedule) -> bool) -> Schedule {
+    let mut least = schedule.clone();
+    let mut at = least.faults.len();
+    while at > 0 {
+        at -= 1;
+        let mut fewer = least.clone();
+        fewer.faults.remove(at);
+        if fails(&fewer) {
+            least = fewer;
+        }
+    }
+    least
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -2,8 +2,9 @@
 //! router, a schedule of faults, and the rules counted over all processes together.
 
 use std::collections::HashMap;
+use std::fs;
 use std::io::{self, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,14 +14,18 @@
 use rmp::{Marker, decode};
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use woadhook_router::codec;
+use woadhook::Moment;
+use woadhook_gossip::keys::{Pass, public_to_text};
+use woadhook_router::{codec, keyfiles};
 
 use crate::LONG;
 use crate::bulletin::{Events, member};
 use crate::clients::Client;
+use crate::cluster::{operator, secret, tag};
 use crate::engines::{Call, Says, Standin, pages, says};
 use crate::faults::{Fault, Schedule};
 use crate::processes::Process;
+use crate::relays::Relays;
 use crate::routers::told;
 
 /// The work that each job is told to be, in milliseconds of one thread.
@@ -35,6 +40,8 @@
 const STILL_TAKEN: Duration = Duration::from_millis(200);
 /// Between an answer and the caller's next job.
 const BETWEEN: Duration = Duration::from_millis(30);
+/// `ping` under the number 0.
+const PING: [u8; 10] = [0x94, 0x00, 0x00, 0xa4, b'p', b'i', b'n', b'g', 0x91, 0x80];
 /// Callers at each router, each with one job at a time.
 const CALLERS: usize = 3;
 
@@ -72,18 +79,56 @@
 struct Place {
     engine: Standin,
     bad: Arc<AtomicBool>,
+    /// Where each router reaches it.
+    ways: Mutex<HashMap<usize, SocketAddr>>,
 }
 
-/// One router's bulletin, which moves with a configuration.
+/// One router's bulletin, which moves with a configuration. It names the engines as that router reaches them.
 struct Feed {
+    events: Events,
     open: Arc<AtomicBool>,
     standin: Standin,
 }
 
+/// How a fleet is laid out. Routers and engines are dealt to the zones in turn; callers and bulletins stand in their
+/// router's zone.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    pub routers: usize,
+    pub engines: usize,
+    /// Each zone with its region.
+    pub zones: Vec<(String, String)>,
+    /// Whether the routers talk with one another.
+    pub talk: bool,
+    pub seed: u64,
+}
+
+impl Layout {
+    /// One zone, no talk.
+    pub fn plain(routers: usize, engines: usize) -> Self {
+        Self { routers, engines, zones: vec![("a".into(), "r".into())], talk: false, seed: 0 }
+    }
+
+    /// So many zones, `z0` and on, two to a region, `r0` and on.
+    pub fn zoned(routers: usize, engines: usize, zones: usize, seed: u64) -> Self {
+        let zones = (0..zones).map(|at| (format!("z{at}"), format!("r{}", at / 2))).collect();
+        Self { routers, engines, zones, talk: true, seed }
+    }
+
+    pub fn zone_names(&self) -> Vec<String> {
+        self.zones.iter().map(|(zone, _)| zone.clone()).collect()
+    }
+
+    fn zone(&self, number: usize) -> &(String, String) {
+        &self.zones[number % self.zones.len()]
+    }
+}
+
 pub struct Fleet {
+    layout: Layout,
+    pub relays: Relays,
     routers: Vec<Process>,
     engines: Vec<Place>,
-    events: Events,
     number: u64,
     feeds: Vec<Feed>,
     seen: Arc<Mutex<Seen>>,
@@ -92,36 +137,58 @@
 }
 
 impl Fleet {
-    /// So many routers of the program over so many engines, with callers at each router.
-    pub fn start(program: &str, folder: &Path, routers: usize, engines: usize) -> Self {
-        let (seen, events): (Arc<Mutex<Seen>>, Events) = Default::default();
-        let engines: Vec<Place> = (0..engines).map(|number| place(number, seen.clone())).collect();
-        let members = engines.iter().enumerate().map(|(number, place)| line(number, place, "SERVING", 0));
-        let members: Vec<Value> = members.collect();
-        events.add(1, members.clone());
-        let feeds: Vec<Feed> = (0..routers).map(|_| feed(&events)).collect();
-        let routers = feeds.iter().enumerate().map(|(number, feed)| {
-            let mut given: Value =
-                serde_json::from_str(&told(&[], feed.standin.address, 512)).expect("a configuration");
+    /// A fleet of `program`, with callers at each router; all files go to `folder`.
+    pub fn start(program: &str, folder: &Path, layout: Layout) -> Self {
+        let (seen, relays): (Arc<Mutex<Seen>>, Relays) = (Arc::default(), Relays::new(layout.seed));
+        let place = |name: &str, number| {
+            let (zone, region) = layout.zone(number);
+            relays.place(name, zone, region);
+        };
+        for router in 0..layout.routers {
+            ["n", "b", "c"].iter().for_each(|kind| place(&format!("{kind}{router}"), router));
+        }
+        (0..layout.engines).for_each(|engine| place(&format!("s-{engine}"), engine));
+        let engines: Vec<Place> = (0..layout.engines).map(|at| self::place(at, seen.clone())).collect();
+        let talk = if layout.talk { talking(&layout, folder, &relays) } else { Vec::new() };
+        let (mut feeds, mut routers) = (Vec::new(), Vec::new());
+        for router in 0..layout.routers {
+            let members: Vec<Value> = (0..layout.engines)
+                .map(|at| line(&layout, &relays, router, at, &engines[at], "SERVING", 0))
+                .collect();
+            let events = Events::default();
+            events.add(1, members.clone());
+            let feed = feed(events);
+            let at = relays.passage(&format!("n{router}"), &format!("b{router}"), feed.standin.address);
+            let mut given: Value = serde_json::from_str(&told(&[], at, 512)).expect("a configuration");
             given["known"]["items"][0]["roster"]["members"] = json!(members);
-            (given["settings"]["replicasOfMe"], given["settings"]["myNumber"]) =
-                (json!(routers), json!(number));
-            let rules = &mut given["settings"]["obligations"];
+            let settings = &mut given["settings"];
+            (settings["replicasOfMe"], settings["myNumber"]) = (json!(layout.routers), json!(router));
+            (settings["zone"], settings["zones"]) =
+                (json!(layout.zone(router).0), json!(layout.zone_names()));
+            let rules = &mut settings["obligations"];
             (rules["fallUs"], rules["stopSendingWithinUs"]) = (json!(FALL * 1000), json!(GRACE * 1000));
             (rules["overloadFactor"], rules["startCapacity"]) = (json!(FACTOR), json!(START_CAPACITY));
             (rules["coldUs"], given["limits"]["memory_mb"]) = (json!(60_000_000), json!(32));
-            Process::start(program, folder, &format!("n{number}"), &given.to_string())
-        });
-        let routers: Vec<Process> = routers.collect();
+            let arguments = talk.get(router).cloned().unwrap_or_default();
+            routers.push(Process::with(
+                program,
+                &arguments,
+                folder,
+                &format!("n{router}"),
+                &given.to_string(),
+            ));
+            feeds.push(feed);
+        }
         routers.iter().for_each(Process::ready);
         let over: Arc<AtomicBool> = Arc::default();
         let callers = (0..routers.len() * CALLERS).map(|number| {
             let (router, seen, over) = (number % routers.len(), seen.clone(), over.clone());
-            let address = routers[router].address;
+            let (from, to) = (format!("c{router}"), format!("n{router}"));
+            let address = relays.passage(&from, &to, routers[router].address);
             thread::spawn(move || call(router, number, address, &seen, &over))
         });
         let callers = callers.collect();
-        Self { routers, engines, events, number: 1, feeds, seen, over, callers }
+        Self { layout, relays, routers, engines, number: 1, feeds, seen, over, callers }
     }
 
     /// Lets a schedule happen, one fault after another.
@@ -138,6 +205,17 @@
                 Fault::Move => self.relocate(),
                 Fault::Replace(engines) => self.replace(engines),
                 Fault::Bad(engine) => self.engines[*engine].bad.store(true, Ordering::Relaxed),
+                Fault::Lay(ways, millis) => {
+                    self.relays.lay(ways.iter().cloned());
+                    thread::sleep(Duration::from_millis(*millis));
+                    self.relays.heal();
+                }
+                Fault::Reset(from, to) => _ = self.relays.reset(from, to),
+                Fault::Halt(routers, millis) => {
+                    routers.iter().for_each(|router| self.routers[*router].signal(Signal::STOP));
+                    thread::sleep(Duration::from_millis(*millis));
+                    routers.iter().for_each(|router| self.routers[*router].signal(Signal::CONT));
+                }
             }
             thread::sleep(Duration::from_millis(*pause));
         }
@@ -164,16 +242,18 @@
 
     /// Starts a router from nothing, told the bulletin so far.
     fn again(&mut self, router: usize) {
-        let known = self.events.all();
+        let known = self.feeds[router].events.all();
         self.routers[router].tell(|given| given["known"] = known);
         self.routers[router].again();
     }
 
     /// Every router's bulletin moves; the old ones tell nothing further.
     fn relocate(&mut self) {
-        for (router, old) in self.routers.iter().zip(&mut self.feeds) {
-            let new = feed(&self.events);
-            router.tell(|given| given["bulletin"] = json!(new.standin.address.to_string()));
+        for (number, (router, old)) in self.routers.iter().zip(&mut self.feeds).enumerate() {
+            let new = feed(old.events.clone());
+            let (from, to) = (format!("n{number}"), format!("b{number}"));
+            let at = self.relays.passage(&from, &to, new.standin.address);
+            router.tell(|given| given["bulletin"] = json!(at.to_string()));
             router.signal(Signal::HUP);
             old.open.store(false, Ordering::Relaxed);
             *old = new;
@@ -185,23 +265,46 @@
         let first = self.engines.len();
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         for number in first..first + engines.len() {
+            let (zone, region) = self.layout.zone(number);
+            self.relays.place(&format!("s-{number}"), zone, region);
             self.engines.push(place(number, self.seen.clone()));
             self.seen.lock().unwrap().cold.insert(number, Instant::now());
         }
-        let new = (first..first + engines.len()).map(|at| line(at, &self.engines[at], "SERVING", now));
-        let new = new.collect();
-        self.tell(new);
+        let new: Vec<usize> = (first..first + engines.len()).collect();
+        self.tell(&new, "SERVING", now);
         for phase in ["DRAINING", "DELETED"] {
-            let old = engines.iter().map(|at| line(*at, &self.engines[*at], phase, 0)).collect();
-            self.tell(old);
+            self.tell(engines, phase, 0);
             let mut seen = self.seen.lock().unwrap();
             engines.iter().for_each(|at| _ = seen.drained.entry(*at).or_insert_with(Instant::now));
         }
     }
 
-    fn tell(&mut self, members: Vec<Value>) {
+    /// Tells every router of engines in such a phase.
+    fn tell(&mut self, engines: &[usize], phase: &str, up_since: u64) {
         self.number += 1;
-        self.events.add(self.number, members);
+        for (router, feed) in self.feeds.iter().enumerate() {
+            let (layout, relays) = (&self.layout, &self.relays);
+            let told = |at: &usize| line(layout, relays, router, *at, &self.engines[*at], phase, up_since);
+            feed.events.add(self.number, engines.iter().map(told).collect());
+        }
+    }
+
+    /// All that the routers logged, by time; lines that tell no time keep their place.
+    pub fn logs(&self) -> Vec<String> {
+        let time = |line: &str| {
+            let told: Option<Value> = serde_json::from_str(line).ok();
+            told.and_then(|told| told["at"].as_str().map(str::to_owned))
+        };
+        let mut lines: Vec<(Option<String>, String)> = Vec::new();
+        for router in &self.routers {
+            let mut last = None;
+            for line in router.said().lines() {
+                last = time(line).or(last);
+                lines.push((last.clone(), format!("{} {line}", router.name)));
+            }
+        }
+        lines.sort_by(|a, b| a.0.cmp(&b.0));
+        lines.into_iter().map(|(_, line)| line).collect()
     }
 
     /// Lets time pass, until so long after the last notice to drain that its grace is over by as much again.
@@ -316,12 +419,47 @@
     id.starts_with('f')
 }
 
-fn line(number: usize, place: &Place, phase: &str, up_since: u64) -> Value {
-    let mut member = member(&format!("s-{number}"), place.engine.address, phase);
-    member["up_since_ms"] = json!(up_since);
+/// An engine as one router is told of it: at the end of the passage between them.
+fn line(
+    layout: &Layout, relays: &Relays, router: usize, number: usize, place: &Place, phase: &str, up_since: u64,
+) -> Value {
+    let mut ways = place.ways.lock().unwrap();
+    let (from, to) = (format!("n{router}"), format!("s-{number}"));
+    let at = *ways.entry(router).or_insert_with(|| relays.passage(&from, &to, place.engine.address));
+    let mut member = member(&to, at, phase);
+    (member["up_since_ms"], member["locality"]) = (json!(up_since), json!(layout.zone(number).0));
     member
 }
 
+/// Keys, passes and operator files for all routers, and the addresses of their datagrams; what each one's command line says.
+fn talking(layout: &Layout, folder: &Path, relays: &Relays) -> Vec<Vec<String>> {
+    fs::create_dir_all(folder).expect("a folder");
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+    let (from, until) = (Moment::from_micros(now - 60_000_000), Moment::from_micros(now + 3_600_000_000));
+    let own: Vec<SocketAddr> = (0..layout.routers)
+        .map(|_| UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("an address"))
+        .collect();
+    let known: Vec<SocketAddr> =
+        own.iter().enumerate().map(|(router, own)| relays.mailbox(&format!("n{router}"), *own)).collect();
+    let file = |name: String| folder.join(name).to_string_lossy().into_owned();
+    (0..layout.routers)
+        .map(|router| {
+            let (key, pass) = (file(format!("n{router}.key")), file(format!("n{router}.pass")));
+            let mine = secret(router as u64 + 1);
+            let admitted = Pass::issue(&operator(), &format!("n{router}"), mine.public(), tag(), from, until);
+            keyfiles::write_secret(Path::new(&key), &mine).expect("a key file");
+            fs::write(&pass, admitted.expect("a pass").to_text()).expect("a file");
+            let section = json!({"cluster": "stand-ins", "listen": own[router].to_string(),
+                "advertise": known[router].to_string(), "seeds": known.iter().take(3).map(SocketAddr::to_string)
+                .collect::<Vec<_>>(), "key": key, "pass": pass, "period_ms": 100,
+                "operator_keys": [public_to_text(&operator().public())]});
+            let operator = file(format!("n{router}.jsonnet"));
+            fs::write(&operator, json!({"gossip": section}).to_string()).expect("a file");
+            vec!["run".to_owned(), "--operator".to_owned(), operator]
+        })
+        .collect()
+}
+
 fn place(number: usize, seen: Arc<Mutex<Seen>>) -> Place {
     let bad: Arc<AtomicBool> = Arc::default();
     let fails = bad.clone();
@@ -346,24 +484,24 @@
         }
         pages(call, &["a\tb\tc\n"])
     });
-    Place { engine, bad }
+    Place { engine, bad, ways: Mutex::default() }
 }
 
-fn feed(events: &Events) -> Feed {
+fn feed(events: Events) -> Feed {
     let open = Arc::new(AtomicBool::new(true));
-    let (told, events) = (open.clone(), events.clone());
+    let (told, all) = (open.clone(), events.clone());
     let standin = Standin::start(move |call: &Call| {
         if !told.load(Ordering::Relaxed) {
             return Says::Cut;
         }
-        let answer = events.answer(call);
+        let answer = all.answer(call);
         if told.load(Ordering::Relaxed) { answer } else { Says::Cut }
     });
-    Feed { open, standin }
+    Feed { events, open, standin }
 }
 
 /// A caller: one job after another, over a new connection where the old one ended; one in ten runs once.
-fn call(router: usize, caller: usize, at: std::net::SocketAddr, seen: &Mutex<Seen>, over: &AtomicBool) {
+fn call(router: usize, caller: usize, at: SocketAddr, seen: &Mutex<Seen>, over: &AtomicBool) {
     let (mut connection, mut number, mut count) = (None, 0, 0_u64);
     let mut since = Instant::now();
     while !over.load(Ordering::Relaxed) {
@@ -371,9 +509,13 @@
             since = Instant::now();
             connection = TcpStream::connect(at).ok();
             (number, count) = (0, count + 1);
-            if let Some(stream) = &connection {
+            // A relay takes a connection in before the router does: it is up once a ping was answered.
+            connection = connection.filter(|stream| {
                 let _ = stream.set_read_timeout(Some(ANSWERED));
-            } else {
+                let mut stream = stream;
+                stream.write_all(&PING).and_then(|()| hear(&mut stream, 0)).is_ok()
+            });
+            if connection.is_none() {
                 thread::sleep(Duration::from_millis(10));
             }
             continue;
@@ -398,7 +540,7 @@
 }
 
 /// The next answer, which must be to this message: whether it is a result.
-fn hear(stream: &mut TcpStream, number: u32) -> io::Result<bool> {
+fn hear(stream: &mut impl Read, number: u32) -> io::Result<bool> {
     let (mut bytes, mut piece) = (Vec::new(), [0; 4096]);
     let (mut scan, mut scanned) = (codec::Scan::default(), 0);
     loop {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod net;
 pub mod processes;
+pub mod relays;
 pub mod routers;
 pub mod world;
 
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,8 @@
 /// One router as a process. It keeps its name and its address over restarts, as on the platform.
 pub struct Process {
     program: PathBuf,
+    /// What its command line says besides.
+    arguments: Vec<String>,
     config: PathBuf,
     log: PathBuf,
     pub name: String,
@@ -27,6 +30,11 @@
 impl Process {
     /// Starts `program`, told `told` under such a name, at an address that is free; its files go to `folder`.
     pub fn start(program: &str, folder: &Path, name: &str, told: &str) -> Self {
+        Self::with(program, &[], folder, name, told)
+    }
+
+    /// One whose command line says more.
+    pub fn with(program: &str, arguments: &[String], folder: &Path, name: &str, told: &str) -> Self {
         fs::create_dir_all(folder).expect("a folder");
         let address = free_address();
         let mut given: Value = serde_json::from_str(told).expect("a configuration");
@@ -34,8 +42,8 @@
         let config = folder.join(format!("{name}.json"));
         fs::write(&config, given.to_string()).expect("a file");
         let log = folder.join(format!("{name}.log"));
-        let mut process =
-            Self { program: program.into(), config, log, name: name.to_owned(), address, child: None };
+        let (program, arguments, name) = (program.into(), arguments.to_vec(), name.to_owned());
+        let mut process = Self { program, arguments, config, log, name, address, child: None };
         process.again();
         process
     }
@@ -46,7 +54,8 @@
         let log = File::options().create(true).append(true).open(&self.log).expect("a log");
         let mut command = Command::new(&self.program);
         command.env("LB_CONFIG", &self.config).env_remove("LB_LISTEN").env_remove("RUST_LOG");
-        command.env("RUST_LOG", "woadhook_router=debug").args(["--log-format", "json"]);
+        command.env("RUST_LOG", "info,woadhook_router=debug").args(["--log-format", "json"]);
+        command.args(&self.arguments);
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         self.child = Some(child.expect("the program starts"));
     }
@@ -132,6 +141,13 @@
     }
 }
 
+/// A free port at an address of this process's own: one at 127.0.0.1 might be taken, between this look and the program's
+/// start, by any of the connections that stories make there.
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("an address")
+    static COUNT: AtomicU8 = AtomicU8::new(0);
+    let (id, count) = (std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+    let own = [127, 1 + (id >> 8 & 0x3f) as u8, id as u8, count];
+    TcpListener::bind(SocketAddr::from((own, 0)))
+        .and_then(|listener| listener.local_addr())
+        .expect("an address")
 }
