Voters named by the operator's signed order agree over gossip, and every router follows

Need: the agreement's core had no way to its voters or followers, so no story of several processes could show it.

Change: `woadhook key order` signs who votes from an epoch on; gossip carries the order (operator's signature), a voter's words to another (on the datagram's own signature) and voters' notices to all (signed, each once, of named voters only, so others' floods stop at the first router). The router's talking actor holds the cores, gives each start a life, and logs what is decided, in force, lapsed, lost and back. Operator file: `gossip.order`, section `accord`; a lease of no more than twice the clocks' tolerance is refused.

--- a/crates/accord/src/follow.rs
+++ b/crates/accord/src/follow.rs
@@ -20,6 +20,30 @@
     pub said: u64,
 }
 
+impl Warrant {
+    pub fn write(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        whole(bytes)
+    }
+
+    /// With the state that it vouches for.
+    pub fn write_with_state(&self, agreed: &Agreed) -> Vec<u8> {
+        postcard::to_stdvec(&(self, agreed)).unwrap_or_default()
+    }
+
+    pub fn read_with_state(bytes: &[u8]) -> Option<(Self, Agreed)> {
+        whole(bytes)
+    }
+}
+
+fn whole<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+    let (read, rest) = postcard::take_from_bytes(bytes).ok()?;
+    rest.is_empty().then_some(read)
+}
+
 /// What became of a word.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Taken {
--- a/crates/accord/src/node.rs
+++ b/crates/accord/src/node.rs
@@ -199,6 +199,17 @@
         self.beat_at = now;
     }
 
+    /// The order of an epoch does not name this node: it has no part in it.
+    pub fn released(&mut self, epoch: u64) {
+        if epoch > self.epoch {
+            self.epoch = epoch;
+            self.named.clear();
+            self.heard.clear();
+            self.enlisted.clear();
+            (self.bid, self.want, self.lost) = (None, None, false);
+        }
+    }
+
     /// Whether this node is the one that proposes, as far as it sees: the first of the voters that live and reach a majority
     /// both ways. Threat: a first voter that hears all and is heard by few, or the reverse, would keep all others from it.
     pub fn acts(&self, now: Moment) -> bool {
--- a/crates/gossip/src/hear.rs
+++ b/crates/gossip/src/hear.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use woadhook::Moment;
 
-use crate::instance::{Behind, Errand, Gossip, Probe, What};
+use crate::instance::{Behind, Do, Errand, Gossip, Probe, What};
 use crate::keys::MemberId;
 use crate::members::{self, Change, Charge, LEAST_CREDIT, NOBODY, State, runs_ahead};
 use crate::news::About;
@@ -91,7 +91,12 @@
         self.answer(now, from, &card, &envelope, bytes.len(), was_gone);
         self.compare_views(&envelope);
         for statement in envelope.statements() {
-            self.take_statement(now, at_home, statement);
+            match statement {
+                Statement::Direct(bytes) if envelope.to == self.own.id() => {
+                    self.todo.push_back(Do::Direct { from: envelope.sender, bytes });
+                }
+                statement => self.take_statement(now, at_home, statement),
+            }
         }
     }
 
@@ -174,6 +179,7 @@
             }
             // Pages may come out of order: only the end starts over.
             Kind::Page if envelope.about == NOBODY => self.cursor = NOBODY,
+            Kind::Tell => {}
             Kind::Page => self.cursor = self.cursor.max(envelope.about),
         }
     }
@@ -249,6 +255,9 @@
             Statement::Card(card) => self.hear_card(now, at_home, card),
             Statement::Accusation(accusation) => self.hear_accusation(now, at_home, &accusation),
             Statement::Word(word) => self.hear_word(now, at_home, &word),
+            Statement::Order(order) => self.hear_order(now, at_home, order),
+            Statement::Notice(notice) => self.hear_notice(now, at_home, notice),
+            Statement::Direct(_) => {}
             Statement::Revocation(revocation) => {
                 if !self.ring.is_revoked(revocation.member)
                     && revocation.cluster == self.ring.cluster
--- a/crates/gossip/src/instance.rs
+++ b/crates/gossip/src/instance.rs
@@ -1,6 +1,6 @@
 //! What an instance holds, and how it speaks: every datagram and every word to the host goes out here.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,7 +10,7 @@
 
 use crate::budget::Bucket;
 use crate::bytes::Writer;
-use crate::keys::{Identity, MemberId, Revocation, Ring, micros};
+use crate::keys::{Identity, MemberId, Order, Revocation, Ring, micros};
 use crate::members::{Members, NOBODY};
 use crate::news::{About, News};
 use crate::observe::Observer;
@@ -102,6 +102,22 @@
         of: Option<String>,
         doubt: f64,
     },
+    /// The operator's order of voters, the latest that was heard.
+    Ordered {
+        epoch: u64,
+        voters: Vec<MemberId>,
+    },
+    /// Another member's words for this instance alone.
+    Direct {
+        from: MemberId,
+        bytes: Vec<u8>,
+    },
+    /// A voter's notice to all.
+    Notice {
+        from: MemberId,
+        subject: u8,
+        says: Vec<u8>,
+    },
     /// Worth a log line. The member is told by name, the engine by its own.
     Event {
         what: What,
@@ -192,6 +208,9 @@
     pub(crate) strangers: Bucket,
     pub(crate) ending_told: bool,
     pub(crate) left: bool,
+    pub(crate) order: Option<Order>,
+    /// The latest number of each voter's notices, by subject; emptied with each order.
+    pub(crate) noticed: BTreeMap<(MemberId, u8), u64>,
     pub(crate) counts: Counts,
 }
 
@@ -236,6 +255,8 @@
             strangers: bucket(pace.checks_per_s * STRANGERS),
             ending_told: false,
             left: false,
+            order: None,
+            noticed: BTreeMap::new(),
             counts: Counts::default(),
             own,
             ring,
--- a/crates/gossip/src/keys.rs
+++ b/crates/gossip/src/keys.rs
@@ -66,6 +66,8 @@
     Word,
     Revocation,
     Envelope,
+    Order,
+    Notice,
 }
 
 impl Sealed {
@@ -77,6 +79,8 @@
             Sealed::Word => b"wdhk word  1",
             Sealed::Revocation => b"wdhk revok 1",
             Sealed::Envelope => b"wdhk envlp 1",
+            Sealed::Order => b"wdhk order 1",
+            Sealed::Notice => b"wdhk notic 1",
         }
     }
 
@@ -126,6 +130,9 @@
 const SECRET: &str = "woadhook secret key";
 const PASS: &str = "woadhook pass";
 const REVOCATIONS: &str = "woadhook revoked keys";
+const ORDER: &str = "woadhook order of voters";
+/// The most voters that an order names.
+pub const VOTERS: usize = 7;
 
 /// The bytes behind the first line of a file, which must be the title.
 fn decoded(text: &str, title: &str) -> Result<Vec<u8>, String> {
@@ -298,6 +305,71 @@
     }
 }
 
+/// The operator's word on who votes, from an epoch on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub cluster: Cluster,
+    /// Grows with each order; one of an earlier epoch says nothing any more.
+    pub epoch: u64,
+    /// One to [`VOTERS`], rising.
+    pub voters: Vec<MemberId>,
+    pub signer: MemberId,
+    signature: [u8; 64],
+}
+
+impl Order {
+    pub fn issue(
+        operator: &Secret, cluster: Cluster, epoch: u64, voters: &[[u8; 32]],
+    ) -> Result<Self, String> {
+        let mut voters: Vec<MemberId> = voters.iter().map(MemberId::of).collect();
+        voters.sort();
+        voters.dedup();
+        if !(1..=VOTERS).contains(&voters.len()) {
+            return Err(format!("{} voters given, allowed are 1 to {VOTERS}", voters.len()));
+        }
+        if epoch == 0 {
+            return Err("epoch 0 given, allowed are 1 and more".to_owned());
+        }
+        let signer = MemberId::of(&operator.public());
+        let mut new = Self { cluster, epoch, voters, signer, signature: [0; 64] };
+        new.signature = operator.sign(Sealed::Order, &new.body());
+        Ok(new)
+    }
+
+    fn body(&self) -> Vec<u8> {
+        let mut out = Writer::default();
+        [self.cluster.0, self.epoch, self.signer.0].into_iter().for_each(|part| out.u64(part));
+        out.u8(self.voters.len() as u8);
+        self.voters.iter().for_each(|voter| out.u64(voter.0));
+        out.into_bytes()
+    }
+
+    pub fn to_bytes(&self) -> Vec<u8> {
+        [self.body().as_slice(), &self.signature].concat()
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        let mut from = Reader::new(bytes);
+        let (cluster, epoch, signer) = (Cluster(from.u64()?), from.u64()?, MemberId(from.u64()?));
+        let count = usize::from(from.u8()?);
+        if !(1..=VOTERS).contains(&count) {
+            return None;
+        }
+        let voters = (0..count).map(|_| from.u64().map(MemberId)).collect::<Option<Vec<_>>>()?;
+        let rising = voters.windows(2).all(|two| two[0] < two[1]);
+        let signature = from.array()?;
+        (rising && from.is_empty()).then_some(Self { cluster, epoch, voters, signer, signature })
+    }
+
+    pub fn to_text(&self) -> String {
+        format!("{ORDER}\n{}\n", HEX.encode(&self.to_bytes()))
+    }
+
+    pub fn from_text(text: &str) -> Result<Self, String> {
+        Self::read(&decoded(text, ORDER)?).ok_or_else(|| "line 2: no order".to_owned())
+    }
+}
+
 /// Whom an instance believes: the operator's keys of one cluster, and what they revoked.
 pub struct Ring {
     pub cluster: Cluster,
@@ -330,6 +402,11 @@
         self.signed(pass.signer, Sealed::Pass, &pass.body(), &pass.signature)
     }
 
+    pub fn believes_order(&self, order: &Order) -> bool {
+        order.cluster == self.cluster
+            && self.signed(order.signer, Sealed::Order, &order.body(), &order.signature)
+    }
+
     pub fn is_revoked(&self, member: MemberId) -> bool {
         self.revoked.contains_key(&member)
     }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod observe;
 mod own;
 mod round;
+pub mod voters;
 pub mod wire;
 pub mod words;
 
--- a/crates/gossip/src/news.rs
+++ b/crates/gossip/src/news.rs
@@ -20,6 +20,10 @@
     /// Witness, engine and reservation type.
     Word(MemberId, String, Option<String>),
     Revocation(MemberId),
+    /// The operator's latest order.
+    Order,
+    /// Witness and subject.
+    Notice(MemberId, u8),
 }
 
 impl About {
@@ -29,6 +33,8 @@
             About::Accusation(..) => Tag::Accusation,
             About::Word(..) => Tag::Word,
             About::Revocation(_) => Tag::Revocation,
+            About::Order => Tag::Order,
+            About::Notice(..) => Tag::Notice,
         }
     }
 }
@@ -93,7 +99,8 @@
             About::Card(id) => *id != to,
             About::Accusation(subject, witness) => *subject != to && *witness != to,
             About::Word(witness, ..) => *witness != to,
-            About::Revocation(_) => true,
+            About::Notice(witness, _) => *witness != to,
+            About::Revocation(_) | About::Order => true,
         });
         // A look past what is too long for the room is kept short.
         let order: Vec<About> = first.chain(rest.take(24).cloned()).collect();
--- a/crates/gossip/src/wire.rs
+++ b/crates/gossip/src/wire.rs
@@ -7,7 +7,7 @@
 use woadhook::Moment;
 
 use crate::bytes::{Reader, Writer};
-use crate::keys::{Cluster, Identity, MemberId, Pass, Revocation, Sealed, micros, verify};
+use crate::keys::{Cluster, Identity, MemberId, Order, Pass, Revocation, Sealed, micros, verify};
 
 /// The largest datagram, in bytes: fits the least MTU of IPv6 with room for tunnels.
 pub const DATAGRAM: usize = 1200;
@@ -30,11 +30,13 @@
     /// Send cards of living members behind `about`.
     Pull,
     Page,
+    /// Words for the receiver alone; nothing is answered.
+    Tell,
 }
 
 impl Kind {
     fn from(byte: u8) -> Option<Self> {
-        [Kind::Ping, Kind::Ack, Kind::Ask, Kind::Pull, Kind::Page]
+        [Kind::Ping, Kind::Ack, Kind::Ask, Kind::Pull, Kind::Page, Kind::Tell]
             .into_iter()
             .find(|kind| *kind as u8 == byte)
     }
@@ -261,6 +263,49 @@
     }
 }
 
+/// A voter's signed notice on one of a few subjects, which all tell on. What it says is not for gossip to know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Notice {
+    pub witness: MemberId,
+    pub subject: u8,
+    /// Grows with each notice of a witness on a subject.
+    pub number: u64,
+    pub says: Vec<u8>,
+    signature: [u8; 64],
+}
+
+impl Notice {
+    pub fn issue(own: &Identity, subject: u8, number: u64, says: Vec<u8>) -> Self {
+        let mut new = Self { witness: own.id(), subject, number, says, signature: [0; 64] };
+        new.signature = own.secret.sign(Sealed::Notice, &new.body());
+        new
+    }
+
+    fn body(&self) -> Vec<u8> {
+        let mut out = Writer::with_room(self.says.len() + 17);
+        out.u64(self.witness.0);
+        out.u8(self.subject);
+        out.u64(self.number);
+        out.bytes(&self.says);
+        out.into_bytes()
+    }
+
+    pub fn to_bytes(&self) -> Vec<u8> {
+        [&self.signature, self.body().as_slice()].concat()
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        let mut from = Reader::new(bytes);
+        let signature = from.array()?;
+        let (witness, subject, number) = (MemberId(from.u64()?), from.u8()?, from.u64()?);
+        Some(Self { witness, subject, number, says: from.rest().to_vec(), signature })
+    }
+
+    pub fn is_signed_by(&self, key: &[u8; 32]) -> bool {
+        verify(key, Sealed::Notice, &self.body(), &self.signature)
+    }
+}
+
 /// A statement as it stands in a datagram.
 #[derive(Clone, Debug)]
 pub enum Statement {
@@ -268,6 +313,10 @@
     Accusation(Accusation),
     Word(Word),
     Revocation(Revocation),
+    Order(Order),
+    Notice(Notice),
+    /// For the receiver alone, on the word of the datagram's sender.
+    Direct(Vec<u8>),
 }
 
 const PADDING: u8 = 0;
@@ -284,6 +333,9 @@
     Accusation = 2,
     Word = 3,
     Revocation = 4,
+    Order = 5,
+    Notice = 6,
+    Direct = 7,
 }
 
 /// A datagram's fields, its parts left where they lie.
@@ -383,6 +435,9 @@
                 let mut from = Reader::new(bytes);
                 Revocation::read(&mut from).filter(|_| from.is_empty()).map(Statement::Revocation)
             }
+            5 => Order::read(bytes).map(Statement::Order),
+            6 => Notice::read(bytes).map(Statement::Notice),
+            7 => Some(Statement::Direct(bytes.to_vec())),
             _ => None,
         })
     }
--- a/crates/operator/src/table.rs
+++ b/crates/operator/src/table.rs
@@ -71,6 +71,9 @@
         "Public keys whose passes are believed, 64 hex digits each; two while the operator's key is changed."),
     field("gossip.revoked", Kind::File, "",
         "Keys that no longer belong, as signed by the operator; members tell them on.").or("null"),
+    field("gossip.order", Kind::File, "",
+        "Who votes on what all routers follow, as signed by the operator (`woadhook key order`); members tell it on.")
+        .or("null"),
     field("gossip.period_ms", Kind::Whole(50, 10_000), "milliseconds",
         "Between two pings of members. Words reach all within a few periods.").or("200"),
     field("gossip.sends_per_s", Kind::Whole(5, 1_000), "datagrams a second",
@@ -99,6 +102,12 @@
         "How long an engine may pause within a page.").or("500"),
     field("pace.turn_bytes", Kind::Whole(1_024, 1_048_576), "bytes",
         "What one connection may read or write before the others have a turn.").or("16384"),
+    field("accord.period_ms", Kind::Whole(50, 10_000), "milliseconds",
+        "Between two words of a voter to the others. Four without one, and it counts as gone.").or("200"),
+    field("accord.lease_ms", Kind::Whole(1_000, 120_000), "milliseconds",
+        "How long a voter's word that a state is the latest counts; more than twice the tolerance.").or("8000"),
+    field("accord.clock_tolerance_ms", Kind::Whole(10, 30_000), "milliseconds",
+        "By how much clocks of routers may differ. Decisions lie a lease and two of these apart.").or("2000"),
 ];
 
 /// The sections, in the order of the table, and what each is for.
@@ -108,5 +117,6 @@
         "pace",
         "What is too slow, and what one peer may do at a time. Room in memory is shared by rules without settings.",
     ),
+    ("accord", "What a few voters agree on and all follow, where `gossip.order` names voters."),
     ("gossip", "Talk among instances. Without this section there is none: no socket is opened, no key read."),
 ];
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -12,7 +12,9 @@
 use futures_lite::StreamExt;
 use woadhook::Span;
 use woadhook_door::Instance;
-use woadhook_gossip::keys::{Cluster, MemberId, Pass, Revocation, Secret, public_from_text, public_to_text};
+use woadhook_gossip::keys::{
+    Cluster, MemberId, Order as Voters, Pass, Revocation, Secret, public_from_text, public_to_text,
+};
 use woadhook_operator::{Sheet, bounds, page};
 use woadhook_router::clock::Clock;
 use woadhook_router::gossip::Talk;
@@ -82,6 +84,23 @@
         #[arg(long, value_name = "FILE")]
         to: PathBuf,
     },
+    /// Signs the order of who votes on what all routers follow
+    Order {
+        /// The operator's secret key
+        #[arg(long, value_name = "FILE")]
+        operator_key: PathBuf,
+        #[arg(long)]
+        cluster: String,
+        /// Grows with each order; the first is 1. A new one begins anew with these voters, on what they know
+        #[arg(long)]
+        epoch: u64,
+        /// A voter's public key, 64 hex digits; one to seven of them, best three or five in as many zones
+        #[arg(long = "voter", value_name = "HEX", value_parser = public_from_text, required = true)]
+        voters: Vec<[u8; 32]>,
+        /// The file to write
+        #[arg(long, value_name = "FILE")]
+        to: PathBuf,
+    },
     /// Adds a key to a list of revocations, signed with the operator's key
     Revoke {
         #[command(flatten)]
@@ -162,8 +181,8 @@
         _ => Some(Order::Stop),
     });
     let given = config::read()?;
-    let talk =
-        sheet.section("gossip").map(|section| Talk::open(section, Clock::start().now())).transpose()?;
+    let talk = sheet.section("gossip").zip(sheet.section("accord"));
+    let talk = talk.map(|(talk, accord)| Talk::open(talk, accord, Clock::start().now())).transpose()?;
     let listener = TcpListener::bind(given.listen).map_err(|error| format!("{}: {error}", given.listen))?;
     let tasks = Tasks::default();
     let orders = orders.or(rekeyed.map(Order::Rekey));
@@ -199,6 +218,13 @@
         if let Some(section) = sheet.section("gossip") {
             let keys = Keys::read(section, now).map_err(|fault| format!("{}: {fault}", file.display()))?;
             let days = keys.identity.until().since(now).secs() / 86_400.0;
+            if let Some(order) = &keys.order {
+                words.push_str(&said_of(order));
+            }
+            if let Some(accord) = sheet.section("accord") {
+                woadhook_router::gossip::agreement(accord)
+                    .map_err(|fault| format!("{}: {fault}", file.display()))?;
+            }
             words.push_str(&format!(
                 "member {} {}, pass ends in {days:.0} days\n",
                 keys.identity.name(),
@@ -251,6 +277,12 @@
             keyfiles::write_new(&to, pass.to_text().as_bytes(), 0o644)?;
             Ok(format!("{} {}, {count} days\n", pass.name, pass.id()))
         }
+        Key::Order { operator_key, cluster, epoch, voters, to } => {
+            let operator = keyfiles::secret(&operator_key)?;
+            let order = Voters::issue(&operator, Cluster::named(&cluster), epoch, &voters)?;
+            keyfiles::write_new(&to, order.to_text().as_bytes(), 0o644)?;
+            Ok(said_of(&order))
+        }
         Key::Revoke { by, days: count, list } => {
             let operator = keyfiles::secret(&by.operator_key)?;
             let mut listed = if list.exists() { keyfiles::revocations(&list)? } else { Vec::new() };
@@ -264,6 +296,11 @@
     }
 }
 
+fn said_of(order: &Voters) -> String {
+    let voters: Vec<String> = order.voters.iter().map(MemberId::to_string).collect();
+    format!("epoch {} with {} voters: {}\n", order.epoch, voters.len(), voters.join(" "))
+}
+
 fn show(file: &Path) -> Result<String, String> {
     if let Ok(pass) = keyfiles::pass(file) {
         let now = Clock::start().now();
@@ -276,6 +313,9 @@
             public_to_text(&pass.key)
         ));
     }
+    if let Ok(order) = keyfiles::order(file) {
+        return Ok(said_of(&order));
+    }
     if let Ok(list) = keyfiles::revocations(file) {
         return Ok(list.iter().map(|each| format!("revoked {}\n", each.member)).collect());
     }
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -13,6 +13,7 @@
 use woadhook_operator::Section;
 
 use crate::clock::{Clock, pass};
+use crate::council::{self, Council};
 use crate::exchange::{Event, List, Note, Notes};
 use crate::keyfiles::Keys;
 use crate::tasks::Tasks;
@@ -31,11 +32,13 @@
     pub address: SocketAddr,
     pub seeds: Vec<SocketAddr>,
     pub pace: Pace,
+    /// Of what a few voters agree on, where the operator's order names any.
+    pub accord: woadhook_accord::Pace,
 }
 
 impl Talk {
-    /// Opens the socket and reads the keys that the section names.
-    pub fn open(section: Section<'_>, now: Moment) -> Result<Self> {
+    /// Opens the socket and reads the keys that the section names; `accord` is that of the agreement.
+    pub fn open(section: Section<'_>, accord: Section<'_>, now: Moment) -> Result<Self> {
         let listen = section.address("listen").ok_or("gossip.listen: no address")?;
         let keys = Keys::read(section, now)?;
         let socket = UdpSocket::bind(listen).map_err(|error| format!("gossip.listen: {listen}: {error}"))?;
@@ -46,6 +49,7 @@
             address: section.address("advertise").unwrap_or(bound),
             seeds: section.addresses("seeds"),
             pace: pace(section),
+            accord: agreement(accord)?,
         })
     }
 }
@@ -64,15 +68,24 @@
     }
 }
 
+/// How often and how long in the agreement of voters, or what is wrong with the section.
+pub fn agreement(section: Section<'_>) -> Result<woadhook_accord::Pace> {
+    council::pace(section)
+}
+
 /// Starts the actor; what it hears reaches the module.
 pub fn start(talk: Talk, clock: Clock, seed: u64, tasks: Tasks, module: Sender<Event>) -> Result<Notes> {
-    let Talk { socket, keys: Keys { identity, ring }, address, seeds, pace } = talk;
+    let Talk { socket, keys: Keys { identity, ring, order }, address, seeds, pace, accord } = talk;
     let socket = Async::new(socket).map_err(|error| format!("gossip: {error}"))?;
     log::info!(event = "gossip_started", member = identity.name(), address:% = address; "talking with other instances");
     // Apart from the module's own draws.
-    let core = Gossip::new(clock.now(), seed.rotate_left(17), identity, ring, address, seeds, pace);
+    let council = Council::start(clock.now(), seed.rotate_left(31), identity.id(), accord);
+    let mut core = Gossip::new(clock.now(), seed.rotate_left(17), identity, ring, address, seeds, pace);
+    if let Some(order) = order {
+        core.order(order);
+    }
     let (notes, taken, listed) = Notes::new();
-    tasks.start(run(core, socket, clock, taken, listed, module));
+    tasks.start(run(core, council, socket, clock, taken, listed, module));
     Ok(notes)
 }
 
@@ -85,16 +98,19 @@
 }
 
 async fn run(
-    mut core: Gossip, socket: Async<UdpSocket>, clock: Clock, notes: Receiver<Note>, lists: Receiver<List>,
-    module: Sender<Event>,
+    mut core: Gossip, mut council: Council, socket: Async<UdpSocket>, clock: Clock, notes: Receiver<Note>,
+    lists: Receiver<List>, module: Sender<Event>,
 ) {
     // One byte more than allowed, so that what is too long shows.
     let mut buffer = [0; DATAGRAM + 1];
     loop {
-        while let Some(to_do) = core.next(clock.now()) {
-            carry_out(to_do, &socket, &module);
+        loop {
+            let now = clock.now();
+            council.pull(now, &mut core);
+            let Some(to_do) = core.next(now) else { break };
+            carry_out(to_do, now, &mut council, &socket, &module);
         }
-        let due = core.due();
+        let due = [core.due(), council.due()].into_iter().flatten().min();
         let datagram = async { Heard::Datagram(socket.recv_from(&mut buffer).await) };
         let note = async { notes.recv().await.map_or(Heard::Ended, Heard::Note) };
         let list = async { lists.recv().await.map_or(Heard::Ended, Heard::List) };
@@ -132,16 +148,24 @@
         Note::Ended { engine, of, outcome } => core.ended(now, &engine, &of, outcome),
         Note::Answered { engine } => core.answered(now, &engine),
         Note::Rekey(keys) => {
-            let Keys { identity, ring } = *keys;
+            let Keys { identity, ring, order } = *keys;
             log::info!(event = "gossip_rekeyed", member = identity.name(); "keys were read again");
             core.rekey(now, identity, ring);
+            if let Some(order) = order {
+                core.order(order);
+            }
         }
         Note::Stopping => core.leave(now),
     }
 }
 
-fn carry_out(to_do: Do, socket: &Async<UdpSocket>, module: &Sender<Event>) {
+fn carry_out(
+    to_do: Do, now: Moment, council: &mut Council, socket: &Async<UdpSocket>, module: &Sender<Event>,
+) {
     match to_do {
+        Do::Ordered { epoch, voters } => council.ordered(now, epoch, &voters),
+        Do::Direct { from, bytes } => council.heard(now, from, &bytes),
+        Do::Notice { from, subject, says } => council.noticed(now, from, subject, &says),
         // What the socket does not take now is lost, as on any network.
         Do::Send { to, bytes } => {
             let _ = socket.get_ref().send_to(&bytes, to);
--- a/crates/router/src/keyfiles.rs
+++ b/crates/router/src/keyfiles.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 
 use woadhook::Moment;
-use woadhook_gossip::keys::{Cluster, Identity, Pass, Revocation, Ring, Secret, public_from_text};
+use woadhook_gossip::keys::{Cluster, Identity, Order, Pass, Revocation, Ring, Secret, public_from_text};
 use woadhook_operator::Section;
 use zeroize::Zeroizing;
 
@@ -46,6 +46,10 @@
     Revocation::list_from_text(&text).map_err(|fault| format!("{}: {fault}", path.display()))
 }
 
+pub fn order(path: &Path) -> Result<Order, String> {
+    Order::from_text(&text(path, FILE_BYTES, false)?).map_err(|fault| format!("{}: {fault}", path.display()))
+}
+
 /// Writes a new file that only its owner can read; one that is there stays.
 pub fn write_secret(path: &Path, secret: &Secret) -> Result<(), String> {
     write_new(path, secret.to_text().as_bytes(), 0o600)
@@ -72,6 +76,8 @@
 pub struct Keys {
     pub identity: Identity,
     pub ring: Ring,
+    /// Who votes on what all follow.
+    pub order: Option<Order>,
 }
 
 impl Keys {
@@ -91,9 +97,20 @@
                 ring.revoke(&revocation, now);
             }
         }
+        let order = section.file("order").map(|path| (order(&path), path));
+        let order = order.map(|(order, path)| Ok::<_, String>((order?, path))).transpose()?;
+        if let Some((order, path)) = &order
+            && !ring.believes_order(order)
+        {
+            return Err(format!(
+                "{}: the order is not signed by one of the operator's keys for this cluster",
+                path.display()
+            ));
+        }
+        let order = order.map(|(order, _)| order);
         let (key, pass) = (named("key")?, named("pass")?);
         let secret = self::secret(&key)?;
         let identity = Identity::new(secret, self::pass(&pass)?, &ring, now);
-        Ok(Self { identity: identity.map_err(|fault| format!("{}: {fault}", pass.display()))?, ring })
+        Ok(Self { identity: identity.map_err(|fault| format!("{}: {fault}", pass.display()))?, ring, order })
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod backs;
 pub mod clock;
 pub mod config;
+mod council;
 mod decide;
 mod exchange;
 mod fronts;
--- /dev/null
+++ b/crates/router/tests/accord.rs
@@ -0,0 +1,111 @@
+//! Several processes of the program of which a few vote: what all follow, while voters are killed, start from nothing, stand
+//! still and are cut off. What is asserted is what every router logs in the end, and that jobs are served by the rules all
+//! the while.
+
+use std::fs;
+use std::path::PathBuf;
+use std::thread;
+use std::time::Duration;
+
+use rustix::process::Signal;
+use woadhook_standins::fleet::{Fleet, LEASE, Layout};
+use woadhook_standins::relays::{Side, Way};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_woadhook");
+const ROUTERS: usize = 6;
+
+fn folder(story: &str) -> PathBuf {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("accord-{story}"));
+    let _ = fs::remove_dir_all(&folder);
+    folder
+}
+
+/// Six routers in three zones, of which the first three vote, one in each zone.
+fn fleet(story: &str) -> (Fleet, PathBuf) {
+    let folder = folder(story);
+    let layout = Layout { voters: 3, ..Layout::zoned(ROUTERS, 3, 3, 5) };
+    let fleet = Fleet::start(PROGRAM, &folder, layout);
+    fleet.awaits("a state that all act on", |fleet| (0..ROUTERS).all(|at| acts_on(fleet, at).is_some()));
+    (fleet, folder)
+}
+
+/// The epoch and step that a router acts on, as its log tells.
+fn acts_on(fleet: &Fleet, router: usize) -> Option<(u64, u64)> {
+    let said = fleet.said(router);
+    let last =
+        said.lines().rfind(|line| line.contains("accord_in_force") || line.contains("accord_lapsed"))?;
+    let told: serde_json::Value = serde_json::from_str(last).ok()?;
+    let number = |field: &str| told[field].as_u64().or_else(|| told[field].as_str()?.parse().ok());
+    (told["event"] == "accord_in_force").then_some((number("epoch")?, number("step")?))
+}
+
+fn verdict(fleet: Fleet) {
+    fleet.settle();
+    let tally = fleet.verdict().unwrap_or_else(|fault| panic!("{fault}"));
+    assert!(tally.done > 20, "{tally:?}");
+}
+
+#[test]
+fn a_voter_killed_and_started_from_nothing_votes_again_once_the_others_named_it() {
+    let (mut fleet, _) = fleet("amnesia");
+    fleet.down(1);
+    fleet.again(1);
+    fleet.awaits("that it is told it forgot", |fleet| !fleet.events(1, "accord_forgotten").is_empty());
+    fleet.awaits("a next step that all act on", |fleet| {
+        (0..ROUTERS).all(|at| acts_on(fleet, at).is_some_and(|(epoch, step)| (epoch, step) >= (1, 1)))
+    });
+    // Its new life counts: with another voter gone, it makes the majority that vouches on.
+    fleet.down(0);
+    thread::sleep(Duration::from_millis(2 * LEASE));
+    assert!((1..ROUTERS).all(|at| acts_on(&fleet, at).is_some()), "{}", fleet.logs().join("\n"));
+    fleet.again(0);
+    verdict(fleet);
+}
+
+#[test]
+fn a_majority_lost_at_once_lapses_everywhere_and_the_operators_order_at_one_router_is_the_way_back() {
+    let (mut fleet, folder) = fleet("majority");
+    fleet.down(0);
+    fleet.down(1);
+    fleet.again(0);
+    fleet.again(1);
+    fleet.awaits("that all lapses", |fleet| (0..ROUTERS).all(|at| acts_on(fleet, at).is_none()));
+    fleet.awaits("that the one that is left says so", |fleet| {
+        !fleet.events(2, "accord_majority_lost").is_empty()
+    });
+    fleet.order(&folder, 2, 4);
+    fleet.awaits("the next epoch at all", |fleet| {
+        (0..ROUTERS).all(|at| acts_on(fleet, at).is_some_and(|(epoch, _)| epoch == 2))
+    });
+    verdict(fleet);
+}
+
+#[test]
+fn a_zone_cut_off_lapses_and_the_others_go_on_and_it_comes_back() {
+    let (fleet, _) = fleet("cut");
+    let (one, all) = (Side::zone("z0"), Side::All);
+    let within = (one.clone(), one.clone(), Way::default());
+    fleet.relays.lay([(one.clone(), all.clone(), Way::CUT), (all, one, Way::CUT), within]);
+    // Routers 0 and 3 stand in that zone.
+    fleet.awaits("that the side without a majority lapses", |fleet| {
+        [0, 3].iter().all(|at| acts_on(fleet, *at).is_none())
+    });
+    assert!([1, 2, 4, 5].iter().all(|at| acts_on(&fleet, *at).is_some()), "{}", fleet.logs().join("\n"));
+    fleet.relays.heal();
+    fleet.awaits("that all act again", |fleet| (0..ROUTERS).all(|at| acts_on(fleet, at).is_some()));
+    verdict(fleet);
+}
+
+#[test]
+fn a_voter_stopped_for_longer_than_the_lease_hinders_nobody_and_follows_again() {
+    let (fleet, _) = fleet("stopped");
+    fleet.signal(0, Signal::STOP);
+    thread::sleep(Duration::from_millis(2 * LEASE));
+    let acts: Vec<usize> = (1..ROUTERS).filter(|at| acts_on(&fleet, *at).is_some()).collect();
+    fleet.signal(0, Signal::CONT);
+    assert_eq!(acts.len(), ROUTERS - 1, "the others go on");
+    fleet.awaits("that it lapsed, as it saw once it went on", |fleet| {
+        !fleet.events(0, "accord_lapsed").is_empty() && acts_on(fleet, 0).is_some()
+    });
+    verdict(fleet);
+}
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -228,3 +228,42 @@
     router.awaits("\"says\":\"serving on");
     router.ends();
 }
+
+#[test]
+fn an_order_of_voters_is_made_shown_checked_and_refused_where_it_can_not_hold() {
+    let folder = equipped("order");
+    let member = said(&folder, &["key", "show", "n1.key"]).unwrap();
+    let public = member.lines().find_map(|line| line.strip_prefix("public ")).unwrap().to_owned();
+    let order = |operator: &str, cluster: &str, epoch: &str, to: &str| {
+        let words = ["key", "order", "--operator-key", operator, "--cluster", cluster, "--epoch", epoch];
+        said(&folder, &[&words[..], &["--voter", &public, "--to", to]].concat())
+    };
+    assert!(order("operator.key", "arhiv", "1", "order").unwrap().starts_with("epoch 1 with 1 voters: "));
+    assert!(said(&folder, &["key", "show", "order"]).unwrap().starts_with("epoch 1 "));
+    assert!(
+        order("operator.key", "arhiv", "0", "zero").unwrap_err().contains("epoch 0 given, allowed are 1")
+    );
+    order("n1.key", "arhiv", "2", "forged").unwrap();
+    order("operator.key", "elsewhere", "2", "foreign").unwrap();
+    let site = fs::read_to_string(folder.join("site.jsonnet")).unwrap();
+    let check = |order: &str, accord: &str| {
+        let with = site.replace("operator_keys:", &format!("order: '{order}', operator_keys:"));
+        let with = with.replace("gossip:", &format!("accord: {{ {accord} }}, gossip:"));
+        fs::write(folder.join("with.jsonnet"), with).unwrap();
+        said(&folder, &["check", "--operator", "with.jsonnet"])
+    };
+    assert!(check("order", "").unwrap().contains("epoch 1 with 1 voters"));
+    assert!(
+        check("forged", "")
+            .unwrap_err()
+            .contains("not signed by one of the operator's keys for this cluster")
+    );
+    assert!(
+        check("foreign", "")
+            .unwrap_err()
+            .contains("not signed by one of the operator's keys for this cluster")
+    );
+    assert!(check("n1.pass", "").unwrap_err().contains("line 1: allowed is \"woadhook order of voters\""));
+    let lease = check("order", "lease_ms: 3000, clock_tolerance_ms: 2000").unwrap_err();
+    assert!(lease.contains("accord.lease_ms: 3000 given, allowed is more than twice"), "{lease}");
+}
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -30,6 +30,11 @@
     }
 }
 
+/// The same of what voters agree on.
+pub fn usual_accord() -> woadhook_accord::Pace {
+    woadhook_accord::Pace { period: secs(0.2), lease: secs(8.0), tolerance: secs(2.0), content: 400 }
+}
+
 /// Keys from small numbers.
 pub fn secret(number: u64) -> Secret {
     let mut bytes = [7; 32];
@@ -265,6 +270,7 @@
                     self.heard.push_back((node, engine.clone(), of.clone(), doubt));
                     self.nodes[node].hearsay.insert((engine, of), doubt);
                 }
+                Do::Ordered { .. } | Do::Direct { .. } | Do::Notice { .. } => {}
                 Do::Event { what, member, engine, seen } => {
                     self.told.push(Told { at: true_now, node, what, member, engine, seen });
                 }
