--- a/crates/accord/src/follow.rs
+++ b/crates/accord/src/follow.rs
@@ -54,6 +54,7 @@
     Nothing,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Follower {
     tolerance: Span,
     lease: Span,
--- a/crates/router/src/council.rs
+++ b/crates/router/src/council.rs
@@ -1,7 +1,6 @@
 //! The cores of `woadhook-accord` as the actor that talks with other routers holds them: voters' words go to members by name,
 //! warrants and states to all as notices.
 
-use rand::RngExt;
 use woadhook::{Moment, Span};
 use woadhook_accord::{Agreed, Do, Follower, Life, Name, Node, Number, Pace, Voter, Warrant};
 use woadhook_door::fields::Result;
@@ -41,10 +40,10 @@
 }
 
 impl Council {
-    /// Another life at each start: the time in the high bits, chance in the low ones.
-    pub fn start(now: Moment, seed: u64, own: MemberId, pace: Pace) -> Self {
+    /// Another life at each start: the time in the high bits, `drawn` by chance in the low ones.
+    pub fn start(now: Moment, seed: u64, drawn: u8, own: MemberId, pace: Pace) -> Self {
         let started = now.since(Moment::default()).micros();
-        let life = Life(started << 8 | rand::rng().random_range(0..256));
+        let life = Life(started << 8 | u64::from(drawn));
         let me = Voter { name: Name(own.0), life };
         let follower = Follower::new(pace.tolerance, pace.lease, pace.content);
         let node = Node::new(now, seed, me, pace);
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -79,7 +79,7 @@
     let socket = Async::new(socket).map_err(|error| format!("gossip: {error}"))?;
     log::info!(event = "gossip_started", member = identity.name(), address:% = address; "talking with other instances");
     // Apart from the module's own draws.
-    let council = Council::start(clock.now(), seed.rotate_left(31), identity.id(), accord);
+    let council = Council::start(clock.now(), seed.rotate_left(31), rand::random(), identity.id(), accord);
     let mut core = Gossip::new(clock.now(), seed.rotate_left(17), identity, ring, address, seeds, pace);
     if let Some(order) = order {
         core.order(order);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,7 +8,7 @@
 mod backs;
 pub mod clock;
 pub mod config;
-mod council;
+pub mod council;
 mod decide;
 mod exchange;
 mod fronts;
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 
 use woadhook::{Moment, Span};
-use woadhook_gossip::keys::{Cluster as Tag, Identity, Pass, Revocation, Ring, Secret};
+use woadhook_gossip::keys::{Cluster as Tag, Identity, Order, Pass, Revocation, Ring, Secret};
 use woadhook_gossip::{Do, Gossip, Pace, Seen, What};
+use woadhook_router::council::Council;
 
 use crate::net::{Network, Weather};
 
@@ -111,6 +112,8 @@
     pub heard: VecDeque<(usize, String, Option<String>, f64)>,
     pub pace: Pace,
     seed: u64,
+    /// What a few of them agree on and all follow, once there is an order.
+    pub councils: BTreeMap<usize, Council>,
     due: BTreeSet<(Moment, usize)>,
     dues: Vec<Option<Moment>>,
     places: HashMap<SocketAddr, usize>,
@@ -122,8 +125,20 @@
         let net = Network::new(seed, weather);
         let (nodes, told, heard, places) = (Vec::new(), Vec::new(), VecDeque::new(), HashMap::new());
         let (due, dues) = (BTreeSet::new(), Vec::new());
-        let mut new =
-            Self { now: START + secs(60.0), net, nodes, told, heard, pace, seed, due, dues, places };
+        let councils = BTreeMap::new();
+        let mut new = Self {
+            now: START + secs(60.0),
+            net,
+            nodes,
+            told,
+            heard,
+            pace,
+            seed,
+            councils,
+            due,
+            dues,
+            places,
+        };
         for number in 0..count {
             new.add(number);
         }
@@ -186,6 +201,26 @@
         done
     }
 
+    /// The operator orders that some vote, and tells one instance; all hold councils from now on.
+    pub fn order(&mut self, epoch: u64, voters: &[usize], accord: woadhook_accord::Pace) {
+        for node in 0..self.nodes.len() {
+            let (now, own) = (self.nodes[node].now(self.now), self.core(node).id());
+            let seed = self.seed ^ node as u64;
+            self.councils.entry(node).or_insert_with(|| Council::start(now, seed, node as u8, own, accord));
+        }
+        let keys: Vec<[u8; 32]> = voters.iter().map(|voter| secret(*voter as u64).public()).collect();
+        let order = Order::issue(&operator(), tag(), epoch, &keys).expect("an order");
+        self.at(0, |_, core| core.order(order));
+    }
+
+    /// How many instances act on what is agreed now.
+    pub fn acting(&self) -> usize {
+        let acts = |(node, council): &(&usize, &Council)| {
+            council.in_force(self.nodes[**node].now(self.now)).is_some()
+        };
+        self.councils.iter().filter(acts).count()
+    }
+
     /// The same engines at all instances.
     pub fn list(&mut self, engines: &[&str]) {
         let list: Vec<_> = engines.iter().map(|name| ((*name).to_owned(), Moment::default())).collect();
@@ -263,14 +298,33 @@
     fn settle(&mut self, node: usize) {
         let (now, true_now) = (self.nodes[node].now(self.now), self.now);
         let from = self.nodes[node].address;
-        while let Some(to_do) = self.nodes[node].core.as_mut().and_then(|core| core.next(now)) {
+        loop {
+            let Some(core) = self.nodes[node].core.as_mut() else { break };
+            if let Some(council) = self.councils.get_mut(&node) {
+                council.pull(now, core);
+            }
+            let Some(to_do) = core.next(now) else { break };
             match to_do {
                 Do::Send { to, bytes } => self.net.send(true_now, from, to, bytes),
                 Do::Hearsay { engine, of, doubt } => {
                     self.heard.push_back((node, engine.clone(), of.clone(), doubt));
                     self.nodes[node].hearsay.insert((engine, of), doubt);
                 }
-                Do::Ordered { .. } | Do::Direct { .. } | Do::Notice { .. } => {}
+                Do::Ordered { epoch, voters } => {
+                    if let Some(council) = self.councils.get_mut(&node) {
+                        council.ordered(now, epoch, &voters);
+                    }
+                }
+                Do::Direct { from, bytes } => {
+                    if let Some(council) = self.councils.get_mut(&node) {
+                        council.heard(now, from, &bytes);
+                    }
+                }
+                Do::Notice { from, subject, says } => {
+                    if let Some(council) = self.councils.get_mut(&node) {
+                        council.noticed(now, from, subject, &says);
+                    }
+                }
                 Do::Event { what, member, engine, seen } => {
                     self.told.push(Told { at: true_now, node, what, member, engine, seen });
                 }
@@ -283,7 +337,9 @@
         if let Some(old) = self.dues[node].take() {
             self.due.remove(&(old, node));
         }
-        let Some(due) = self.nodes[node].core.as_ref().and_then(Gossip::due) else { return };
+        let Some(core) = self.nodes[node].core.as_ref() else { return };
+        let council = self.councils.get(&node).and_then(Council::due);
+        let Some(due) = [core.due(), council].into_iter().flatten().min() else { return };
         let own_now = self.nodes[node].now(self.now);
         // Never at once again: a core that is due now was just asked.
         let at = self.now + due.since(own_now).max(Span::from_micros(1));
