--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -298,8 +298,7 @@
     fn settle(&mut self, node: usize) {
         let (now, true_now) = (self.nodes[node].now(self.now), self.now);
         let from = self.nodes[node].address;
-        loop {
-            let Some(core) = self.nodes[node].core.as_mut() else { break };
+        while let Some(core) = self.nodes[node].core.as_mut() {
             if let Some(council) = self.councils.get_mut(&node) {
                 council.pull(now, core);
             }
