--- a/src/logic.rs
+++ b/src/logic.rs
@@ -626,8 +626,8 @@
         engine.cold_since.is_some_and(|since| now.since(since) < self.cold.cold_for)
     }
 
-    /// The cores of an engine, fewer while it is cold: how its capacity rises is not told, only from what part
-    /// and by when all of it is there, so an even rise between is guessed.
+    /// The cores of an engine, fewer while it is cold: how its capacity rises is not told, only from what
+    /// part and by when all of it is there, so an even rise between is guessed.
     fn able_cores(&self, engine: &Engine, now: Moment) -> f64 {
         let age = engine.cold_since.map_or(self.cold.cold_for, |since| now.since(since));
         let risen = (age.secs() / self.cold.cold_for.secs().max(1e-3)).min(1.0);
