--- a/crates/gossip/tests/stories.rs
+++ b/crates/gossip/tests/stories.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use woadhook::{Moment, Outcome, Span};
-use woadhook_gossip::keys::{Identity, MemberId, Pass, Ring, Secret};
+use woadhook_gossip::keys::{Identity, MemberId, Order, Pass, Ring, Secret};
 use woadhook_gossip::members::{Lapse, Members};
 use woadhook_gossip::news::{About, News};
 use woadhook_gossip::wire::{Accusation, Card, DATAGRAM, Kind, PADDED, Tag, Word, seal};
@@ -661,3 +661,34 @@
     assert!(wrong(self::secret(3), ring(), now + secs(10.0)).unwrap().contains("ended"));
     let _: fn(&Gossip) -> Counts = Gossip::counts;
 }
+
+#[test]
+fn all_hear_the_operators_order_and_the_named_voters_notices_and_nobody_elses() {
+    let mut cluster = Cluster::new(21, 6, Weather::calm(), usual_pace());
+    cluster.acquaint();
+    let order = |by: &Secret, epoch, voters: &[u64]| {
+        let keys: Vec<[u8; 32]> = voters.iter().map(|voter| secret(*voter).public()).collect();
+        Order::issue(by, tag(), epoch, &keys).unwrap()
+    };
+    assert!(cluster.at(4, |_, core| core.order(order(&operator(), 1, &[0, 1]))));
+    cluster.pass(secs(3.0));
+    assert_eq!((0..6).filter(|node| cluster.orders.contains(&(*node, 1))).count(), 6);
+    // One that believes another operator too spreads that one's order, and believes it is heard.
+    let both = Ring::new(tag(), vec![operator().public(), secret(5).public()]);
+    let own = identity(5, "n5", cluster.now);
+    cluster.at(5, |now, core| core.rekey(now, own, both));
+    assert!(cluster.at(5, |_, core| core.order(order(&secret(5), 9, &[5]))));
+    // A voter's notice, a stranger's, and a voter's from an hour ahead.
+    cluster.at(1, |now, core| core.notice(now, 0, b"one".to_vec()));
+    cluster.at(3, |now, core| core.notice(now, 0, b"stranger".to_vec()));
+    cluster.pass(secs(3.0));
+    cluster.at(1, |now, core| core.notice(now + secs(3_600.0), 0, b"ahead".to_vec()));
+    cluster.pass(secs(3.0));
+    cluster.at(1, |now, core| core.notice(now, 0, b"two".to_vec()));
+    cluster.pass(secs(3.0));
+    assert!(cluster.orders.iter().all(|(node, epoch)| *epoch == 1 || *node == 5), "{:?}", cluster.orders);
+    let heard = |says: &[u8]| cluster.notices.iter().filter(|(.., heard)| heard == says).count();
+    assert_eq!((heard(b"stranger"), heard(b"ahead")), (0, 0));
+    // By the four that hold the operator's order, and are not its witness: each once.
+    assert_eq!((heard(b"one"), heard(b"two")), (4, 4));
+}
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use woadhook::{Moment, Span};
-use woadhook_gossip::keys::{Cluster as Tag, Identity, Order, Pass, Revocation, Ring, Secret};
+use woadhook_gossip::keys::{Cluster as Tag, Identity, MemberId, Order, Pass, Revocation, Ring, Secret};
 use woadhook_gossip::{Do, Gossip, Pace, Seen, What};
 use woadhook_router::council::Council;
 
@@ -112,6 +112,9 @@
     pub heard: VecDeque<(usize, String, Option<String>, f64)>,
     pub pace: Pace,
     seed: u64,
+    /// Orders and notices that instances heard: at which, the epoch; and from whom, what.
+    pub orders: Vec<(usize, u64)>,
+    pub notices: Vec<(usize, MemberId, Vec<u8>)>,
     /// What a few of them agree on and all follow, once there is an order.
     pub councils: BTreeMap<usize, Council>,
     due: BTreeSet<(Moment, usize)>,
@@ -125,7 +128,7 @@
         let net = Network::new(seed, weather);
         let (nodes, told, heard, places) = (Vec::new(), Vec::new(), VecDeque::new(), HashMap::new());
         let (due, dues) = (BTreeSet::new(), Vec::new());
-        let councils = BTreeMap::new();
+        let (councils, orders, notices) = (BTreeMap::new(), Vec::new(), Vec::new());
         let mut new = Self {
             now: START + secs(60.0),
             net,
@@ -135,6 +138,8 @@
             pace,
             seed,
             councils,
+            orders,
+            notices,
             due,
             dues,
             places,
@@ -310,6 +315,7 @@
                     self.nodes[node].hearsay.insert((engine, of), doubt);
                 }
                 Do::Ordered { epoch, voters } => {
+                    self.orders.push((node, epoch));
                     if let Some(council) = self.councils.get_mut(&node) {
                         council.ordered(now, epoch, &voters);
                     }
@@ -320,6 +326,7 @@
                     }
                 }
                 Do::Notice { from, subject, says } => {
+                    self.notices.push((node, from, says.clone()));
                     if let Some(council) = self.councils.get_mut(&node) {
                         council.noticed(now, from, subject, &says);
                     }
