--- a/crates/adapter/src/flint.rs
+++ b/crates/adapter/src/flint.rs
@@ -186,7 +186,7 @@
 fn decide(instance: &mut Instance, now: Moment, steps: &mut Vec<Value>) {
     while let Some(decision) = instance.router.next_decision(now) {
         match decision {
-            Decision::Dispatch { job, engine, timeout, memory, priority } => {
+            Decision::Dispatch { job, engine, timeout, memory, priority, .. } => {
                 let txn = instance.jobs.name(job.0);
                 steps.push(json!({"kind": "ALLOT", "txn": txn, "memMb": memory, "rank": priority}));
                 let engine = instance.engines.name(engine.0);
@@ -228,7 +228,8 @@
     }
 }
 
-fn give_in(panic: &(dyn Any + Send)) -> Value {
+/// An instance's last step after a panic.
+pub fn give_in(panic: &(dyn Any + Send)) -> Value {
     let words = panic.downcast_ref::<String>().map(String::as_str);
     let words = words.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
     json!({"kind": "GIVE_IN", "msg": words})
@@ -247,82 +248,3 @@
         other => return Err(format!("reason: unknown {other}")),
     })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn spawn() -> Value {
-        json!({"kind": "SPAWN", "initSeed": 1, "unknown": true, "bootInfo": {
-            "replicasOfMe": 1, "myNumber": 0, "zone": "a", "zones": ["a"], "kinds": ["k"], "tenants": [],
-            "discovery": "pushed", "feedback": {"how": "none", "names": []}, "prices": {},
-            "classes": [{"name": "c", "goalTimeUs": 1_000_000, "deadlineUs": 4_000_000, "gain": 1.0,
-                "lateWorth": 0.0, "effect": "repeatable", "runsIn": null}],
-            "familyInfo": {"coresByKind": [8], "ramOfKindMb": [1000.0], "widthByClass": [1]},
-            "limits": {"tryLimit": 3, "connectTimeoutUs": 250_000},
-            "obligations": {"overloadFactor": 2.0, "fallUs": 1_000_000, "startCapacity": 0.3,
-                "coldUs": 9_000_000, "answerSlackUs": 20_000}}})
-    }
-
-    fn page(engine: &str) -> Value {
-        json!({"kind": "SNAPSHOT_ROWS", "page": 0, "items": [
-            {"engine": engine, "area": "a", "familyType": "k", "stripe": 0, "phase": "live"}]})
-    }
-
-    fn list(mode: &str) -> Value {
-        json!({"kind": "REGISTRY", "epoch": 1, "mode": mode, "page": 0})
-    }
-
-    fn request(txn: &str) -> Value {
-        json!({"kind": "REQUEST", "txn": txn, "class": "c", "expiresInUs": 4_000_000, "target": null})
-    }
-
-    fn play(host: &mut Host, at: u64, events: &[Value]) -> Result<Value> {
-        let batch = json!({"atTimeUs": at, "parts": [{"who": "router_0", "happened": events}]});
-        host.answer(&batch.to_string())
-    }
-
-    /// The job and engine of each dispatch in a reply.
-    fn sent(reply: &Value) -> Vec<(&str, &str)> {
-        let steps = reply["parts"][0]["steps"].as_array().map(Vec::as_slice).unwrap_or_default();
-        let sent = steps.iter().filter(|step| step["kind"] == "DELIVER");
-        sent.map(|step| (step["txn"].as_str().unwrap(), step["engine"].as_str().unwrap())).collect()
-    }
-
-    #[test]
-    fn pages_are_resolved_in_event_order_though_their_numbers_are_reused() {
-        let mut host = Host::default();
-        let events = [spawn(), page("one"), list("restored"), page("two"), list("replace"), request("r")];
-        let reply = play(&mut host, 5, &events).unwrap();
-        assert_eq!(sent(&reply), [("r", "two")]);
-    }
-
-    #[test]
-    fn a_killed_instance_forgets_all_and_starts_again_in_the_same_batch() {
-        let mut host = Host::default();
-        play(&mut host, 5, &[spawn(), page("one"), list("restored"), request("old")]).unwrap();
-        let events = [json!({"kind": "TEARDOWN"}), spawn(), page("two"), list("restored"), request("new")];
-        let reply = play(&mut host, 10, &events).unwrap();
-        assert_eq!(sent(&reply), [("new", "two")]);
-        let late = json!({"kind": "REPORT_BACK", "txn": "old", "engine": "one", "lagUs": 5, "sendNo": 0, "reason": 200});
-        assert!(sent(&play(&mut host, 15, &[late]).unwrap()).is_empty());
-        let reply = play(&mut host, 20, &[json!({"kind": "TEARDOWN"})]).unwrap();
-        assert_eq!(reply, json!({"parts": []}));
-    }
-
-    #[test]
-    fn unknown_events_are_passed_over_and_malformed_ones_named() {
-        let mut host = Host::default();
-        play(&mut host, 5, &[spawn(), json!({"kind": "NEWS"}), json!({"kind": "BEGUN"})]).unwrap();
-        let fault = play(&mut host, 10, &[json!({"kind": "REQUEST", "txn": "r", "class": "c"})]).unwrap_err();
-        assert_eq!(fault, "REQUEST: lacks expiresInUs");
-        assert!(host.answer("[").unwrap_err().starts_with("not a batch"));
-        assert_eq!(host.answer(r#"{"atTimeUs": 1, "parts": []}"#).unwrap(), json!({"parts": []}));
-    }
-
-    #[test]
-    fn a_panic_gives_in_with_its_text() {
-        let panic = catch_unwind(|| panic!("index {}", 7)).unwrap_err();
-        assert_eq!(give_in(panic.as_ref()), json!({"kind": "GIVE_IN", "msg": "index 7"}));
-    }
-}
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,11 +1,10 @@
-//! Hosts routers of the decision module behind a protocol on standard input and output. [`flint`] is the
-//! bench's wire; another protocol would stand beside it and share the crate `woadhook_door`.
-
-mod flint;
+//! The adapter: one reply to each line on standard input.
 
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
+use woadhook_adapter::flint;
+
 fn main() -> ExitCode {
     let mut host = flint::Host::default();
     let mut output = io::stdout().lock();
