A connection to an engine rests 100 ms before it serves another job

Cause: Pool::lease looked for waiting bytes and then wrote; an answer that comes a second time some milliseconds later (join+mass has it) met the next call, which may be another job's: its rows, or a 503 that says it never ran. Within one job a shifted answer does no harm: pages carry their number, and news are the same query's. Change: idle connections rest REST after an answer; a second copy that comes meanwhile is seen before the next use.

--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -17,6 +17,11 @@
 
 /// The error where no descriptor came free in time.
 pub const NO_DESCRIPTOR: io::ErrorKind = io::ErrorKind::QuotaExceeded;
+/// How long a connection rests after an answer before a call for anything else is made on it. Threat: an answer that
+/// comes twice, the second time some milliseconds late, would be taken for the answer to the next call, which may be
+/// another job's. A second copy that comes meanwhile is seen before the next use. It costs a new connection where
+/// calls to one engine follow each other faster.
+pub const REST: Span = Span::from_micros(100_000);
 
 /// Connections that share one part of the descriptors.
 pub struct Pool {
@@ -48,7 +53,7 @@
         })
     }
 
-    /// An idle connection to this engine that its peer has not closed, or else a new one. Where all
+    /// A rested connection to this engine that its peer has not closed, or else a new one. Where all
     /// descriptors are in use, the longest idle of any engine is closed for it, or one waited for.
     pub async fn lease(self: &Rc<Self>, engine: u64, at: SocketAddr, within: Span) -> io::Result<Lease> {
         let lease = |connection| Lease { pool: self.clone(), engine, connection: Some(connection) };
@@ -71,8 +76,9 @@
     }
 
     fn latest(&self, engine: u64) -> Option<Connection> {
-        let mut idle = self.idle.borrow_mut();
-        let place = idle.iter().rposition(|(of, _)| *of == engine)?;
+        let (now, mut idle) = (self.clock.now(), self.idle.borrow_mut());
+        let rested = |each: &Connection| now.since(each.idle_since) >= REST;
+        let place = idle.iter().rposition(|(of, each)| *of == engine && rested(each))?;
         idle.remove(place).map(|(_, connection)| connection)
     }
 
