--- a/crates/router/src/backs/sql/query.rs
+++ b/crates/router/src/backs/sql/query.rs
@@ -66,6 +66,8 @@
     engine: Rc<Engine>,
     dispatch: Dispatch,
     module: Sender<Event>,
+    /// New priorities; closed once the dispatch is called off.
+    orders: Receiver<u8>,
     /// Whether a byte of the POST was written.
     began: Cell<bool>,
     /// When a call that asks for it was last written, and when one was last answered.
@@ -91,8 +93,11 @@
     let (clock, tasks) = (engine.ground.clock, engine.ground.tasks);
     let verdict = Verdict { job, number, tasks, module: Some(module.clone()) };
     let (asked, heard) = (Cell::new(decided), Cell::new(decided));
-    let out = Out { engine, dispatch, module, began: Cell::new(false), asked, heard };
-    let end = async { Ok(out.work().await) }.or(async { Err(out.stopped(&orders).await) }).await;
+    let out = Out { engine, dispatch, module, orders, began: Cell::new(false), asked, heard };
+    let end = async { Ok(out.work().await) }.or(async { Err(out.stopped().await) }).await;
+    if !out.began.get() && !out.dispatch.statement.wanted.still() {
+        let _ = out.module.send(Event::Unwanted { job }).await;
+    }
     // What may run is deleted before the module hears, so that no other dispatch of the job meets it.
     let end = match end {
         Ok(end) => end,
@@ -151,8 +156,7 @@
                 }
                 Err(_) => return Err(Outcome::NotConnected),
             };
-            // Rule 3 is checked once more behind the wait for a connection, right before the first byte.
-            if !self.engine.open.get() {
+            if !self.may_begin() {
                 return Err(Outcome::NotIssued);
             }
             self.heard.set(self.now());
@@ -179,6 +183,18 @@
         }
     }
 
+    /// What may have changed since the decision, looked at again behind the wait for a connection and right before the
+    /// first byte: the engine drains, the job's time or the one in which it may be repeated is over, it was called
+    /// off, its client is gone.
+    fn may_begin(&self) -> bool {
+        let (now, dispatch) = (self.now(), &self.dispatch);
+        self.engine.open.get()
+            && now < dispatch.until
+            && dispatch.before.is_none_or(|before| now < before)
+            && !self.orders.is_closed()
+            && dispatch.statement.wanted.still()
+    }
+
     /// Asks for news (0) or a page, again on another connection where one breaks, stays silent or brings what
     /// makes no sense: the engine gives the same answer again. It is heard from as long as it answers at all,
     /// so that noise on connections is not taken for its end.
@@ -337,15 +353,15 @@
     }
 
     /// Passes on new priorities until the query's time is up or it is given up.
-    async fn stopped(&self, orders: &Receiver<u8>) -> Outcome {
+    async fn stopped(&self) -> Outcome {
         let late = async {
             self.engine.ground.clock.until(self.dispatch.until).await;
             Outcome::TimedOut
         };
         let told = async {
             loop {
-                match orders.recv().await {
-                    Ok(priority) if !orders.is_closed() => {
+                match self.orders.recv().await {
+                    Ok(priority) if !self.orders.is_closed() => {
                         if !self.began.get() {
                             continue;
                         }
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -24,8 +24,10 @@
 use crate::exchange::{Answer, Dispatch, Event, MALFORMED, Note, Notes, Reply, Statement, measure};
 
 pub const MAILBOX: usize = 4096;
-/// Events that are taken in before decisions are pulled and others have a turn.
+/// Events that are taken in before decisions are pulled, and decisions that are pulled before others have a turn: what
+/// clients and the list say meanwhile is to be read soon.
 const TURN: usize = 512;
+const DECISIONS: usize = 32;
 /// New priorities that one query has not yet taken.
 const ORDERS: usize = 4;
 
@@ -125,10 +127,12 @@
 
     /// What is urgent, the list and ends of probes, goes ahead of all else.
     pub async fn run(mut self, urgent: Receiver<Event>, mailbox: Receiver<Event>) {
+        let mut more = false;
         loop {
             let wake = self.wake;
             let due = async {
                 match wake {
+                    _ if more => {}
                     Some(moment) => self.clock.until(moment).await,
                     None => future::pending().await,
                 }
@@ -142,7 +146,9 @@
             let turn = || self.turn(first.into_iter().chain(pressing).chain(queued));
             // Threat: a fault of the module. It costs the jobs that are open, not the process; what was
             // learned is lost too, so it may hurt if it repeats.
-            if catch_unwind(AssertUnwindSafe(turn)).is_err() {
+            let turned = catch_unwind(AssertUnwindSafe(turn));
+            more = turned.as_ref().is_ok_and(|more| *more);
+            if turned.is_err() {
                 log::error!("the module panicked and begins again");
                 self.begin_again();
             }
@@ -150,7 +156,8 @@
         }
     }
 
-    fn turn(&mut self, events: impl Iterator<Item = Event>) {
+    /// Whether there may be more decisions.
+    fn turn(&mut self, events: impl Iterator<Item = Event>) -> bool {
         let now = self.clock.now();
         for event in events {
             self.take_in(now, event);
@@ -158,9 +165,11 @@
         if self.wake.is_some_and(|wake| wake <= now) {
             self.wake = None;
         }
-        while let Some(decision) = self.instance.router.next_decision(now) {
+        for _ in 0..DECISIONS {
+            let Some(decision) = self.instance.router.next_decision(now) else { return false };
             self.carry_out(now, decision);
         }
+        true
     }
 
     fn take_in(&mut self, now: Moment, event: Event) {
@@ -179,6 +188,7 @@
                     self.withdraw(job);
                 }
             }
+            Event::Unwanted { job } => self.withdraw(job),
             Event::Ping { reply } => reply.send(Answer::Pong(self.listed && self.last_answer.is_none())),
             Event::Ended { job, number, outcome, took, told, rows } => {
                 let Some(open) = self.jobs.get_mut(&job) else { return };
@@ -212,8 +222,8 @@
             }
             Event::Sent { engine, bytes, first, body } => self.sent(engine, bytes, first, body),
             Event::Hearsay { engine, of, doubt } => self.hearsay(now, &engine, of.as_deref(), doubt),
-            Event::Listed { roster, read } => {
-                let _ = read.try_send(self.follow_list(now, &roster));
+            Event::Listed { roster, in_part, read } => {
+                let _ = read.try_send(self.follow_list(now, &roster, in_part));
                 self.tell_list();
             }
             Event::Stopping { by } => {
@@ -263,7 +273,8 @@
 
     fn arrive(
         &mut self, now: Moment, client: u64, statement: Rc<Statement>, kind: TypeId, group: GroupId,
-        tenant: Option<String>, key: Option<String>, told: Span, memory: f64, deadline: Moment, reply: Reply,
+        tenant: Option<String>, key: Option<String>, told: Option<Span>, memory: f64, deadline: Moment,
+        reply: Reply,
     ) {
         let asked = (client, reply.number());
         if self.instance.jobs.find(&statement.id).is_some() || self.asked.contains_key(&asked) {
@@ -279,7 +290,7 @@
         self.jobs.insert(job, open);
         let (router, expires) = (&mut self.instance.router, deadline.since(now));
         log::debug!(event = "job_taken", job = self.instance.jobs.name(job.0), of = self.instance.types[kind.0]; "job taken");
-        router.job_arrived(now, job, kind, tenant, group, key, Some(told), memory, expires);
+        router.job_arrived(now, job, kind, tenant, group, key, told, memory, expires);
     }
 
     /// The one right to answer a job, if it is still there.
@@ -320,10 +331,13 @@
         });
     }
 
-    /// Takes in all lines or, where one can't be read, none.
-    fn follow_list(&mut self, now: Moment, roster: &Value) -> Result<()> {
+    /// Takes in all lines or, where one can't be read, none; `in_part`, those that can.
+    fn follow_list(&mut self, now: Moment, roster: &Value, in_part: bool) -> Result<()> {
         let lines = rows(roster, "members")?.iter().map(|member| self.read_line(member));
-        let lines = lines.collect::<Result<Vec<_>>>()?;
+        let passed_over = |fault: &String| log::warn!("a line of the list is passed over: {fault}");
+        let usable =
+            |line: &Result<_>| !in_part || line.as_ref().inspect_err(|fault| passed_over(fault)).is_ok();
+        let lines = lines.filter(usable).collect::<Result<Vec<_>>>()?;
         let mut named = Vec::with_capacity(lines.len());
         for (name, line) in lines {
             let engine = EngineId(self.instance.engines.admit(&name));
@@ -379,8 +393,8 @@
 
     fn carry_out(&mut self, now: Moment, decision: Decision) {
         match decision {
-            Decision::Dispatch { job, engine, timeout, priority, .. } => {
-                self.dispatch(now, job, engine, now + timeout, priority);
+            Decision::Dispatch { job, engine, timeout, before, priority, .. } => {
+                self.dispatch(now, job, engine, now + timeout, before, priority);
             }
             Decision::CancelDispatch { job, number } => {
                 if let Some((_, orders)) = self.jobs.get(&job).and_then(|open| open.out.get(&number)) {
@@ -431,7 +445,10 @@
         }
     }
 
-    fn dispatch(&mut self, now: Moment, job: JobId, engine: EngineId, until: Moment, priority: u8) {
+    fn dispatch(
+        &mut self, now: Moment, job: JobId, engine: EngineId, until: Moment, before: Option<Moment>,
+        priority: u8,
+    ) {
         let (Some(open), Some(known)) = (self.jobs.get_mut(&job), self.engines.get(&engine)) else { return };
         for (_, orders) in open.out.values() {
             let _ = orders.try_send(priority);
@@ -441,7 +458,7 @@
         log::debug!(event = "dispatched", job = open.statement.id, number, engine = self.instance.engines.name(engine.0); "dispatched");
         let statement = open.statement.clone();
         let until = until.min(open.deadline);
-        let dispatch = Dispatch { job, number, engine, statement, decided: now, until, priority };
+        let dispatch = Dispatch { job, number, engine, statement, decided: now, until, before, priority };
         let (orders, taken) = async_channel::bounded(ORDERS);
         if known.peer.send(Errand::Run(dispatch, taken)) {
             open.out.insert(number, (engine, orders));
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -1,6 +1,7 @@
 //! What fronts, decisions, backs and other sources of words say to each other. This file lies below all of them, so
 //! that a new one is a file of its own.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
@@ -24,7 +25,7 @@
         group: GroupId,
         tenant: Option<String>,
         key: Option<String>,
-        told: Span,
+        told: Option<Span>,
         memory: f64,
         deadline: Moment,
         reply: Reply,
@@ -36,6 +37,10 @@
     ClientGone {
         client: u64,
     },
+    /// The client of this job was found gone right before a dispatch.
+    Unwanted {
+        job: JobId,
+    },
     Ping {
         reply: Reply,
     },
@@ -60,9 +65,10 @@
         engine: EngineId,
         outcome: Outcome,
     },
-    /// Changes of the list; the answer tells whether they could be read.
+    /// Changes of the list; the answer tells whether they could be read. Of one taken in part, lines that can't are left out.
     Listed {
         roster: Value,
+        in_part: bool,
         read: Sender<Result<()>>,
     },
     /// So much of an answer came from an engine: how long to its first byte, and from there to its last.
@@ -91,6 +97,31 @@
     pub text: String,
     /// The room that it takes.
     pub held: Held,
+    pub wanted: Wanted,
+}
+
+/// Whether somebody still waits for a job. Threat: a client that closes or cancels while its job waits, behind a thread
+/// that is busy or a connection that is not up yet; what it said may stand in a mailbox or unread in its socket. So each
+/// dispatch looks here right before its first byte.
+pub struct Wanted {
+    taken_back: Cell<bool>,
+    connected: Box<dyn Fn() -> bool>,
+}
+
+impl Wanted {
+    /// `connected` looks at the client's connection itself.
+    pub fn new(connected: impl Fn() -> bool + 'static) -> Self {
+        Self { taken_back: Cell::new(false), connected: Box::new(connected) }
+    }
+
+    /// The client waits no longer.
+    pub fn take_back(&self) {
+        self.taken_back.set(true);
+    }
+
+    pub fn still(&self) -> bool {
+        !self.taken_back.get() && (self.connected)()
+    }
 }
 
 pub struct Dispatch {
@@ -100,6 +131,8 @@
     pub statement: Rc<Statement>,
     pub decided: Moment,
     pub until: Moment,
+    /// When it must have begun, as an earlier dispatch of the job may have run.
+    pub before: Option<Moment>,
     pub priority: u8,
 }
 
--- a/crates/router/src/fronts/rpc/front.rs
+++ b/crates/router/src/fronts/rpc/front.rs
@@ -1,6 +1,7 @@
 //! An actor a client connection: it reads requests, and writes answers in the order in which they come.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
@@ -14,12 +15,12 @@
 use woadhook_pace::turns::Turn;
 
 use crate::clock::{Clock, pass};
-use crate::exchange::{Answer, Event, MALFORMED, Reply, Statement};
+use crate::exchange::{Answer, Event, MALFORMED, Reply, Statement, Wanted};
 use crate::fronts::rpc::codec::{self, Malformed, Scan};
 use crate::fronts::rpc::guests::{Guest, Stay};
 use crate::fronts::rpc::request::Range;
 use crate::memory::{Held, Holder, Room};
-use crate::sockets::{Link, limited, write_at_rate};
+use crate::sockets::{Link, Waiting, limited, write_at_rate};
 use crate::tasks::Tasks;
 
 /// The most open requests of a connection, and some whose withdrawal is on its way.
@@ -34,8 +35,15 @@
 const MESSAGE_WITHIN: Span = Span::from_micros(1_500_000);
 /// Clients close idle connections after 4 s.
 const IDLE: Span = Span::from_micros(5_000_000);
-/// For each ping and each request that the door turned away, before the client is read again.
+/// For each ping and each request that the door turned away, before the client is read again, once it had `BURST` of
+/// them: what hundreds of requests sent at once are followed by, as a cancel or the close, is to be read soon.
 const PACE: Span = Span::from_micros(2_000);
+const BURST: f64 = 512.0;
+/// How often a client that is not read is looked at for a close.
+const GLANCE: Span = Span::from_micros(50_000);
+/// How long a connection that the router ends waits for the client's end. What was written longer ago than that has
+/// come, as far as anybody can tell.
+const PARTING: Span = Span::from_micros(100_000);
 /// What a job takes beside its statement, in all tables and tasks.
 const JOB_BYTES: usize = 8 * 1024;
 
@@ -72,12 +80,29 @@
     fn drop(&mut self) {
         self.owing.set(self.owing.get() - 1);
         self.guest.open.set(self.guest.open.get() - 1);
+        self.guest.settled();
+    }
+}
+
+/// The jobs of a connection that await an answer, by their numbers; emptied by the answers.
+type Asked = Rc<RefCell<BTreeMap<u32, Rc<Statement>>>>;
+
+/// A job's place among them.
+struct Awaited {
+    asked: Asked,
+    number: u32,
+}
+
+impl Drop for Awaited {
+    fn drop(&mut self) {
+        self.asked.borrow_mut().remove(&self.number);
     }
 }
 
 /// Serves one connection until either side ends it or its place is needed, then withdraws its jobs.
-pub async fn serve(link: Link, client: u64, stay: Stay, hall: Hall) {
-    let _leave = Leave { client, module: hall.module.clone(), tasks: hall.tasks };
+pub async fn serve(link: Rc<Link>, client: u64, stay: Stay, hall: Hall) {
+    let gone = Rc::new(Cell::new(false));
+    let leave = Leave { client, gone: gone.clone(), module: hall.module.clone(), tasks: hall.tasks };
     let (outbox, answers) = async_channel::bounded(OPEN + ASIDE);
     let (places, aside) = (Arc::new(Semaphore::new(OPEN)), Arc::new(Semaphore::new(ASIDE)));
     let (guest, clock) = (stay.guest.clone(), hall.clock);
@@ -85,11 +110,24 @@
         link.stream.get_ref().peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
     let holder = Holder { connection: client, address };
     let (takes, turn) = (hall.takes, Turn::new(hall.turn));
-    let reader =
-        Reader { client, holder, places, aside, outbox, guest: guest.clone(), last: Cell::new(0), hall };
-    // What was answered before the reading ended is still written.
+    let (guest_read, asked) = (guest.clone(), Asked::default());
+    let reader = Reader {
+        client,
+        holder,
+        places,
+        aside,
+        outbox,
+        guest: guest_read,
+        last: Cell::new(0),
+        credit: Cell::new((BURST, clock.now())),
+        asked,
+        gone,
+        hall,
+    };
+    // What was answered before the reading ended is still written, but whoever ended it waits for nothing more.
     let read = async {
         let end = reader.read(&link).await;
+        drop(leave);
         reader.outbox.close();
         if let Err(error) = end {
             say(client, &error);
@@ -101,7 +139,12 @@
             say(client, &error);
         }
     };
-    read.or(written).or(guest.sent_off()).await;
+    read.or(written).or(stay.over(clock)).await;
+    // With nothing unread and no answer under way, a plain close says the same at once, for whoever needs the place.
+    let rested = clock.now().since(guest.quiet_since.get()) >= PARTING;
+    if !rested || matches!(link.waiting(), Waiting::Bytes) {
+        link.part(PARTING).await;
+    }
 }
 
 /// Why a connection ended.
@@ -116,12 +159,14 @@
 /// Tells the module when a connection ends, however it does.
 struct Leave {
     client: u64,
+    gone: Rc<Cell<bool>>,
     module: Sender<Event>,
     tasks: Tasks,
 }
 
 impl Drop for Leave {
     fn drop(&mut self) {
+        self.gone.set(true);
         let (module, client) = (self.module.clone(), self.client);
         self.tasks.start(async move {
             let _ = module.send(Event::ClientGone { client }).await;
@@ -171,6 +216,10 @@
     guest: Rc<Guest>,
     /// The number of the last request: they rise, so that no two answers can be mistaken.
     last: Cell<u32>,
+    /// How many answers of the door are left at once, and since when that holds.
+    credit: Cell<(f64, Moment)>,
+    asked: Asked,
+    gone: Rc<Cell<bool>>,
     hall: Hall,
 }
 
@@ -213,8 +262,10 @@
                 due = Some(self.hall.clock.now() + MESSAGE_WITHIN);
                 watch = Some(Watch::start(self.hall.clock.now(), self.hall.sends));
             }
-            if turned_away > 0 {
-                pass(PACE.times(turned_away as f64)).await;
+            self.guest.midway.set(filled > 0);
+            self.guest.settled();
+            if !self.pace(link, turned_away).await {
+                return Ok(());
             }
             let until = due.map(|due| watch.map_or(due, |watch: Watch| due.min(watch.due())));
             let count = match self.read_some(link, &mut buffer[filled..], until).await {
@@ -222,6 +273,7 @@
                 Ok(count) => count,
                 Err(error) => return Err(self.too_slow(error, watch)),
             };
+            self.guest.midway.set(true);
             filled += count;
             if let Some(watch) = &mut watch {
                 watch.moved(self.hall.clock.now(), count);
@@ -231,6 +283,23 @@
         }
     }
 
+    /// Waits as a client is to that has had so many more answers of the door; whether it is still there.
+    async fn pace(&self, link: &Link, turned_away: usize) -> bool {
+        let (left, since) = self.credit.get();
+        let now = self.hall.clock.now();
+        let earned = now.since(since).secs() / PACE.secs();
+        let left = (left + earned).min(BURST) - turned_away as f64;
+        self.credit.set((left, now));
+        let until = now + PACE.times(-left);
+        while turned_away > 0 && self.hall.clock.now() < until {
+            pass(until.since(self.hall.clock.now()).min(GLANCE)).await;
+            if link.is_left() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// A fault of a client that was at a message, with the figures of its slowness.
     fn too_slow(&self, error: io::Error, watch: Option<Watch>) -> io::Error {
         match watch.filter(|_| error.kind() == io::ErrorKind::TimedOut) {
@@ -250,7 +319,8 @@
         loop {
             let until = due.unwrap_or_else(|| self.guest.quiet_since.get() + IDLE);
             let left = until.since(clock.now());
-            if left == Span::ZERO && (due.is_some() || self.guest.open.get() == 0) {
+            let over = self.guest.midway.get() || self.guest.may_go(clock.now());
+            if left == Span::ZERO && over {
                 return Err(io::ErrorKind::TimedOut.into());
             }
             let left = if left == Span::ZERO { IDLE } else { left };
@@ -296,6 +366,9 @@
             (codec::NOTICE, 3) => {
                 if codec::text(message)? == "abort" && codec::array(message)? > 0 {
                     let number = codec::number(message)?;
+                    if let Some(statement) = self.asked.borrow().get(&number) {
+                        statement.wanted.take_back();
+                    }
                     let _ = self.hall.module.send(Event::Withdrawn { client: self.client, number }).await;
                 }
                 Ok(0)
@@ -308,16 +381,17 @@
     /// back.
     async fn aside(&self, number: u32) -> Reply {
         let place = self.aside.acquire_arc().await;
-        self.reply(number, place)
+        self.reply(number, place, None)
     }
 
-    fn reply(&self, number: u32, place: SemaphoreGuardArc) -> Reply {
+    fn reply(&self, number: u32, place: SemaphoreGuardArc, awaited: Option<Awaited>) -> Reply {
         let (guest, owing) = (self.guest.clone(), self.hall.owing.clone());
         owing.set(owing.get() + 1);
         guest.open.set(guest.open.get() + 1);
         let (owed, outbox) = (Owed { _place: place, owing, guest }, self.outbox.clone());
         // The outbox has a place for each reply; where the connection is gone, nobody is answered.
         Reply::new(number, move |answer| {
+            drop(awaited);
             let _ = outbox.try_send((number, answer, owed));
         })
     }
@@ -331,16 +405,22 @@
         let full = || Answer::Overloaded(self.hall.come_back);
         let place = self.places.try_acquire_arc().ok_or_else(full)?;
         let held = self.hall.room.try_take(self.holder, asked.text.len() + JOB_BYTES).ok_or_else(full)?;
-        let statement = Statement {
+        // The connection itself belongs to its actor alone.
+        let (link, gone) = (self.guest.link.clone(), self.gone.clone());
+        let connected = move || !gone.get() && link.upgrade().is_some_and(|link| !link.is_left());
+        let statement = Rc::new(Statement {
             holder: self.holder,
             id: asked.id.into(),
             class: method.into(),
             text: asked.text.into(),
             held,
-        };
+            wanted: Wanted::new(connected),
+        });
+        self.asked.borrow_mut().insert(number, statement.clone());
+        let awaited = Awaited { asked: self.asked.clone(), number };
         let arrival = Event::Arrived {
             client: self.client,
-            statement: Rc::new(statement),
+            statement,
             kind: asked.kind,
             group: asked.group,
             tenant: asked.tenant.map(str::to_owned),
@@ -348,7 +428,7 @@
             told: asked.told,
             memory: asked.memory,
             deadline: arrived + asked.wait,
-            reply: self.reply(number, place),
+            reply: self.reply(number, place, Some(awaited)),
         };
         let _ = self.hall.module.send(arrival).await;
         Ok(())
--- a/crates/router/src/fronts/rpc/guests.rs
+++ b/crates/router/src/fronts/rpc/guests.rs
@@ -1,30 +1,60 @@
-//! Who is connected, and which connection goes where a new one needs its place.
+//! Who is connected, which connection goes where a new one needs its place, and how all go when the router ends.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 
 use event_listener::Event;
-use woadhook::Moment;
+use futures_lite::FutureExt;
+use woadhook::{Moment, Span};
+
+use crate::clock::{Clock, pass};
+use crate::sockets::{Link, Waiting};
+
+/// How long a request that is under way may take to come: from the start of a connection that comes as the router ends, or
+/// from its last bytes.
+const GREETING: Span = Span::from_micros(100_000);
 
 /// The connections that are taken in; each is emptied from it as it ends.
 #[derive(Clone, Default)]
-pub struct Guests(Rc<RefCell<BTreeMap<u64, Rc<Guest>>>>);
+pub struct Guests(Rc<Inner>);
+
+#[derive(Default)]
+struct Inner {
+    all: RefCell<BTreeMap<u64, Rc<Guest>>>,
+    /// Whether each goes as soon as nothing is owed to it.
+    ending: Rc<Cell<bool>>,
+}
 
 /// One connection, as far as the choice of the one to close goes.
 pub struct Guest {
+    /// The connection belongs to its actor alone.
+    pub link: Weak<Link>,
+    came: Moment,
     /// Since when nothing passed on it.
     pub quiet_since: Cell<Moment>,
     /// How many of its requests are open.
     pub open: Cell<usize>,
+    /// Whether bytes of it were read that are not worked off.
+    pub midway: Cell<bool>,
     told_to_leave: Cell<bool>,
+    ending: Rc<Cell<bool>>,
     leave: Event,
 }
 
 impl Guest {
-    pub async fn sent_off(&self) {
-        while !self.told_to_leave.get() {
-            self.leave.listen().await;
+    /// Whether it can be closed now: a request that waits in the socket would be lost, as only one that crosses the close
+    /// is sent again, and so would one that is coming in. To be looked at right before the close, with nothing between.
+    pub fn may_go(&self, now: Moment) -> bool {
+        let unread = |link: Rc<Link>| matches!(link.waiting(), Waiting::Bytes);
+        let coming = self.midway.get() && now.since(self.quiet_since.get()) < GREETING;
+        self.open.get() == 0 && !coming && !self.link.upgrade().is_some_and(unread)
+    }
+
+    /// Something that kept it from going at the router's end may be over.
+    pub fn settled(&self) {
+        if self.ending.get() && self.open.get() == 0 {
+            self.leave.notify(usize::MAX);
         }
     }
 }
@@ -36,32 +66,64 @@
     client: u64,
 }
 
+impl Stay {
+    /// Comes when it is to go and may; to be polled behind the reading.
+    pub async fn over(&self, clock: Clock) {
+        loop {
+            let changed = self.guest.leave.listen();
+            let ending = self.guest.ending.get();
+            let left = GREETING.less(clock.now().since(self.guest.came));
+            let to_go = self.guest.told_to_leave.get() || (ending && left == Span::ZERO);
+            if to_go && self.guest.may_go(clock.now()) {
+                return;
+            }
+            self.guest.told_to_leave.set(false);
+            if ending && left > Span::ZERO { changed.or(pass(left)).await } else { changed.await }
+        }
+    }
+}
+
 impl Drop for Stay {
     fn drop(&mut self) {
-        self.guests.0.borrow_mut().remove(&self.client);
+        self.guests.0.all.borrow_mut().remove(&self.client);
     }
 }
 
 impl Guests {
-    pub fn enter(&self, client: u64, now: Moment) -> Stay {
+    pub fn enter(&self, client: u64, link: &Rc<Link>, now: Moment) -> Stay {
         let guest = Rc::new(Guest {
+            link: Rc::downgrade(link),
+            came: now,
             quiet_since: Cell::new(now),
             open: Cell::new(0),
+            midway: Cell::new(false),
             told_to_leave: Cell::new(false),
+            ending: self.0.ending.clone(),
             leave: Event::new(),
         });
-        self.0.borrow_mut().insert(client, guest.clone());
+        self.0.all.borrow_mut().insert(client, guest.clone());
         Stay { guest, guests: self.clone(), client }
     }
 
+    pub fn is_empty(&self) -> bool {
+        self.0.all.borrow().is_empty()
+    }
+
+    /// From now on each connection goes as soon as nothing is owed to it.
+    pub fn end(&self) {
+        self.0.ending.set(true);
+        self.0.all.borrow().values().for_each(|guest| _ = guest.leave.notify(usize::MAX));
+    }
+
     /// Threat: connections held for good, or opened by hundreds, would keep usual clients out. The longest
-    /// quiet one without an open request goes, which a client opens anew at worst.
-    pub fn send_off_one(&self) {
-        let guests = self.0.borrow();
-        let quiet = guests.values().filter(|guest| guest.open.get() == 0 && !guest.told_to_leave.get());
-        if let Some(guest) = quiet.min_by_key(|guest| guest.quiet_since.get()) {
+    /// quiet one that may go does, which a client opens anew at worst.
+    pub fn send_off_one(&self, now: Moment) {
+        let guests = self.0.all.borrow();
+        let mut quiet: Vec<_> = guests.values().filter(|guest| !guest.told_to_leave.get()).collect();
+        quiet.sort_by_key(|guest| guest.quiet_since.get());
+        if let Some(guest) = quiet.into_iter().find(|guest| guest.may_go(now)) {
             guest.told_to_leave.set(true);
-            guest.leave.notify(1);
+            guest.leave.notify(usize::MAX);
         }
     }
 }
--- a/crates/router/src/fronts/rpc/listen.rs
+++ b/crates/router/src/fronts/rpc/listen.rs
@@ -1,6 +1,7 @@
 //! Takes in the connections of clients, as many as their part of the descriptors allows.
 
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use async_io::Async;
@@ -16,8 +17,9 @@
 /// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
 const PAUSE: Span = Span::from_micros(20_000);
 
-pub async fn accept(listener: Async<TcpListener>, part: Arc<Semaphore>, clock: Clock, hall: Hall) {
-    let guests = Guests::default();
+pub async fn accept(
+    listener: Async<TcpListener>, part: Arc<Semaphore>, clock: Clock, guests: Guests, hall: Hall,
+) {
     for client in 0.. {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -29,12 +31,13 @@
         };
         let mut permit = part.try_acquire_arc();
         while permit.is_none() {
-            guests.send_off_one();
+            guests.send_off_one(clock.now());
             permit = limited(PAUSE, async { Ok(part.acquire_arc().await) }).await.ok();
         }
         let Some(permit) = permit else { continue };
-        let stay = guests.enter(client, clock.now());
-        hall.tasks.start(front::serve(Link::accepted(stream, permit), client, stay, hall.clone()));
+        let link = Rc::new(Link::accepted(stream, permit));
+        let stay = guests.enter(client, &link, clock.now());
+        hall.tasks.start(front::serve(link, client, stay, hall.clone()));
         // Those taken in before are heard first.
         yield_now().await;
     }
--- a/crates/router/src/fronts/rpc/request.rs
+++ b/crates/router/src/fronts/rpc/request.rs
@@ -25,7 +25,8 @@
     pub id: &'a str,
     pub kind: TypeId,
     pub wait: Span,
-    pub told: Span,
+    /// Nothing where the deployment gives no estimates.
+    pub told: Option<Span>,
     pub memory: f64,
     pub tenant: Option<&'a str>,
     pub key: Option<&'a str>,
@@ -49,8 +50,9 @@
         let [id, wait, cost, ram, retry, tenant, key] = values;
         let id = id.filter(|id| id.len() == ID_DIGITS && id.bytes().all(|byte| byte.is_ascii_hexdigit()));
         let wait = wait.filter(|wait| !wait.contains('.')).ok_or(Malformed)?;
-        // No engine could do more than that in time, all of its cores at work.
-        let most = timeout.times(self.cores);
+        // No engine could do more than that in the longest time, all of its cores at work. The type's own time is no bound:
+        // a job that can't be done in it is to be told so, not that it is malformed.
+        let most = self.types.iter().map(|(_, timeout)| *timeout).max().unwrap_or(timeout).times(self.cores);
         let text = str::from_utf8(body).map_err(|_| Malformed)?;
         let name = |name: &&str| (1..=NAME_BYTES).contains(&name.len());
         let sound = !twice
@@ -67,8 +69,11 @@
             id: id.ok_or(Malformed)?,
             kind: TypeId(place),
             wait: within(millis(amount(wait)?), timeout)?,
-            told: within(millis(amount(cost.ok_or(Malformed)?)?), most)?,
-            memory: amount(ram.ok_or(Malformed)?).ok().filter(|ram| *ram <= self.memory).ok_or(Malformed)?,
+            told: cost
+                .map(|cost| within(millis(amount(cost)?), most))
+                .transpose()?
+                .filter(|told| *told > Span::ZERO),
+            memory: ram.map_or(Ok(0.0), amount).ok().filter(|ram| *ram <= self.memory).ok_or(Malformed)?,
             tenant,
             key,
             text,
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -41,6 +41,7 @@
 use crate::clock::Clock;
 use crate::decide::Desk;
 use crate::fronts::rpc::front::Hall;
+use crate::fronts::rpc::guests::Guests;
 use crate::fronts::rpc::listen;
 use crate::fronts::rpc::request::Range;
 use crate::gossip::Talk;
@@ -104,7 +105,10 @@
     let desk = Desk::new(clock, given.seed, settings, ground, module.clone(), notes.clone(), share)?;
     tasks.start(desk.run(pressing, mailbox));
     let mut last = 0;
-    bulletin::pass_on_known(&given.known, &mut last, &urgent).await?;
+    // A list that can't be read is no reason not to start: the bulletin tells it anew.
+    if let Err(fault) = bulletin::pass_on_known(&given.known, &mut last, &urgent).await {
+        log::warn!("known: {fault}");
+    }
     let (moves, moved) = async_channel::bounded(1);
     tasks.start(bulletin::follow(clock, given.bulletin, connect_timeout, grace, last, moved, urgent.clone()));
     let (stop, told_to_stop) = async_channel::bounded(1);
@@ -125,11 +129,12 @@
         takes: least("client_takes_bytes_per_s", "client_grace_ms"),
         turn: pace.whole("turn_bytes") as usize,
     };
-    tasks.start(listen::accept(listener, descriptors.clients, clock, hall));
+    let guests = Guests::default();
+    tasks.start(listen::accept(listener, descriptors.clients, clock, guests.clone(), hall));
     log::info!("serving on {}", given.listen);
     if told_to_stop.recv().await.is_err() {
         std::future::pending().await
     }
-    stop::wait(clock, longest, &owing, urgent).await;
+    stop::wait(clock, longest, &owing, &guests, urgent).await;
     Ok(())
 }
--- a/crates/router/src/lists/bulletin.rs
+++ b/crates/router/src/lists/bulletin.rs
@@ -20,6 +20,10 @@
 /// The longest patience that a bulletin grants.
 const LONGEST: Span = Span::from_micros(5_000_000);
 
+/// So often an event that can't be read is asked for again, as that may be noise on the connection. Threat: a line that makes
+/// no sense for good would hide all that comes behind it, notices to drain among it. Then the lines that do are taken.
+const DOUBTS: usize = 3;
+
 /// Where the bulletin is from now on, and the events that were known with that.
 pub struct Move {
     pub to: SocketAddr,
@@ -41,7 +45,7 @@
     let part = Arc::new(Semaphore::new(1));
     let patience = grace.times(0.25).min(LONGEST);
     let mut connection = None;
-    let (mut fault, mut faulty) = (String::new(), false);
+    let (mut fault, mut faulty, mut doubts) = (String::new(), false, 0);
     while !module.is_closed() {
         let asked = async {
             if faulty {
@@ -58,7 +62,11 @@
         };
         // Passing on is never cut short, so that each event is told whole and its number kept.
         let passed = match moved.or(asked).await {
-            Heard::Told(Ok(told)) => pass_on(&told, &mut last, &module).await,
+            Heard::Told(Ok(told)) => {
+                let passed = pass_on(&told, &mut last, doubts >= DOUBTS, &module).await;
+                doubts = if passed.is_ok() { 0 } else { doubts + 1 };
+                passed
+            }
             Heard::Told(Err(error)) => Err(error.to_string()),
             Heard::Moved(Move { to, known }) => {
                 log::info!("the bulletin is at {to}");
@@ -100,11 +108,11 @@
 
 /// Passes on what a configuration held, which may be nothing.
 pub async fn pass_on_known(known: &Value, last: &mut u64, module: &Sender<Event>) -> Result<()> {
-    if known.is_object() { pass_on(known, last, module).await } else { Ok(()) }
+    if known.is_object() { pass_on(known, last, false, module).await } else { Ok(()) }
 }
 
-/// Passes on the events behind `last`. After a gap only a whole list will do.
-async fn pass_on(told: &Value, last: &mut u64, module: &Sender<Event>) -> Result<()> {
+/// Passes on the events behind `last`, of `in_part` those lines that can be read. After a gap only a whole list will do.
+async fn pass_on(told: &Value, last: &mut u64, in_part: bool, module: &Sender<Event>) -> Result<()> {
     for item in rows(told, "items")? {
         let number = whole(item, "no")?;
         if number <= *last {
@@ -115,7 +123,7 @@
                 return Err(format!("event {} is missing", *last + 1));
             }
             let (read, answer) = async_channel::bounded(1);
-            let _ = module.send(Event::Listed { roster: roster.clone(), read }).await;
+            let _ = module.send(Event::Listed { roster: roster.clone(), in_part, read }).await;
             answer.recv().await.map_err(|_| "no module".to_owned())??;
         }
         *last = number;
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -2,12 +2,13 @@
 
 use std::cell::Cell;
 use std::io::{self, IoSlice};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::Arc;
 
 use async_io::Async;
 use async_lock::{Semaphore, SemaphoreGuardArc};
-use futures_lite::{AsyncWrite, FutureExt, future};
+use futures_lite::{AsyncReadExt, AsyncWrite, FutureExt, future};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use woadhook::Span;
 use woadhook_pace::rate::{Least, Watch};
 
@@ -15,6 +16,9 @@
 
 /// Descriptors that are no sockets of peers: standard streams, poller, signals, listener, bulletin.
 const OWN: usize = 24;
+/// How much of what a peer still sends is read after the last word to it.
+const PARTING_BYTES: usize = 256 * 1024;
+const PARTING_READ: usize = 4 * 1024;
 
 /// The descriptor limit in parts that cannot starve each other.
 pub struct Descriptors {
@@ -82,6 +86,38 @@
             _ => Waiting::Close,
         }
     }
+
+    /// Whether the peer has closed its side, also behind bytes that were not read yet.
+    pub fn is_left(&self) -> bool {
+        match self.waiting() {
+            Waiting::Nothing => false,
+            Waiting::Close => true,
+            Waiting::Bytes => {
+                let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+                let mut looked = [PollFd::new(&self.stream, PollFlags::RDHUP)];
+                let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+                poll(&mut looked, Some(&at_once)).is_ok() && looked[0].revents().intersects(ends)
+            }
+        }
+    }
+
+    /// Ends it in order, for so long at most. Threat: a close over unread bytes resets the connection, and what was
+    /// written and not yet read by the peer goes with it. So the peer is told of the end, and what still comes is read
+    /// and thrown away: it never was a request. It may hold a descriptor for that long.
+    pub async fn part(&self, within: Span) {
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let drain = async {
+            let (mut passed, mut left) = (vec![0; PARTING_READ], PARTING_BYTES);
+            while left > 0 {
+                match (&self.stream).read(&mut passed).await? {
+                    0 => break,
+                    count => left = left.saturating_sub(count),
+                }
+            }
+            Ok(())
+        };
+        let _ = limited(within, drain).await;
+    }
 }
 
 /// The outcome of `work`, or an error once the span has passed.
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -4,13 +4,14 @@
 use std::cell::Cell;
 
 use async_channel::Sender;
-use futures_lite::{Stream, StreamExt};
+use futures_lite::{FutureExt, Stream, StreamExt};
 use woadhook::Span;
 use woadhook_door::fields::Result;
 
 use crate::clock::{Clock, pass};
 use crate::config::Given;
 use crate::exchange::{Event, Note, Notes};
+use crate::fronts::rpc::guests::Guests;
 use crate::keyfiles::Keys;
 use crate::lists::bulletin::Move;
 
@@ -58,14 +59,19 @@
     }
 }
 
-/// From the word to stop until the process may end.
-pub async fn wait(clock: Clock, longest: Span, owing: &Cell<usize>, module: Sender<Event>) {
+/// From the word to stop until the process may end. Clients may rest on their connections until they are told of the end,
+/// or ask on and on: each connection goes once nothing is owed to it, and none holds up the end beyond its time.
+pub async fn wait(clock: Clock, longest: Span, owing: &Cell<usize>, guests: &Guests, module: Sender<Event>) {
     let told = clock.now();
     let by = told + longest.min(LONGEST) + STILL_COMING.less(LAST_WORDS);
     log::info!("stopping");
     let _ = module.send(Event::Stopping { by }).await;
     clock.until(told + STILL_COMING + LAST_WORDS).await;
-    while owing.get() > 0 {
-        pass(LOOK).await;
-    }
+    guests.end();
+    let all_gone = async {
+        while owing.get() > 0 || !guests.is_empty() {
+            pass(LOOK).await;
+        }
+    };
+    all_gone.or(clock.until(by + LAST_WORDS)).await;
 }
--- /dev/null
+++ b/crates/router/tests/crossings.rs
@@ -0,0 +1,429 @@
+//! What crosses at the wrong instant: a close, a cancel, an end, a late connection or a late answer under something that has
+//! just begun. Each story forces its crossing with a stand-in or a process that stands still; spans that pass are the
+//! rules' own. The table of pairs is `docs/design/crossings.md`.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use woadhook_router::codec;
+use woadhook_router::stop::Order;
+use woadhook_standins::processes::Process;
+use woadhook_standins::*;
+
+/// No dispatch begins later than this after its client went.
+const GONE: Duration = Duration::from_millis(100);
+/// A connection to an engine rests so long before it serves another job.
+const REST: Duration = Duration::from_millis(100);
+const ROWS: &str = "a\tb\tc\n";
+
+fn post(call: &Call) -> bool {
+    call.line.starts_with("POST")
+}
+
+fn of_job(call: &Call, number: u32) -> bool {
+    call.fields.contains(&format!("X-Trace: {number:016x}"))
+}
+
+/// What a router is told, changed.
+fn told_but(engines: &[SocketAddr], bulletin: SocketAddr, change: impl FnOnce(&mut Value)) -> String {
+    let mut given = serde_json::from_str(&told(engines, bulletin, 1024)).unwrap();
+    change(&mut given);
+    given.to_string()
+}
+
+/// A router before an engine in zone a and none in zone b, where alone `load` runs: loads wait there. Engines come to zone
+/// b with the bulletin.
+fn waiting(engine: &Standin) -> (Running, Events) {
+    let events = Events::default();
+    let told = told_but(&[engine.address], events.serve().address, |given| {
+        given["settings"]["zones"] = json!(["a", "b"]);
+        given["settings"]["classes"][1]["runsIn"] = json!(["b"]);
+    });
+    (Running::with(&told), events)
+}
+
+fn in_zone_b(engine: &Standin) -> Value {
+    let mut member = member("s-b", engine.address, "SERVING");
+    member["locality"] = json!("b");
+    member
+}
+
+/// So many requests that the door turns away.
+fn refused(count: u32) -> Vec<u8> {
+    (100..100 + count).flat_map(|number| Client::message(number, "nothing", "0", 1_000, "")).collect()
+}
+
+/// Once loads can run, a client that is there gets its own, and nothing else comes to the engine.
+fn only_the_other_is_sent(router: &Running, events: &Events) {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    events.add(2, vec![in_zone_b(&engine)]);
+    let mut other = Client::new(router);
+    // What waited goes before them.
+    for number in [77, 78, 79] {
+        other.asks(number, "load", 20_000);
+        assert_eq!(other.hears(), (number, Ok(ROWS.to_owned())));
+    }
+    let came = engine.had("POST");
+    assert!(came.iter().all(|call| [77, 78, 79].iter().any(|number| of_job(call, *number))), "{came:?}");
+}
+
+#[test]
+fn a_close_behind_hundreds_of_refused_requests_is_noticed_at_once() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let (router, events) = waiting(&engine);
+    let mut client = Client::new(&router);
+    client.asks(1, "load", 60_000);
+    client.0.write_all(&refused(500)).unwrap();
+    // A whole close over answers that it did not take would be a reset, which stands behind no bytes.
+    client.0.shutdown(Shutdown::Write).unwrap();
+    // Two milliseconds for each refusal were a second.
+    thread::sleep(GONE * 4);
+    only_the_other_is_sent(&router, &events);
+    drop(client);
+}
+
+#[test]
+fn a_cancel_behind_hundreds_of_refused_requests_is_heeded_at_once() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let (router, events) = waiting(&engine);
+    let mut client = Client::new(&router);
+    client.asks(1, "load", 60_000);
+    client.0.write_all(&refused(500)).unwrap();
+    client.aborts(1);
+    thread::sleep(GONE * 4);
+    only_the_other_is_sent(&router, &events);
+    drop(client);
+}
+
+#[test]
+fn a_close_behind_bytes_that_are_not_read_yet_is_seen_right_before_the_first_byte() {
+    let engine = Standin::start(|call| pages(call, &[ROWS.repeat(900).as_str(); 8]));
+    let (router, events) = waiting(&engine);
+    // It takes no answers: the router writes no more to it, and reads no more from it once too many are held back.
+    let mut client = Client::narrow(&router);
+    client.asks(1, "load", 60_000);
+    (2..32).for_each(|number| client.asks(number, "look", 60_000));
+    (0..30).for_each(|_| _ = engine.awaits("POST"));
+    client.0.write_all(&refused(100)).unwrap();
+    client.0.shutdown(Shutdown::Write).unwrap();
+    thread::sleep(GONE);
+    only_the_other_is_sent(&router, &events);
+    drop(client);
+}
+
+#[test]
+fn a_client_that_goes_while_the_connection_to_its_engine_comes_up_is_not_served() {
+    for how in ["close", "half", "cancel", "reset"] {
+        let gate = Gate::shut();
+        let told = told_but(&[gate.address], nobody(), |given| {
+            given["settings"]["limits"]["connectTimeoutUs"] = json!(10_000_000);
+        });
+        let router = Running::with(&told);
+        let mut client = Client::new(&router);
+        client.asks(1, "load", 60_000);
+        assert!(client.pings(0), "the request was taken before it");
+        match how {
+            "close" => drop(client),
+            "half" => client.0.shutdown(Shutdown::Write).unwrap(),
+            "cancel" => client.aborts(1),
+            _ => client.resets(),
+        }
+        thread::sleep(GONE);
+        let engine = gate.open(|call| pages(call, &[ROWS]));
+        let mut next = Client::new(&router);
+        next.asks(2, "load", 60_000);
+        assert_eq!(next.hears(), (2, Ok(ROWS.to_owned())));
+        let came = engine.until("POST");
+        assert!(of_job(came.last().unwrap(), 2), "{how}: {came:?}");
+    }
+}
+
+#[test]
+fn a_keyed_job_is_not_repeated_over_a_connection_that_comes_up_after_its_window() {
+    const WINDOW: Duration = Duration::from_millis(400);
+    let (gate, first) = (Gate::shut(), Arc::new(Mutex::new(None)));
+    let began = first.clone();
+    // It may have run, and the engine knows no more.
+    let engine = Standin::start(move |call| {
+        began.lock().unwrap().get_or_insert_with(Instant::now);
+        if post(call) { Says::Cut } else { says(500, &[], "") }
+    });
+    let told = told_but(&[engine.address], nobody(), |given| {
+        let settings = &mut given["settings"];
+        settings["limits"]["connectTimeoutUs"] = json!(10_000_000);
+        let class = &mut settings["classes"][0];
+        (class["effect"], class["dedupScope"]) = (json!("by_key"), json!("all"));
+        class["windowUs"] = json!(WINDOW.as_micros() as u64);
+        // The engine that cuts comes first: the other stands in a dearer zone.
+        settings["zones"] = json!(["a", "b"]);
+        settings["prices"] = json!({"crossZone": 0.1});
+        let mut late = member("s-late", gate.address, "SERVING");
+        late["locality"] = json!("b");
+        given["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(late);
+    });
+    let mut client = Client::new(&Running::with(&told));
+    client.asks(1, "look", 20_000);
+    engine.awaits("POST");
+    let until = first.lock().unwrap().unwrap() + WINDOW;
+    thread::sleep(until.saturating_duration_since(Instant::now()));
+    let late = gate.open(|call| pages(call, &[ROWS]));
+    let answered = client.hears();
+    assert!(late.had("POST").is_empty(), "{answered:?}");
+    assert_eq!(answered.1.map_err(|_| "not done"), Err("not done"));
+}
+
+#[test]
+fn a_connection_rests_before_it_serves_another_job() {
+    let last: Arc<Mutex<Vec<(usize, Instant)>>> = Arc::default();
+    let (seen, gaps) = (last.clone(), Arc::new(Mutex::new(Vec::new())));
+    let reused = gaps.clone();
+    let engine = Standin::start(move |call| {
+        let mut seen = seen.lock().unwrap();
+        if post(call) {
+            let before = seen.iter().rev().find(|(connection, _)| *connection == call.connection);
+            reused.lock().unwrap().extend(before.map(|(_, at)| at.elapsed()));
+        }
+        let says = pages(call, &[ROWS]);
+        seen.push((call.connection, Instant::now()));
+        says
+    });
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    // One job right after another, until connections that rested have been used again.
+    let (mut number, by) = (0, Instant::now() + LONG);
+    while gaps.lock().unwrap().len() < 5 {
+        assert!(Instant::now() < by, "no connection is used again");
+        number += 1;
+        client.asks(number, "load", 20_000);
+        assert_eq!(client.hears(), (number, Ok(ROWS.to_owned())));
+    }
+    let gaps = gaps.lock().unwrap();
+    assert!(gaps.iter().all(|gap| *gap >= REST), "a second copy could still come: {gaps:?}");
+}
+
+#[test]
+fn a_second_copy_that_comes_late_reaches_no_other_job() {
+    // As if the first answer came again in the moment in which the next call is written to its connection.
+    let mut first: Option<(usize, Instant)> = None;
+    let engine = Standin::start(move |call| {
+        let own = if of_job(call, 1) { "1\t1\t1\n" } else { "2\t2\t2\n" };
+        let Some((connection, at)) = first else {
+            first = post(call).then(|| (call.connection, Instant::now()));
+            return pages(call, &[own]);
+        };
+        let copy = connection == call.connection && at.elapsed() < REST && !of_job(call, 1);
+        pages(call, &[if copy { "1\t1\t1\n" } else { own }])
+    });
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    client.asks(1, "load", 20_000);
+    assert_eq!(client.hears(), (1, Ok("1\t1\t1\n".to_owned())));
+    client.asks(2, "load", 20_000);
+    assert_eq!(client.hears(), (2, Ok("2\t2\t2\n".to_owned())));
+}
+
+/// All that comes until the end of the connection, which must be one in order: how many whole answers, and nothing else.
+fn whole_answers(mut bytes: &[u8]) -> usize {
+    let mut whole = 0;
+    while !bytes.is_empty() {
+        let length = codec::whole(bytes, &mut codec::Scan::default(), &mut 0).ok().flatten();
+        bytes = &bytes[length.expect("whole answers only")..];
+        whole += 1;
+    }
+    whole
+}
+
+#[test]
+fn answers_written_before_a_close_over_unread_bytes_arrive_whole() {
+    let engine = Standin::start(|call| pages(call, &[ROWS.repeat(900).as_str(); 8]));
+    let router = Running::quiet(&[engine.address]);
+    let mut client = Client::narrow(&router);
+    (1..=20).for_each(|number| client.asks(number, "look", 60_000));
+    // The seventh page is the last one asked for.
+    (0..20).for_each(|_| _ = engine.awaits("GET /v2/q/"));
+    let mut first = [0; 1];
+    client.0.read_exact(&mut first).unwrap();
+    // What can't be read ends the reading; the rest of it stands unread as the router closes.
+    client.0.write_all(&[&[0xc1][..], &[0x00; 60_000]].concat()).unwrap();
+    let mut bytes = first.to_vec();
+    let ended = client.0.read_to_end(&mut bytes);
+    assert!(ended.is_ok(), "{ended:?} after {} bytes", bytes.len());
+    assert!(whole_answers(&bytes) > 0);
+}
+
+/// A router in a process, so that it can stand still.
+fn process(story: &str, told: &str) -> Process {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crossings-{story}"));
+    let _ = fs::remove_dir_all(&folder);
+    let process = Process::start(env!("CARGO_BIN_EXE_woadhook"), &folder, "n0", told);
+    process.ready();
+    process
+}
+
+fn client(of: &Process) -> Client {
+    let stream = TcpStream::connect(of.address).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    Client(stream)
+}
+
+/// An address at which nothing listens.
+fn nobody() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+#[test]
+fn no_connection_is_closed_for_a_new_one_over_a_request_that_has_come() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    // Thirteen descriptors for clients.
+    let router = process("room", &told(&[engine.address], nobody(), 41));
+    let mut clients: Vec<_> = (0..13).map(|_| client(&router)).collect();
+    for client in &mut clients {
+        client.asks(1, "look", 20_000);
+        assert!(client.hears().1.is_ok());
+    }
+    // It hears of the one that wants a place before it hears the longest quiet one's request.
+    router.signal(Signal::STOP);
+    let mut new = client(&router);
+    new.asks(1, "look", 20_000);
+    clients[0].asks(2, "look", 20_000);
+    router.signal(Signal::CONT);
+    assert_eq!(clients[0].hears(), (2, Ok(ROWS.to_owned())));
+    assert_eq!(new.hears(), (1, Ok(ROWS.to_owned())));
+}
+
+#[test]
+fn clients_that_rest_get_an_end_in_order_and_hold_up_none() {
+    // One engine hangs for good, with a run-once job out.
+    let engine = Standin::start(|call| match (post(call), of_job(call, 9)) {
+        (true, true) => Says::Nothing,
+        (true, false) => pages(call, &[ROWS]),
+        _ => Says::Nothing,
+    });
+    let router = Running::quiet(&[engine.address]);
+    let mut hung = Client::new(&router);
+    hung.asks(9, "load", 60_000);
+    engine.awaits("POST");
+    let mut resting: Vec<_> = (0..20).map(|_| Client::new(&router)).collect();
+    for (number, client) in resting.iter_mut().enumerate() {
+        client.asks(100 + number as u32, "load", 20_000);
+        assert!(client.hears().1.is_ok());
+    }
+    let told = Instant::now();
+    router.orders.send_blocking(Order::Stop).unwrap();
+    for client in &mut resting {
+        let mut rest = Vec::new();
+        assert_eq!(client.0.read_to_end(&mut rest).map_err(|error| error.kind()), Ok(0));
+        // One that writes in that moment is not read any more, and nobody runs it.
+        let _ = client.0.write_all(&Client::message(500, "load", "00000000000001f4", 1_000, "select 1"));
+    }
+    assert_eq!(hung.hears(), (9, Err("Internal".to_owned())));
+    router.ends();
+    // The longest deadline counts for three seconds at most, and SIGKILL comes 0.7 s behind it.
+    assert!(told.elapsed() < Duration::from_millis(3_700), "{:?}", told.elapsed());
+    assert!(!engine.had("POST").iter().any(|call| of_job(call, 500)));
+}
+
+#[test]
+fn a_client_that_asks_on_and_on_does_not_hold_up_the_end() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let told = told_but(&[engine.address], nobody(), |given| {
+        given["settings"]["classes"].as_array_mut().unwrap().iter_mut().for_each(|class| {
+            (class["deadlineUs"], class["goalTimeUs"]) = (json!(300_000), json!(300_000));
+        });
+    });
+    let router = Running::with(&told);
+    let mut busy = Client::new(&router);
+    let mut writer = busy.0.try_clone().unwrap();
+    let asking = thread::spawn(move || {
+        let ping = [&[0x94, 0x00, 0x00, 0xa4], &b"ping"[..], &[0x91, 0x80]].concat();
+        while writer.write_all(&ping.repeat(20)).is_ok() {}
+    });
+    let mut first = [0; 6];
+    busy.0.read_exact(&mut first).unwrap();
+    let told = Instant::now();
+    router.orders.send_blocking(Order::Stop).unwrap();
+    let reading = thread::spawn(move || while busy.0.read(&mut [0; 4096]).is_ok_and(|count| count > 0) {});
+    router.ends();
+    assert!(told.elapsed() < Duration::from_millis(1_000 + 700), "{:?}", told.elapsed());
+    drop((asking, reading));
+}
+
+#[test]
+fn a_list_that_cannot_be_read_at_the_start_is_told_anew_by_the_bulletin() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let events = Events::default();
+    events.add(1, vec![member("s-0", engine.address, "SERVING")]);
+    let told = told_but(&[engine.address], events.serve().address, |given| {
+        given["known"]["items"][0]["roster"]["members"][0]["phase"] = json!("SLEEPING");
+    });
+    let mut client = Client::new(&Running::with(&told));
+    let by = Instant::now() + LONG;
+    while !client.pings(0) {
+        assert!(Instant::now() < by, "not ready");
+    }
+    client.asks(1, "load", 20_000);
+    assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())));
+}
+
+#[test]
+fn a_line_that_never_makes_sense_hides_no_notice_to_drain() {
+    let engines = [0, 1].map(|_| Standin::start(|call| pages(call, &[ROWS])));
+    let [old, new] = engines.each_ref().map(|engine| engine.address);
+    let events = Events::default();
+    let bulletin = events.serve();
+    let mut client = Client::new(&Running::start(&[old], bulletin.address));
+    let lines =
+        [member("s-x", new, "SLEEPING"), member("s-0", old, "DRAINING"), member("s-1", new, "SERVING")];
+    events.add(2, lines.to_vec());
+    bulletin.awaits("GET /bulletins?after=2&");
+    client.asks(1, "load", 20_000);
+    assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())));
+    engines[1].awaits("POST");
+    assert!(engines[0].had("POST").is_empty());
+}
+
+#[test]
+fn idle_clients_fill_their_descriptors_while_discovery_is_down_and_it_is_reached_all_the_same() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let gate = Gate::shut();
+    let router = process("idle", &told(&[engine.address], gate.address, 41));
+    let mut idle: Vec<_> = (0..40).map(|_| client(&router)).collect();
+    idle.iter_mut().take(5).for_each(|client| client.0.write_all(&[0x94, 0x00]).unwrap());
+    let events = Events::default();
+    let bulletin = gate.open(move |call| events.answer(call));
+    bulletin.awaits("GET /bulletins?after=1&");
+    let mut usual = client(&router);
+    usual.asks(1, "load", 20_000);
+    assert_eq!(usual.hears(), (1, Ok(ROWS.to_owned())));
+}
+
+#[test]
+fn a_costly_job_of_a_type_with_a_short_deadline_is_not_malformed() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let told = told_but(&[engine.address], nobody(), |given| {
+        let class = &mut given["settings"]["classes"][0];
+        (class["deadlineUs"], class["goalTimeUs"]) = (json!(300_000), json!(200_000));
+    });
+    let mut client = Client::new(&Running::with(&told));
+    // Eight cores do 2,400 ms in that time.
+    let fields = [("id", "0000000000000001"), ("wait", "300"), ("cost", "3000"), ("ram", "16")];
+    client.0.write_all(&Client::request(1, "look", &fields, "select 1 from sales_1.x")).unwrap();
+    assert_ne!(client.hears(), (1, Err("Malformed".to_owned())));
+}
+
+#[test]
+fn a_deployment_without_estimates_is_served() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    let bare = [("id", "0000000000000001"), ("wait", "20000")];
+    let nought = [("id", "0000000000000002"), ("wait", "20000"), ("cost", "0.0"), ("ram", "0")];
+    for (number, fields) in [(1, &bare[..]), (2, &nought[..])] {
+        client.0.write_all(&Client::request(number, "load", fields, "select 1 from sales_1.x")).unwrap();
+        assert_eq!(client.hears(), (number, Ok(ROWS.to_owned())));
+    }
+}
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 use rmp::{Marker, decode};
 use socket2::{Domain, Socket, Type};
@@ -51,6 +52,12 @@
         bytes
     }
 
+    /// Goes with a reset.
+    pub fn resets(self) {
+        let socket = Socket::from(self.0);
+        socket.set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     pub fn asks(&mut self, number: u32, class: &str, wait: u32) {
         let message =
             Self::message(number, class, &format!("{number:016x}"), wait, "select 1 from sales_1.x");
--- a/crates/standins/src/engines.rs
+++ b/crates/standins/src/engines.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, SockRef, Socket, Type};
+
 use crate::LONG;
 
 /// A call that a stand-in took in.
@@ -55,7 +57,11 @@
 
 impl Standin {
     pub fn start(answer: impl FnMut(&Call) -> Says + Send + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Self::on(TcpListener::bind("127.0.0.1:0").unwrap(), answer)
+    }
+
+    /// One that takes in connections at such a listener.
+    pub fn on(listener: TcpListener, answer: impl FnMut(&Call) -> Says + Send + 'static) -> Self {
         let address = listener.local_addr().unwrap();
         let (answer, (passed, calls)) = (Arc::new(Mutex::new(answer)), mpsc::channel());
         thread::spawn(move || {
@@ -98,6 +104,34 @@
     }
 }
 
+/// An address at which connections don't come up until it is opened, as where nothing is heard of a machine. One that was
+/// asked for before comes up with the system's next try, a second after its first.
+pub struct Gate {
+    listener: TcpListener,
+    pub address: SocketAddr,
+    fillers: Vec<TcpStream>,
+}
+
+impl Gate {
+    pub fn shut() -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: TcpListener = socket.into();
+        let address = listener.local_addr().unwrap();
+        // The queue is full once one of these no longer comes up.
+        let more = || TcpStream::connect_timeout(&address, Duration::from_millis(200)).ok();
+        let fillers = std::iter::from_fn(more).collect();
+        Self { listener, address, fillers }
+    }
+
+    pub fn open(self, answer: impl FnMut(&Call) -> Says + Send + 'static) -> Standin {
+        SockRef::from(&self.listener).listen(128).unwrap();
+        drop(self.fillers);
+        Standin::on(self.listener, answer)
+    }
+}
+
 fn take_call(stream: &mut BufReader<TcpStream>, connection: usize) -> Option<Call> {
     let mut lines = Vec::new();
     loop {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -17,7 +17,7 @@
 
 pub use bulletin::{Events, member};
 pub use clients::Client;
-pub use engines::{Call, Says, Standin, pages, says};
+pub use engines::{Call, Gate, Says, Standin, pages, says};
 pub use routers::{Running, told};
 
 /// What is awaited comes long before this, or never.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,7 +2,7 @@
 //! below and keeps a mapping until the module says [`Decision::Forget`]; a forgotten index may be given out
 //! again.
 
-use crate::time::Span;
+use crate::time::{Moment, Span};
 
 macro_rules! index {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
@@ -132,11 +132,13 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
     /// Send the job to the engine; the first dispatch of a job has number 0, the next 1, and so on. Memory is
-    /// in megabytes (0: the engine chooses); priorities go from 0 to 3.
+    /// in megabytes (0: the engine chooses); priorities go from 0 to 3. Where `before` is given, a host that can't send
+    /// it sooner than that must not send it, as an earlier dispatch of the job may have run.
     Dispatch {
         job: JobId,
         engine: EngineId,
         timeout: Span,
+        before: Option<Moment>,
         memory: f64,
         priority: u8,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -581,6 +581,14 @@
         }
     }
 
+    /// Until when a keyed job that may have run can begin again: the way there takes time not known here.
+    fn repeat_before(&self, job: &Job) -> Option<Moment> {
+        match self.types[job.kind.0].effect {
+            Effect::Keyed { window, .. } => job.maybe_ran().map(|d| d.sent + window).min(),
+            _ => None,
+        }
+    }
+
     /// The one check that every dispatch passes: rules 1 to 7 in this order. In doubt it says no.
     fn legal(&self, id: JobId, job: &Job, engine: &Engine, now: Moment) -> bool {
         let t = &self.types[job.kind.0];
@@ -767,6 +775,7 @@
         let billed: f64 = self.types.iter().map(|t| t.billed).sum::<f64>() / self.types.len() as f64;
         let density = self.density(&self.jobs[&id], now) / (billed / fair);
         let retry = !self.further.cancelling && !self.further.copies;
+        let before = self.repeat_before(&self.jobs[&id]);
         let (job, engine) = (self.jobs.get_mut(&id)?, self.engines.get_mut(&to)?);
         let t = &self.types[job.kind.0];
         let most = self.terms.most_grant * self.fleet.memory.get(engine.kind.0).copied().unwrap_or(0.0);
@@ -786,7 +795,7 @@
         let sent = Dispatch { engine: to, zone, cell, sent: now, warm, grant, ..Dispatch::default() };
         job.dispatches.push(sent);
         self.since_probe += 1;
-        Some(Decision::Dispatch { job: id, engine: to, timeout, memory: grant, priority })
+        Some(Decision::Dispatch { job: id, engine: to, timeout, before, memory: grant, priority })
     }
 
     /// Whether a dispatch that is out should be replaced: its engine was set aside, or the rest of it at its
--- a/tests/stories/host.rs
+++ b/tests/stories/host.rs
@@ -29,6 +29,8 @@
     /// Job, engine and priority of each dispatch so far.
     pub sent: Vec<(JobId, EngineId, u8)>,
     pub grants: Vec<f64>,
+    /// When each dispatch must have begun, if that was told.
+    pub before: Vec<Option<Moment>>,
     pub throttled: Vec<JobId>,
     pub cancelled: Vec<JobId>,
     pub called_off: Vec<(JobId, usize)>,
@@ -104,6 +106,7 @@
             jobs: 0,
             sent: vec![],
             grants: vec![],
+            before: vec![],
             throttled: vec![],
             cancelled: vec![],
             called_off: vec![],
@@ -142,7 +145,8 @@
     pub fn pull(&mut self) {
         while let Some(decision) = self.router.next_decision(self.now) {
             match decision {
-                Decision::Dispatch { job, engine, priority, memory, .. } => {
+                Decision::Dispatch { job, engine, priority, memory, before, .. } => {
+                    self.before.push(before);
                     self.sent.push((job, engine, priority));
                     self.grants.push(memory);
                 }
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -46,6 +46,19 @@
     }
 }
 
+#[test]
+fn a_repeat_of_what_may_have_run_tells_until_when_it_may_begin() {
+    let keyed = Effect::Keyed { scope: Scope::All, window: ms(500) };
+    for (effect, told) in [(keyed, true), (Effect::Restartable, false)] {
+        let mut host = Host::new(|start| start.types[0].effect = effect);
+        let (job, first) = (host.job(LOOKUP, 1), host.now);
+        host.pull();
+        host.now = host.now + ms(100);
+        host.end(job, 0, Outcome::TimedOut, 100);
+        assert_eq!(host.before, [None, told.then(|| first + ms(500))]);
+    }
+}
+
 #[test]
 fn a_keyed_job_that_may_have_run_stays_in_its_group_and_window() {
     let keyed = |scope| Effect::Keyed { scope, window: ms(500) };
