--- a/deploy/example.jsonnet
+++ b/deploy/example.jsonnet
@@ -1,6 +1,6 @@
 // What an installation may set beside the platform's configuration: `woadhook run --operator deploy/example.jsonnet`.
 // Every field is explained in docs/operating/fields.md; `woadhook check --operator FILE` checks a file.
-// ljubljana-arhiv runs without one: its routers share nothing.
+// The platform runs without one: its routers share nothing.
 local hall = import 'lib/hall.libsonnet';
 
 {
