A client's key and what repeats are known by go on to the engine

Cause: request.rs read 'key' and passed over 'once', and query.rs sent neither on. Change: both go on as they came (X-Asset, X-Op-Key), if they are plain text that can stand in a head; else the request is malformed.

--- a/crates/router/src/backs/sql/query.rs
+++ b/crates/router/src/backs/sql/query.rs
@@ -161,12 +161,14 @@
             }
             self.heard.set(self.now());
             let patience = self.dispatch.until.since(self.now()).micros().div_ceil(1000).to_string();
-            let fields = [
+            let mut fields = vec![
                 ("X-Trace", statement.id.as_str()),
                 ("X-Profile", &statement.class),
                 ("X-Patience", &patience),
                 ("X-Weight-Class", &priority),
             ];
+            fields.extend(statement.key.as_deref().map(|key| ("X-Asset", key)));
+            fields.extend(statement.once.as_deref().map(|once| ("X-Op-Key", once)));
             let post = self.call(&mut lease, "POST", "/v2/q", &fields, statement.text.as_bytes(), 0);
             match limited(ASK_AGAIN, post).await {
                 Ok(answer) => return Ok((answer, lease)),
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -94,6 +94,9 @@
     pub holder: Holder,
     pub id: String,
     pub class: String,
+    /// The client's key, and what repeats are known by, where it gave them: they go on unchanged.
+    pub key: Option<String>,
+    pub once: Option<String>,
     pub text: String,
     /// The room that it takes.
     pub held: Held,
--- a/crates/router/src/fronts/rpc/front.rs
+++ b/crates/router/src/fronts/rpc/front.rs
@@ -412,6 +412,8 @@
             holder: self.holder,
             id: asked.id.into(),
             class: method.into(),
+            key: asked.key.map(str::to_owned),
+            once: asked.once.map(str::to_owned),
             text: asked.text.into(),
             held,
             wanted: Wanted::new(connected),
--- a/crates/router/src/fronts/rpc/request.rs
+++ b/crates/router/src/fronts/rpc/request.rs
@@ -30,6 +30,8 @@
     pub memory: f64,
     pub tenant: Option<&'a str>,
     pub key: Option<&'a str>,
+    /// What engines know repeats of a keyed job by, where the client gives it.
+    pub once: Option<&'a str>,
     pub text: &'a str,
     pub group: GroupId,
 }
@@ -39,27 +41,29 @@
     pub fn request<'a>(&self, method: &str, message: &mut &'a [u8]) -> Result<Request<'a>> {
         let place = self.types.iter().position(|(name, _)| name == method).ok_or(Malformed)?;
         let timeout = self.types[place].1;
-        let names = ["id", "wait", "cost", "ram", "retry", "tenant", "key"];
-        let mut values = [None; 7];
+        let names = ["id", "wait", "cost", "ram", "retry", "tenant", "key", "once"];
+        let mut values = [None; 8];
         let mut twice = false;
         let body = codec::parameters(message, |name, value| {
             if let Some(place) = names.iter().position(|known| *known == name) {
                 twice |= values[place].replace(value).is_some();
             }
         })?;
-        let [id, wait, cost, ram, retry, tenant, key] = values;
+        let [id, wait, cost, ram, retry, tenant, key, once] = values;
         let id = id.filter(|id| id.len() == ID_DIGITS && id.bytes().all(|byte| byte.is_ascii_hexdigit()));
         let wait = wait.filter(|wait| !wait.contains('.')).ok_or(Malformed)?;
         // No engine could do more than that in the longest time, all of its cores at work. The type's own time is no bound:
         // a job that can't be done in it is to be told so, not that it is malformed.
         let most = self.types.iter().map(|(_, timeout)| *timeout).max().unwrap_or(timeout).times(self.cores);
         let text = str::from_utf8(body).map_err(|_| Malformed)?;
-        let name = |name: &&str| (1..=NAME_BYTES).contains(&name.len());
+        // It may go on as a field of a head.
+        let plain = |name: &str| name.trim() == name && name.bytes().all(|byte| (0x20..0x7f).contains(&byte));
+        let name = |name: &&str| (1..=NAME_BYTES).contains(&name.len()) && plain(name);
         let sound = !twice
             && message.is_empty()
             && !text.trim().is_empty()
             && retry.is_none_or(|mark| mark == "1")
-            && [tenant, key].iter().flatten().all(name);
+            && [tenant, key, once].iter().flatten().all(name);
         if !sound {
             return Err(Malformed);
         }
@@ -76,6 +80,7 @@
             memory: ram.map_or(Ok(0.0), amount).ok().filter(|ram| *ram <= self.memory).ok_or(Malformed)?,
             tenant,
             key,
+            once,
             text,
             group: GroupId(table_group(text).unwrap_or(0)),
         })
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -427,3 +427,34 @@
         assert_eq!(client.hears(), (number, Ok(ROWS.to_owned())));
     }
 }
+
+#[test]
+fn what_an_engine_knows_repeats_and_order_by_goes_on_unchanged() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let mut client = Client::new(&Running::quiet(&[engine.address]));
+    let given = |key, once| {
+        [
+            ("id", "0000000000000001"),
+            ("wait", "20000"),
+            ("cost", "1"),
+            ("ram", "1"),
+            ("key", key),
+            ("once", once),
+        ]
+    };
+    client
+        .0
+        .write_all(&Client::request(1, "load", &given("k 7", "op-1"), "select 1 from sales_1.x"))
+        .unwrap();
+    assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())));
+    let call = engine.awaits("POST");
+    for field in ["X-Asset: k 7", "X-Op-Key: op-1"] {
+        assert!(call.fields.iter().any(|known| known == field), "{:?}", call.fields);
+    }
+    // Nothing that would be another field, or none.
+    for (number, once) in ["op\r\nX-Trace: 1", "op\n", " op", ""].into_iter().enumerate() {
+        let number = number as u32 + 2;
+        client.0.write_all(&Client::request(number, "load", &given("k", once), "select 1")).unwrap();
+        assert_eq!(client.hears(), (number, Err("Malformed".to_owned())));
+    }
+}
