The order of a key waits until an engine that hangs runs its job no more

Ruled out: the rest of 300 ms (kept after the outcome), jobs of other routers (same router), an earlier dispatch of the second job. Cause: query.rs, give_up took a query as ended 2.25 s after it was last asked for, as the protocol has engines do; an engine that hangs does not, and keeps it. logic.rs let the key rest from the outcome. Change: the job's outcome is told as before, so that its client hears at once; but its key is in doubt until the DELETE has come whole, nothing listens there or the engine is told gone, and rests from then. Only ordered types pay for it. The tests of module and socket fail without it.

--- a/crates/router/src/backs/sql/engine.rs
+++ b/crates/router/src/backs/sql/engine.rs
@@ -46,6 +46,8 @@
     pub address: SocketAddr,
     /// Whether nothing was heard of its draining or end.
     pub open: Cell<bool>,
+    /// Whether it is no more.
+    pub gone: Cell<bool>,
 }
 
 impl Engine {
--- a/crates/router/src/backs/sql/peer.rs
+++ b/crates/router/src/backs/sql/peer.rs
@@ -32,7 +32,13 @@
 impl Peer {
     pub fn start(ground: &Ground, serial: u64, address: SocketAddr, module: Sender<Event>) -> Self {
         let (mailbox, errands) = async_channel::bounded(MAILBOX);
-        let engine = Rc::new(Engine { ground: ground.clone(), serial, address, open: Cell::new(true) });
+        let engine = Rc::new(Engine {
+            ground: ground.clone(),
+            serial,
+            address,
+            open: Cell::new(true),
+            gone: Cell::new(false),
+        });
         ground.tasks.start(serve(engine.clone(), errands, module));
         Self { engine, mailbox }
     }
--- a/crates/router/src/backs/sql/query.rs
+++ b/crates/router/src/backs/sql/query.rs
@@ -27,6 +27,8 @@
 const NEWS_WAIT: Span = Span::from_micros(250_000);
 /// Between calls that fail at once.
 const PAUSE: Span = Span::from_micros(20_000);
+/// Between calls that give up a query that an engine says nothing of.
+const SETTLE: Span = Span::from_micros(100_000);
 /// A call without an answer for so long is made again on another connection.
 const ASK_AGAIN: Span = Span::from_micros(500_000);
 /// So often a page that comes too slowly is asked for again; then it is let come as it comes.
@@ -43,10 +45,10 @@
 }
 
 impl Verdict {
-    async fn tell(mut self, took: Span, (outcome, told, rows): End) {
+    async fn tell(mut self, took: Span, (outcome, told, rows): End, in_doubt: bool) {
         let Some(module) = self.module.take() else { return };
         let (job, number) = (self.job, self.number);
-        let _ = module.send(Event::Ended { job, number, outcome, took, told, rows }).await;
+        let _ = module.send(Event::Ended { job, number, outcome, took, told, rows, in_doubt }).await;
     }
 }
 
@@ -54,7 +56,7 @@
     fn drop(&mut self) {
         let Some(module) = self.module.take() else { return };
         let verdict = Verdict { module: Some(module), ..*self };
-        self.tasks.start(verdict.tell(Span::ZERO, (Outcome::Reset, None, None)));
+        self.tasks.start(verdict.tell(Span::ZERO, (Outcome::Reset, None, None), false));
     }
 }
 
@@ -73,6 +75,8 @@
     /// When a call that asks for it was last written, and when one was last answered.
     asked: Cell<Moment>,
     heard: Cell<Moment>,
+    /// Whether it was given up without word, so that it may run on.
+    in_doubt: Cell<bool>,
 }
 
 /// What the answer to one call said.
@@ -93,7 +97,16 @@
     let (clock, tasks) = (engine.ground.clock, engine.ground.tasks);
     let verdict = Verdict { job, number, tasks, module: Some(module.clone()) };
     let (asked, heard) = (Cell::new(decided), Cell::new(decided));
-    let out = Out { engine, dispatch, module, orders, began: Cell::new(false), asked, heard };
+    let out = Out {
+        engine,
+        dispatch,
+        module,
+        orders,
+        began: Cell::new(false),
+        asked,
+        heard,
+        in_doubt: Cell::new(false),
+    };
     let end = async { Ok(out.work().await) }.or(async { Err(out.stopped().await) }).await;
     if !out.began.get() && !out.dispatch.statement.wanted.still() {
         let _ = out.module.send(Event::Unwanted { job }).await;
@@ -107,7 +120,16 @@
             (outcome, None, None)
         }
     };
-    verdict.tell(clock.now().since(decided), end).await;
+    let in_doubt = out.in_doubt.get();
+    verdict.tell(clock.now().since(decided), end, in_doubt).await;
+    // The order of its key waits until it surely runs no more; nothing else does.
+    if let Some(key) = out.dispatch.key.filter(|_| in_doubt) {
+        while out.in_doubt.get() && !out.engine.gone.get() {
+            pass(SETTLE).await;
+            let _ = out.delete().await;
+        }
+        let _ = out.module.send(Event::Settled { key }).await;
+    }
 }
 
 impl Out {
@@ -228,11 +250,11 @@
                             self.heard.set(self.now());
                             continue;
                         }
-                        Err(_) => {}
+                        Err(error) => self.unheard("asked", &error),
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Err(Outcome::Reset),
-                Err(_) => {}
+                Err(error) => self.unheard("no connection to ask over", &error),
             }
             if self.now().since(self.heard.get()) > ASK_WITHIN {
                 self.give_up().await;
@@ -377,20 +399,36 @@
         late.or(told).await
     }
 
+    fn unheard(&self, what: &str, error: &io::Error) {
+        let (job, number) = (&self.dispatch.statement.id, self.dispatch.number);
+        log::debug!(event = "unheard", job = job.as_str(), number, what; "{what}: {error}");
+    }
+
     fn path(&self) -> String {
         format!("/v2/q/{}", self.dispatch.statement.id)
     }
 
     /// Deletes the query, until that has come whole, nothing listens there, or nobody asked for it so long
-    /// that the engine has ended it by itself.
+    /// that the engine has ended it by itself, unless it hangs.
     async fn give_up(&self) {
         let ended = self.asked.get() + NEWS_WAIT + ASK_WITHIN;
-        loop {
-            match self.engine.errand("DELETE", &self.path(), "").await {
-                Ok(_) => return,
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return,
-                Err(_) if self.now() >= ended => return,
-                Err(_) => pass(PAUSE).await,
+        self.in_doubt.set(true);
+        while let Err(error) = self.delete().await {
+            self.unheard("deleted", &error);
+            if self.now() >= ended {
+                return;
+            }
+            pass(PAUSE).await;
+        }
+    }
+
+    /// One call that gives it up; done where it came whole or nothing listens.
+    async fn delete(&self) -> io::Result<()> {
+        match self.engine.errand("DELETE", &self.path(), "").await {
+            Err(error) if error.kind() != io::ErrorKind::ConnectionRefused => Err(error),
+            _ => {
+                self.in_doubt.set(false);
+                Ok(())
             }
         }
     }
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -37,6 +37,8 @@
     statement: Rc<Statement>,
     kind: TypeId,
     deadline: Moment,
+    /// By which its type keeps order.
+    key: Option<KeyId>,
     /// Taken by the one answer.
     reply: Option<Reply>,
     dispatches: usize,
@@ -64,6 +66,7 @@
 impl Known {
     fn list(&mut self, line: Line) {
         self.line = line;
+        self.peer.engine.gone.set(line.listed == Listed::Gone);
         self.peer.engine.open.set(line.listed == Listed::Live);
     }
 }
@@ -188,9 +191,10 @@
                     self.withdraw(job);
                 }
             }
+            Event::Settled { key } => self.instance.router.key_settled(now, key),
             Event::Unwanted { job } => self.withdraw(job),
             Event::Ping { reply } => reply.send(Answer::Pong(self.listed && self.last_answer.is_none())),
-            Event::Ended { job, number, outcome, took, told, rows } => {
+            Event::Ended { job, number, outcome, took, told, rows, in_doubt } => {
                 let Some(open) = self.jobs.get_mut(&job) else { return };
                 let (at, kind) = (open.out.remove(&number), open.kind);
                 log::debug!(event = "dispatch_ended", job = open.statement.id, number, outcome:? = outcome, took_us = took.micros(); "dispatch ended");
@@ -203,6 +207,9 @@
                     self.standing.result(rows.pages.iter().map(Vec::len).sum());
                     reply.send(Answer::Served(rows));
                 }
+                if let Some(key) = self.jobs[&job].key.filter(|_| in_doubt) {
+                    self.instance.router.key_in_doubt(key);
+                }
                 let over = self.jobs[&job].reply.is_none();
                 let told = told.filter(|_| self.instance.costs_told);
                 self.instance.router.dispatch_ended(now, job, number, outcome, took, told, over);
@@ -286,7 +293,7 @@
         let key = key.and_then(|key| self.instance.key(kind, &key));
         self.asked.insert(asked, job);
         let reply = Some(reply);
-        let open = Open { client, statement, kind, deadline, reply, dispatches: 0, out: HashMap::new() };
+        let open = Open { client, statement, kind, deadline, key, reply, dispatches: 0, out: HashMap::new() };
         self.jobs.insert(job, open);
         let (router, expires) = (&mut self.instance.router, deadline.since(now));
         log::debug!(event = "job_taken", job = self.instance.jobs.name(job.0), of = self.instance.types[kind.0]; "job taken");
@@ -388,6 +395,7 @@
         new.list(line);
         if let Some(old) = self.engines.insert(engine, new) {
             old.peer.engine.open.set(false);
+            old.peer.engine.gone.set(true);
         }
     }
 
@@ -456,9 +464,10 @@
         let number = open.dispatches;
         open.dispatches += 1;
         log::debug!(event = "dispatched", job = open.statement.id, number, engine = self.instance.engines.name(engine.0); "dispatched");
-        let statement = open.statement.clone();
+        let (statement, key) = (open.statement.clone(), open.key);
         let until = until.min(open.deadline);
-        let dispatch = Dispatch { job, number, engine, statement, decided: now, until, before, priority };
+        let dispatch =
+            Dispatch { job, number, engine, statement, decided: now, until, before, key, priority };
         let (orders, taken) = async_channel::bounded(ORDERS);
         if known.peer.send(Errand::Run(dispatch, taken)) {
             open.out.insert(number, (engine, orders));
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -51,6 +51,12 @@
         took: Span,
         told: Option<(Span, f64)>,
         rows: Option<Rows>,
+        /// Whether it may run on, as its engine said nothing to the call that gave it up.
+        in_doubt: bool,
+    },
+    /// A dispatch for this key that was in doubt runs no more.
+    Settled {
+        key: KeyId,
     },
     Progressed {
         job: JobId,
@@ -136,6 +142,8 @@
     pub until: Moment,
     /// When it must have begun, as an earlier dispatch of the job may have run.
     pub before: Option<Moment>,
+    /// The key by which its type keeps order.
+    pub key: Option<KeyId>,
     pub priority: u8,
 }
 
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -6,6 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -458,3 +459,40 @@
         assert_eq!(client.hears(), (number, Err("Malformed".to_owned())));
     }
 }
+
+#[test]
+fn the_order_of_a_key_waits_for_an_engine_that_hangs_with_its_job() {
+    let wakes = Arc::new(AtomicBool::new(false));
+    let awake = wakes.clone();
+    // It takes a job, and says nothing more of it.
+    let hung = Standin::start(move |call| match () {
+        _ if call.line.starts_with("GET /load") => says(200, &[], ""),
+        _ if awake.load(Ordering::Relaxed) => pages(call, &[ROWS]),
+        _ => Says::Nothing,
+    });
+    let (well, told_wakes) = (Standin::start(|call| pages(call, &[ROWS])), wakes);
+    let told = told_but(&[hung.address], nobody(), |given| {
+        let settings = &mut given["settings"];
+        settings["obligations"]["turnGapUs"] = json!(50_000);
+        settings["classes"][1]["keepOrder"] = json!(true);
+        // The engine that hangs comes first: the other stands in a dearer zone.
+        (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
+        let mut other = member("s-b", well.address, "SERVING");
+        other["locality"] = json!("b");
+        given["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(other);
+    });
+    let mut client = Client::new(&Running::with(&told));
+    for (number, id) in [(1, "0000000000000001"), (2, "0000000000000002")] {
+        let fields = [("id", id), ("wait", "60000"), ("cost", "10"), ("ram", "1"), ("key", "k")];
+        client.0.write_all(&Client::request(number, "load", &fields, "select 1 from sales_1.x")).unwrap();
+    }
+    // Its client hears at once that it failed; the key does not go on.
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    while hung.had("DELETE").is_empty() {
+        thread::yield_now();
+    }
+    (0..3).for_each(|_| _ = hung.awaits("DELETE /v2/q/0000000000000001 "));
+    assert!(well.had("POST").is_empty());
+    told_wakes.store(true, Ordering::Relaxed);
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+}
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -282,6 +282,19 @@
         self.drop_if_spent(job);
     }
 
+    /// A dispatch for this key is about to end without word, and may run on.
+    pub fn key_in_doubt(&mut self, key: KeyId) {
+        self.keys.entry(key).or_default().in_doubt += 1;
+    }
+
+    /// It does not run on. Threat: an engine that hangs keeps its job for as long, whatever is assumed of it.
+    pub fn key_settled(&mut self, now: Moment, key: KeyId) {
+        if let Some(turns) = self.keys.get_mut(&key) {
+            turns.in_doubt = turns.in_doubt.saturating_sub(1);
+            turns.rest_until = turns.rest_until.max(now + self.further.turn_gap);
+        }
+    }
+
     pub fn progressed(&mut self, now: Moment, job: JobId, number: usize, progress: Progress) {
         let hold = now + self.load_run();
         let Some(record) = self.jobs.get_mut(&job) else { return };
@@ -507,7 +520,8 @@
             self.taken.retain(|&at| now.since(at) < ration.window);
             self.resent.retain(|&at| now.since(at) <= ration.window);
         }
-        let rested = self.keys.extract_if(.., |_, turns| turns.jobs.is_empty() && now >= turns.rest_until);
+        let rest = |t: &Turns| t.jobs.is_empty() && t.in_doubt == 0 && now >= t.rest_until;
+        let rested = self.keys.extract_if(.., |_, turns| rest(turns));
         self.forgotten.extend(rested.map(|(key, _)| Forgotten::Key(key)));
         let idle = |e: &mut Engine| e.out.is_empty() && !e.probe_out;
         let gone = self.engines.extract_if(.., |_, e| e.listed == Listed::Gone && idle(e));
@@ -593,7 +607,8 @@
     fn legal(&self, id: JobId, job: &Job, engine: &Engine, now: Moment) -> bool {
         let t = &self.types[job.kind.0];
         let turn = job.key.and_then(|key| self.keys.get(&key)).is_none_or(|turns| {
-            turns.jobs.front() == Some(&id) && (now >= turns.rest_until || !job.dispatches.is_empty())
+            let rested = now >= turns.rest_until && turns.in_doubt == 0;
+            turns.jobs.front() == Some(&id) && (rested || !job.dispatches.is_empty())
         });
         !job.over
             && now < job.deadline
--- a/src/records.rs
+++ b/src/records.rs
@@ -116,6 +116,8 @@
 pub(crate) struct Turns {
     pub(crate) jobs: VecDeque<JobId>,
     pub(crate) rest_until: Moment,
+    /// Dispatches that ended without word and may run on; taken off as the host learns that they don't.
+    pub(crate) in_doubt: usize,
 }
 
 /// A mean that forgets.
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -140,6 +140,30 @@
     assert!((5..=40).contains(&most), "{most} jobs of about 0.1 s in a window");
 }
 
+#[test]
+fn a_key_in_doubt_stays_until_it_is_settled_and_then_rests() {
+    let mut host = Host::new(|start| {
+        (start.types[0].ordered, start.types[0].effect) = (true, Effect::RunOnce);
+        start.further.turn_gap = ms(400);
+    });
+    let first = host.job_of(LOOKUP, 1, None, Some(3), 50);
+    let second = host.job_of(LOOKUP, 1, None, Some(3), 50);
+    host.pull();
+    host.router.key_in_doubt(KeyId(3));
+    host.end(first, 0, Outcome::Reset, 50);
+    assert_eq!(host.cancelled, [first]);
+    host.pass(600);
+    assert!(host.engines_of(second).is_empty(), "its engine may hang");
+    host.router.key_settled(host.now, KeyId(3));
+    host.pass(380);
+    assert!(host.engines_of(second).is_empty(), "the key rests");
+    host.pass(40);
+    assert_eq!(host.engines_of(second).len(), 1);
+    host.end(second, 0, Outcome::Done, 50);
+    host.pass(40);
+    assert!(host.forgotten.contains(&Forgotten::Key(KeyId(3))));
+}
+
 /// Threat: as a cold engine rises, more routers have the turn together. Were that looked up anew within a window, other
 /// routers would come beside those that have used it.
 #[test]
