--- a/crates/router/src/backs/sql/peer.rs
+++ b/crates/router/src/backends/sql/peer.rs
@@ -8,8 +8,8 @@
 use async_channel::{Receiver, Sender};
 use woadhook::{EngineId, Outcome};
 
-use crate::backs::sql::engine::{Engine, Ground};
-use crate::backs::sql::query;
+use crate::backends::sql::engine::{Engine, Ground};
+use crate::backends::sql::query;
 use crate::exchange::{Dispatch, Event};
 use crate::pool::NO_DESCRIPTOR;
 
--- a/crates/router/src/backs/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -9,7 +9,7 @@
 use woadhook::{JobId, Moment, Outcome, Progress, Span};
 use woadhook_pace::rate::Least;
 
-use crate::backs::sql::engine::Engine;
+use crate::backends::sql::engine::Engine;
 use crate::clock::pass;
 use crate::exchange::{Dispatch, Event, Rows, measure};
 use crate::http::head;
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -17,8 +17,8 @@
 use woadhook_pace::crawl::Standing;
 use woadhook_pace::rate::Least;
 
-use crate::backs::sql::engine::Ground;
-use crate::backs::sql::peer::{Errand, Peer};
+use crate::backends::sql::engine::Ground;
+use crate::backends::sql::peer::{Errand, Peer};
 use crate::clock::Clock;
 use crate::config::address;
 use crate::exchange::{Answer, Dispatch, Event, MALFORMED, Note, Notes, Reply, Statement, measure};
--- /dev/null
+++ b/crates/router/src/discovery.rs
@@ -0,0 +1,3 @@
+//! Discovery: one source of the engine list each.
+
+pub mod poll;
--- a/crates/router/src/lists/bulletin.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -1,4 +1,4 @@
-//! The actor of the bulletin: it asks for the next events over and over and passes them on, none left out.
+//! The actor of discovery: it asks for the next events over and over and passes them on, none left out.
 
 use std::io;
 use std::net::SocketAddr;
@@ -17,14 +17,14 @@
 use crate::sockets::{Link, limited};
 
 const LIST_BYTES: usize = 4 * 1024 * 1024;
-/// The longest patience that a bulletin grants.
+/// The longest patience that it grants.
 const LONGEST: Span = Span::from_micros(5_000_000);
 
 /// So often an event that can't be read is asked for again, as that may be noise on the connection. Threat: a line that makes
 /// no sense for good would hide all that comes behind it, notices to drain among it. Then the lines that do are taken.
 const DOUBTS: usize = 3;
 
-/// Where the bulletin is from now on, and the events that were known with that.
+/// Where discovery is from now on, and the events that were known with that.
 pub struct Move {
     pub to: SocketAddr,
     pub known: Value,
@@ -69,7 +69,7 @@
             }
             Heard::Told(Err(error)) => Err(error.to_string()),
             Heard::Moved(Move { to, known }) => {
-                log::info!("the bulletin is at {to}");
+                log::info!("discovery is at {to}");
                 (address, connection) = (to, None);
                 pass_on_known(&known, &mut last, &module).await
             }
@@ -78,7 +78,7 @@
         if let Err(error) = passed {
             connection = None;
             if error != fault {
-                log::warn!("bulletin: {error}");
+                log::warn!("discovery: {error}");
             }
             fault = error;
         }
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -1,4 +1,4 @@
-//! What fronts, decisions, backs and other sources of words say to each other. This file lies below all of them, so
+//! What frontends, decisions, backends and other sources of words say to each other. This file lies below all of them, so
 //! that a new one is a file of its own.
 
 use std::cell::Cell;
--- a/crates/router/src/fronts/rpc.rs
+++ b/crates/router/src/frontends/rpc.rs
@@ -1,7 +1,7 @@
 //! MessagePack-RPC over TCP.
 
 pub mod codec;
+pub mod connections;
 pub mod front;
-pub mod guests;
 pub mod listen;
 pub mod request;
--- a/crates/router/src/fronts/rpc/guests.rs
+++ b/crates/router/src/frontends/rpc/connections.rs
@@ -17,17 +17,17 @@
 
 /// The connections that are taken in; each is emptied from it as it ends.
 #[derive(Clone, Default)]
-pub struct Guests(Rc<Inner>);
+pub struct Connections(Rc<Inner>);
 
 #[derive(Default)]
 struct Inner {
-    all: RefCell<BTreeMap<u64, Rc<Guest>>>,
+    all: RefCell<BTreeMap<u64, Rc<Client>>>,
     /// Whether each goes as soon as nothing is owed to it.
     ending: Rc<Cell<bool>>,
 }
 
 /// One connection, as far as the choice of the one to close goes.
-pub struct Guest {
+pub struct Client {
     /// The connection belongs to its actor alone.
     pub link: Weak<Link>,
     came: Moment,
@@ -42,7 +42,7 @@
     leave: Event,
 }
 
-impl Guest {
+impl Client {
     /// Whether it can be closed now: a request that waits in the socket would be lost, as only one that crosses the close
     /// is sent again, and so would one that is coming in. To be looked at right before the close, with nothing between.
     pub fn may_go(&self, now: Moment) -> bool {
@@ -59,10 +59,10 @@
     }
 }
 
-/// A guest's place in the list.
+/// A peer's place in the list.
 pub struct Stay {
-    pub guest: Rc<Guest>,
-    guests: Guests,
+    pub peer: Rc<Client>,
+    connections: Connections,
     client: u64,
 }
 
@@ -70,14 +70,14 @@
     /// Comes when it is to go and may; to be polled behind the reading.
     pub async fn over(&self, clock: Clock) {
         loop {
-            let changed = self.guest.leave.listen();
-            let ending = self.guest.ending.get();
-            let left = GREETING.less(clock.now().since(self.guest.came));
-            let to_go = self.guest.told_to_leave.get() || (ending && left == Span::ZERO);
-            if to_go && self.guest.may_go(clock.now()) {
+            let changed = self.peer.leave.listen();
+            let ending = self.peer.ending.get();
+            let left = GREETING.less(clock.now().since(self.peer.came));
+            let to_go = self.peer.told_to_leave.get() || (ending && left == Span::ZERO);
+            if to_go && self.peer.may_go(clock.now()) {
                 return;
             }
-            self.guest.told_to_leave.set(false);
+            self.peer.told_to_leave.set(false);
             if ending && left > Span::ZERO { changed.or(pass(left)).await } else { changed.await }
         }
     }
@@ -85,13 +85,13 @@
 
 impl Drop for Stay {
     fn drop(&mut self) {
-        self.guests.0.all.borrow_mut().remove(&self.client);
+        self.connections.0.all.borrow_mut().remove(&self.client);
     }
 }
 
-impl Guests {
+impl Connections {
     pub fn enter(&self, client: u64, link: &Rc<Link>, now: Moment) -> Stay {
-        let guest = Rc::new(Guest {
+        let peer = Rc::new(Client {
             link: Rc::downgrade(link),
             came: now,
             quiet_since: Cell::new(now),
@@ -101,8 +101,8 @@
             ending: self.0.ending.clone(),
             leave: Event::new(),
         });
-        self.0.all.borrow_mut().insert(client, guest.clone());
-        Stay { guest, guests: self.clone(), client }
+        self.0.all.borrow_mut().insert(client, peer.clone());
+        Stay { peer, connections: self.clone(), client }
     }
 
     pub fn is_empty(&self) -> bool {
@@ -112,18 +112,18 @@
     /// From now on each connection goes as soon as nothing is owed to it.
     pub fn end(&self) {
         self.0.ending.set(true);
-        self.0.all.borrow().values().for_each(|guest| _ = guest.leave.notify(usize::MAX));
+        self.0.all.borrow().values().for_each(|peer| _ = peer.leave.notify(usize::MAX));
     }
 
     /// Threat: connections held for good, or opened by hundreds, would keep usual clients out. The longest
     /// quiet one that may go does, which a client opens anew at worst.
     pub fn send_off_one(&self, now: Moment) {
-        let guests = self.0.all.borrow();
-        let mut quiet: Vec<_> = guests.values().filter(|guest| !guest.told_to_leave.get()).collect();
-        quiet.sort_by_key(|guest| guest.quiet_since.get());
-        if let Some(guest) = quiet.into_iter().find(|guest| guest.may_go(now)) {
-            guest.told_to_leave.set(true);
-            guest.leave.notify(usize::MAX);
+        let connections = self.0.all.borrow();
+        let mut quiet: Vec<_> = connections.values().filter(|peer| !peer.told_to_leave.get()).collect();
+        quiet.sort_by_key(|peer| peer.quiet_since.get());
+        if let Some(peer) = quiet.into_iter().find(|peer| peer.may_go(now)) {
+            peer.told_to_leave.set(true);
+            peer.leave.notify(usize::MAX);
         }
     }
 }
--- a/crates/router/src/fronts/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -16,9 +16,9 @@
 
 use crate::clock::{Clock, pass};
 use crate::exchange::{Answer, Event, MALFORMED, Reply, Statement, Wanted};
-use crate::fronts::rpc::codec::{self, Malformed, Scan};
-use crate::fronts::rpc::guests::{Guest, Stay};
-use crate::fronts::rpc::request::Range;
+use crate::frontends::rpc::codec::{self, Malformed, Scan};
+use crate::frontends::rpc::connections::{Client, Stay};
+use crate::frontends::rpc::request::Range;
 use crate::memory::{Held, Holder, Room};
 use crate::sockets::{Link, Waiting, limited, write_at_rate};
 use crate::tasks::Tasks;
@@ -73,14 +73,14 @@
 struct Owed {
     _place: SemaphoreGuardArc,
     owing: Rc<Cell<usize>>,
-    guest: Rc<Guest>,
+    peer: Rc<Client>,
 }
 
 impl Drop for Owed {
     fn drop(&mut self) {
         self.owing.set(self.owing.get() - 1);
-        self.guest.open.set(self.guest.open.get() - 1);
-        self.guest.settled();
+        self.peer.open.set(self.peer.open.get() - 1);
+        self.peer.settled();
     }
 }
 
@@ -105,19 +105,19 @@
     let leave = Leave { client, gone: gone.clone(), module: hall.module.clone(), tasks: hall.tasks };
     let (outbox, answers) = async_channel::bounded(OPEN + ASIDE);
     let (places, aside) = (Arc::new(Semaphore::new(OPEN)), Arc::new(Semaphore::new(ASIDE)));
-    let (guest, clock) = (stay.guest.clone(), hall.clock);
+    let (peer, clock) = (stay.peer.clone(), hall.clock);
     let address =
         link.stream.get_ref().peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
     let holder = Holder { connection: client, address };
     let (takes, turn) = (hall.takes, Turn::new(hall.turn));
-    let (guest_read, asked) = (guest.clone(), Asked::default());
+    let (own, asked) = (peer.clone(), Asked::default());
     let reader = Reader {
         client,
         holder,
         places,
         aside,
         outbox,
-        guest: guest_read,
+        peer: own,
         last: Cell::new(0),
         credit: Cell::new((BURST, clock.now())),
         asked,
@@ -135,13 +135,13 @@
         future::pending().await
     };
     let written = async {
-        if let Err(error) = write(&link, answers, &guest, clock, takes, turn).await {
+        if let Err(error) = write(&link, answers, &peer, clock, takes, turn).await {
             say(client, &error);
         }
     };
     read.or(written).or(stay.over(clock)).await;
     // With nothing unread and no answer under way, a plain close says the same at once, for whoever needs the place.
-    let rested = clock.now().since(guest.quiet_since.get()) >= PARTING;
+    let rested = clock.now().since(peer.quiet_since.get()) >= PARTING;
     if !rested || matches!(link.waiting(), Waiting::Bytes) {
         link.part(PARTING).await;
     }
@@ -175,7 +175,7 @@
 }
 
 async fn write(
-    link: &Link, answers: Receiver<(u32, Answer, Owed)>, guest: &Guest, clock: Clock, takes: Least,
+    link: &Link, answers: Receiver<(u32, Answer, Owed)>, peer: &Client, clock: Clock, takes: Least,
     mut turn: Turn,
 ) -> io::Result<()> {
     let (mut head, mut tail) = (Vec::new(), Vec::new());
@@ -189,7 +189,7 @@
         parts.extend(pages.iter().map(Vec::as_slice));
         parts.push(&tail);
         write_at_rate(&link.stream, &parts, clock, takes).await?;
-        guest.quiet_since.set(clock.now());
+        peer.quiet_since.set(clock.now());
         rest(&mut turn, parts.iter().map(|part| part.len()).sum()).await;
     }
     Ok(())
@@ -213,7 +213,7 @@
     places: Arc<Semaphore>,
     aside: Arc<Semaphore>,
     outbox: Sender<(u32, Answer, Owed)>,
-    guest: Rc<Guest>,
+    peer: Rc<Client>,
     /// The number of the last request: they rise, so that no two answers can be mistaken.
     last: Cell<u32>,
     /// How many answers of the door are left at once, and since when that holds.
@@ -262,8 +262,8 @@
                 due = Some(self.hall.clock.now() + MESSAGE_WITHIN);
                 watch = Some(Watch::start(self.hall.clock.now(), self.hall.sends));
             }
-            self.guest.midway.set(filled > 0);
-            self.guest.settled();
+            self.peer.midway.set(filled > 0);
+            self.peer.settled();
             if !self.pace(link, turned_away).await {
                 return Ok(());
             }
@@ -273,13 +273,13 @@
                 Ok(count) => count,
                 Err(error) => return Err(self.too_slow(error, watch)),
             };
-            self.guest.midway.set(true);
+            self.peer.midway.set(true);
             filled += count;
             if let Some(watch) = &mut watch {
                 watch.moved(self.hall.clock.now(), count);
             }
             rest(&mut turn, count).await;
-            self.guest.quiet_since.set(self.hall.clock.now());
+            self.peer.quiet_since.set(self.hall.clock.now());
         }
     }
 
@@ -317,9 +317,9 @@
     async fn read_some(&self, link: &Link, buffer: &mut [u8], due: Option<Moment>) -> io::Result<usize> {
         let clock = self.hall.clock;
         loop {
-            let until = due.unwrap_or_else(|| self.guest.quiet_since.get() + IDLE);
+            let until = due.unwrap_or_else(|| self.peer.quiet_since.get() + IDLE);
             let left = until.since(clock.now());
-            let over = self.guest.midway.get() || self.guest.may_go(clock.now());
+            let over = self.peer.midway.get() || self.peer.may_go(clock.now());
             if left == Span::ZERO && over {
                 return Err(io::ErrorKind::TimedOut.into());
             }
@@ -385,10 +385,10 @@
     }
 
     fn reply(&self, number: u32, place: SemaphoreGuardArc, awaited: Option<Awaited>) -> Reply {
-        let (guest, owing) = (self.guest.clone(), self.hall.owing.clone());
+        let (peer, owing) = (self.peer.clone(), self.hall.owing.clone());
         owing.set(owing.get() + 1);
-        guest.open.set(guest.open.get() + 1);
-        let (owed, outbox) = (Owed { _place: place, owing, guest }, self.outbox.clone());
+        peer.open.set(peer.open.get() + 1);
+        let (owed, outbox) = (Owed { _place: place, owing, peer }, self.outbox.clone());
         // The outbox has a place for each reply; where the connection is gone, nobody is answered.
         Reply::new(number, move |answer| {
             drop(awaited);
@@ -406,7 +406,7 @@
         let place = self.places.try_acquire_arc().ok_or_else(full)?;
         let held = self.hall.room.try_take(self.holder, asked.text.len() + JOB_BYTES).ok_or_else(full)?;
         // The connection itself belongs to its actor alone.
-        let (link, gone) = (self.guest.link.clone(), self.gone.clone());
+        let (link, gone) = (self.peer.link.clone(), self.gone.clone());
         let connected = move || !gone.get() && link.upgrade().is_some_and(|link| !link.is_left());
         let statement = Rc::new(Statement {
             holder: self.holder,
--- a/crates/router/src/fronts/rpc/listen.rs
+++ b/crates/router/src/frontends/rpc/listen.rs
@@ -10,15 +10,15 @@
 use woadhook::Span;
 
 use crate::clock::{Clock, pass};
-use crate::fronts::rpc::front::{self, Hall};
-use crate::fronts::rpc::guests::Guests;
+use crate::frontends::rpc::connections::Connections;
+use crate::frontends::rpc::front::{self, Hall};
 use crate::sockets::{Link, limited};
 
 /// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
 const PAUSE: Span = Span::from_micros(20_000);
 
 pub async fn accept(
-    listener: Async<TcpListener>, part: Arc<Semaphore>, clock: Clock, guests: Guests, hall: Hall,
+    listener: Async<TcpListener>, part: Arc<Semaphore>, clock: Clock, connections: Connections, hall: Hall,
 ) {
     for client in 0.. {
         let stream = match listener.accept().await {
@@ -31,12 +31,12 @@
         };
         let mut permit = part.try_acquire_arc();
         while permit.is_none() {
-            guests.send_off_one(clock.now());
+            connections.send_off_one(clock.now());
             permit = limited(PAUSE, async { Ok(part.acquire_arc().await) }).await.ok();
         }
         let Some(permit) = permit else { continue };
         let link = Rc::new(Link::accepted(stream, permit));
-        let stay = guests.enter(client, &link, clock.now());
+        let stay = connections.enter(client, &link, clock.now());
         hall.tasks.start(front::serve(link, client, stay, hall.clone()));
         // Those taken in before are heard first.
         yield_now().await;
--- a/crates/router/src/fronts/rpc/request.rs
+++ b/crates/router/src/frontends/rpc/request.rs
@@ -3,7 +3,7 @@
 
 use woadhook::{GroupId, Span, TypeId};
 
-use crate::fronts::rpc::codec::{self, Malformed, Result};
+use crate::frontends::rpc::codec::{self, Malformed, Result};
 use crate::statement::table_group;
 
 /// The digits of an id.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,21 +1,21 @@
 //! A router: clients on one side, sql engines on the other, and the decision module between them.
 //!
-//! The files follow a request: `fronts` accept clients, read and check what they ask, and write the one answer; `statement`
-//! finds the table group, `decide` lets the module decide, `backs` carry dispatches out over `http` connections of `pool`.
-//! `lists` follow the engines, `gossip` talks with other routers where the operator file says so, `sockets` and `memory` own
+//! The files follow a request: `frontends` accept clients, read and check what they ask, and write the one answer; `statement`
+//! finds the table group, `decide` lets the module decide, `backends` carry dispatches out over `http` connections of `pool`.
+//! `discovery` follows the engines, `gossip` talks with other routers where the operator file says so, `sockets` and `memory` own
 //! what is scarce, `stop` heeds what the operators order. What these say to each other stands in `exchange`, below them all.
 
-mod backs;
+mod backends;
 pub mod clock;
 pub mod config;
 pub mod council;
 mod decide;
+mod discovery;
 mod exchange;
-mod fronts;
+mod frontends;
 pub mod gossip;
 mod http;
 pub mod keyfiles;
-mod lists;
 pub mod memory;
 mod pool;
 pub mod sockets;
@@ -35,17 +35,17 @@
 use woadhook_operator::Sheet;
 use woadhook_pace::rate::Least;
 
-pub use crate::fronts::rpc::codec;
+pub use crate::frontends::rpc::codec;
 
-use crate::backs::sql::engine::Ground;
+use crate::backends::sql::engine::Ground;
 use crate::clock::Clock;
 use crate::decide::Desk;
-use crate::fronts::rpc::front::Hall;
-use crate::fronts::rpc::guests::Guests;
-use crate::fronts::rpc::listen;
-use crate::fronts::rpc::request::Range;
+use crate::discovery::poll;
+use crate::frontends::rpc::connections::Connections;
+use crate::frontends::rpc::front::Hall;
+use crate::frontends::rpc::listen;
+use crate::frontends::rpc::request::Range;
 use crate::gossip::Talk;
-use crate::lists::bulletin;
 use crate::memory::Room;
 use crate::pool::Pool;
 use crate::sockets::Descriptors;
@@ -106,11 +106,11 @@
     tasks.start(desk.run(pressing, mailbox));
     let mut last = 0;
     // A list that can't be read is no reason not to start: the bulletin tells it anew.
-    if let Err(fault) = bulletin::pass_on_known(&given.known, &mut last, &urgent).await {
+    if let Err(fault) = poll::pass_on_known(&given.known, &mut last, &urgent).await {
         log::warn!("known: {fault}");
     }
     let (moves, moved) = async_channel::bounded(1);
-    tasks.start(bulletin::follow(clock, given.bulletin, connect_timeout, grace, last, moved, urgent.clone()));
+    tasks.start(poll::follow(clock, given.bulletin, connect_timeout, grace, last, moved, urgent.clone()));
     let (stop, told_to_stop) = async_channel::bounded(1);
     tasks.start(stop::heed(orders, moves, stop, notes));
 
@@ -129,12 +129,12 @@
         takes: least("client_takes_bytes_per_s", "client_grace_ms"),
         turn: pace.whole("turn_bytes") as usize,
     };
-    let guests = Guests::default();
-    tasks.start(listen::accept(listener, descriptors.clients, clock, guests.clone(), hall));
+    let connections = Connections::default();
+    tasks.start(listen::accept(listener, descriptors.clients, clock, connections.clone(), hall));
     log::info!("serving on {}", given.listen);
     if told_to_stop.recv().await.is_err() {
         std::future::pending().await
     }
-    stop::wait(clock, longest, &owing, &guests, urgent).await;
+    stop::wait(clock, longest, &owing, &connections, urgent).await;
     Ok(())
 }
--- a/crates/router/src/lists.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! One source of the engine list each.
-
-pub mod bulletin;
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -10,10 +10,10 @@
 
 use crate::clock::{Clock, pass};
 use crate::config::Given;
+use crate::discovery::poll::Move;
 use crate::exchange::{Event, Note, Notes};
-use crate::fronts::rpc::guests::Guests;
+use crate::frontends::rpc::connections::Connections;
 use crate::keyfiles::Keys;
-use crate::lists::bulletin::Move;
 
 /// Requests may come for so long after SIGTERM.
 const STILL_COMING: Span = Span::from_micros(600_000);
@@ -61,15 +61,17 @@
 
 /// From the word to stop until the process may end. Clients may rest on their connections until they are told of the end,
 /// or ask on and on: each connection goes once nothing is owed to it, and none holds up the end beyond its time.
-pub async fn wait(clock: Clock, longest: Span, owing: &Cell<usize>, guests: &Guests, module: Sender<Event>) {
+pub async fn wait(
+    clock: Clock, longest: Span, owing: &Cell<usize>, connections: &Connections, module: Sender<Event>,
+) {
     let told = clock.now();
     let by = told + longest.min(LONGEST) + STILL_COMING.less(LAST_WORDS);
     log::info!("stopping");
     let _ = module.send(Event::Stopping { by }).await;
     clock.until(told + STILL_COMING + LAST_WORDS).await;
-    guests.end();
+    connections.end();
     let all_gone = async {
-        while owing.get() > 0 || !guests.is_empty() {
+        while owing.get() > 0 || !connections.is_empty() {
             pass(LOOK).await;
         }
     };
