Decisions no longer look at every engine on each pull

Need: a router paid for each listed engine on each pull of a decision, several times a job: the records of all engines were emptied of what time had passed, all were looked at for silence and for probes, the cold-start budget of warm engines was worked out, and the engines that loads keep to were sorted and searched for each waiting job. Change: what settings alone determine is worked out once (Bounds). Engines' records are emptied ten times a second, and what is past in them counts for nothing where it is read. Until the moment at which an engine could next be silent, and while none is set aside or doubted, none is looked at. Only cold engines' budgets are worked out; homes of loads are selected, not sorted, and told by place; a job beyond the limit asks no engine where none is cold. The module draws by chance as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,14 +14,14 @@
 //! 5. time-outs and further dispatches (`lost`, `cancel_lost`),
 //! 6. memory grants and priorities from learned estimate bias (`send`, `Estimates`).
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
-use crate::records::{Dispatch, Engine, Job, Mean, Report, Sent, Turns, sla_of, t_run};
+use crate::records::{Bounds, Dispatch, Engine, Job, Mean, Report, Sent, Turns, first_work, sla_of, t_run};
 use crate::time::{Moment, Span};
 
 /// Samples that a mean remembers.
@@ -38,14 +38,10 @@
 const ENGINE_PARTS: f64 = 2.0;
 /// Roots of this router's part of the cores that its first limit adds, as bursts of many routers even out.
 const BURST_ROOTS: f64 = 2.0;
-/// Note periods, or else longest SLA times, without a word from an engine with work out that mean silence.
-const SILENT_PERIODS: f64 = 2.5;
 /// Answered probes in a row that bring an engine back.
 const ANSWERS_TO_RETURN: u32 = 2;
 /// Part of the cold-start budget that a window uses: two may meet.
 const COLD_MARGIN: f64 = 0.5;
-/// What a usual job takes of its SLA time on its threads, until it is learned.
-const USUAL_PART: f64 = 0.5;
 /// Part of a load's SLA time that what waits for loads stands on average where others' loads of its group go.
 const HELD_PART: f64 = 0.1;
 /// Own dispatches for each probe that only asks for a report.
@@ -70,6 +66,8 @@
 const PRESSING: f64 = 0.25;
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
+/// How often the records of engines are emptied of what is past.
+const SWEEP: Span = Span::from_micros(100_000);
 
 /// What jobs cost, learned from estimates, answers and notes. Its tables hold a line for each type.
 struct Estimates {
@@ -124,14 +122,15 @@
     watching: Watching,
     answers: Answers,
     terms: Terms,
+    bounds: Bounds,
     /// The in-flight limit over what it starts from, and whether a bad answer has cut it yet.
     fill: f64,
     was_cut: bool,
     /// What is left of this router's part of each tenant's share, and since when.
     parts: Vec<(f64, Moment)>,
     /// What rule 7 counts; both emptied of what has left its window.
-    taken: Vec<Moment>,
-    resent: Vec<Moment>,
+    taken: VecDeque<Moment>,
+    resent: VecDeque<Moment>,
     asked: Option<Moment>,
     subscribed: bool,
     /// Emptied of jobs that are over and have nothing out.
@@ -139,6 +138,11 @@
     /// Emptied of keys with no job left, once rested.
     keys: BTreeMap<KeyId, Turns>,
     engines: BTreeMap<EngineId, Engine>,
+    swept: Moment,
+    /// Whether an engine that is gone may still be kept.
+    some_gone: bool,
+    /// Until then no engine is silent, set aside or doubted; unknown once one may be.
+    calm_until: Option<Moment>,
     since_probe: u32,
     wake_at: Option<Moment>,
     /// Both emptied as the host pulls.
@@ -157,6 +161,7 @@
             chance: Pcg32::seed_from_u64(seed),
             started: now,
             estimates: Estimates::new(&types),
+            bounds: Bounds::new(&types, &watching),
             types,
             fleet,
             cold,
@@ -167,13 +172,16 @@
             fill: 1.0,
             was_cut: false,
             parts,
-            taken: Vec::new(),
-            resent: Vec::new(),
+            taken: VecDeque::new(),
+            resent: VecDeque::new(),
             asked: None,
             subscribed,
             jobs: BTreeMap::new(),
             keys: BTreeMap::new(),
             engines: BTreeMap::new(),
+            swept: now,
+            some_gone: false,
+            calm_until: None,
             since_probe: 0,
             wake_at: None,
             forgotten: Vec::new(),
@@ -296,7 +304,7 @@
     }
 
     pub fn progressed(&mut self, now: Moment, job: JobId, number: usize, progress: Progress) {
-        let hold = now + self.load_run();
+        let hold = now + self.bounds.load_run;
         let Some(record) = self.jobs.get_mut(&job) else { return };
         let Some(dispatch) = record.dispatches.get_mut(number) else { return };
         let Some(engine) = self.engines.get_mut(&dispatch.engine) else { return };
@@ -359,6 +367,7 @@
     fn set_aside(&mut self, id: EngineId, why: Aside) {
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.aside.is_none()) {
             engine.aside = Some(ANSWERS_TO_RETURN);
+            self.calm_until = None;
             self.news.push_back(Decision::SetAside { engine: id, why });
         }
     }
@@ -374,6 +383,7 @@
     pub fn hearsay(&mut self, now: Moment, id: EngineId, of: Option<TypeId>, doubt: f64) {
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.hearsay.insert(of, (doubt.clamp(0.0, 1.0), now));
+            self.calm_until = None;
         }
     }
 
@@ -381,9 +391,12 @@
     /// router with few jobs meets a hung engine late. It also catches engines that fail others. It may hurt
     /// where others lie, so it only brings a probe forward and adds to an estimate.
     fn doubt(&self, engine: &Engine, of: Option<TypeId>, now: Moment) -> f64 {
+        if engine.hearsay.is_empty() {
+            return 0.0;
+        }
         let ended = engine.errors.get(&of).map_or(Moment::default(), |(_, last)| *last);
         let own = if of.is_none() { engine.heard } else { ended };
-        let left = |at: Moment| 1.0 - now.since(at).secs() / self.patience().secs();
+        let left = |at: Moment| 1.0 - now.since(at).secs() / self.bounds.patience.secs();
         let doubt = engine.hearsay.get(&of).filter(|(_, at)| *at > own);
         doubt.map_or(0.0, |(doubt, at)| doubt * left(*at).max(0.0))
     }
@@ -396,6 +409,7 @@
         let fresh = Engine { mark, came_up, cold_since: came_up, heard: now, ..Engine::default() };
         let engine = self.engines.entry(id).or_insert(fresh);
         (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
+        self.some_gone |= listed == Listed::Gone;
         if came_up > engine.came_up {
             (engine.came_up, engine.cold_since) = (came_up, engine.cold_since.max(came_up));
             engine.groups.clear();
@@ -406,10 +420,10 @@
     /// The list just told was complete: engines that it did not name are gone.
     pub fn list_complete(&mut self, named: &[EngineId]) {
         self.list_changed();
-        for (id, engine) in &mut self.engines {
-            if !named.contains(id) {
-                engine.listed = Listed::Gone;
-            }
+        let named: BTreeSet<EngineId> = named.iter().copied().collect();
+        for (_, engine) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            engine.listed = Listed::Gone;
+            self.some_gone = true;
         }
     }
 
@@ -478,11 +492,6 @@
         self.fleet.cores.get(kind.0).copied().unwrap_or(1.0).max(1.0)
     }
 
-    /// How long a load may be taken to hold its group.
-    fn load_run(&self) -> Span {
-        self.types.iter().filter(|t| t.is_load).map(|t| t.sla).max().unwrap_or_default()
-    }
-
     fn drop_if_spent(&mut self, job: JobId) {
         if self.jobs.get(&job).is_some_and(|record| record.over && record.out() == 0) {
             let record = self.jobs.remove(&job);
@@ -506,46 +515,64 @@
             .or_else(|| self.wake(now))
     }
 
-    /// Empties what time alone empties.
+    /// Empties what time alone empties. What is past in the records of engines counts for nothing where it is
+    /// read, so these are gone through now and then only.
     fn let_go(&mut self, now: Moment) {
-        let lifetime = self.types.iter().map(|t| t.timeout).min().unwrap_or_default();
-        let patience = self.patience();
-        for engine in self.engines.values_mut() {
-            engine.sent.retain(|(at, _)| now.since(*at) <= self.cold.fall);
-            engine.groups.retain(|_, at| now.since(*at) <= lifetime);
-            engine.holds.retain(|_, until| now < *until);
-            engine.hearsay.retain(|_, (_, at)| now.since(*at) <= patience);
+        if now.since(self.swept) >= SWEEP {
+            self.swept = now;
+            self.engines.values_mut().for_each(|engine| engine.let_go(now, self.cold.fall, self.bounds));
         }
         if let Some(ration) = &self.further.ration {
-            self.taken.retain(|&at| now.since(at) < ration.window);
-            self.resent.retain(|&at| now.since(at) <= ration.window);
+            while self.taken.front().is_some_and(|&at| now.since(at) >= ration.window) {
+                self.taken.pop_front();
+            }
+            while self.resent.front().is_some_and(|&at| now.since(at) > ration.window) {
+                self.resent.pop_front();
+            }
         }
         let rest = |t: &Turns| t.jobs.is_empty() && t.in_doubt == 0 && now >= t.rest_until;
         let rested = self.keys.extract_if(.., |_, turns| rest(turns));
         self.forgotten.extend(rested.map(|(key, _)| Forgotten::Key(key)));
-        let idle = |e: &mut Engine| e.out.is_empty() && !e.probe_out;
-        let gone = self.engines.extract_if(.., |_, e| e.listed == Listed::Gone && idle(e));
-        self.forgotten.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
+        if self.some_gone {
+            let idle = |e: &mut Engine| e.out.is_empty() && !e.probe_out;
+            let gone = self.engines.extract_if(.., |_, e| e.listed == Listed::Gone && idle(e));
+            self.forgotten.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
+            self.some_gone = self.engines.values().any(|e| e.listed == Listed::Gone);
+        }
+    }
+
+    /// Whether no engine is set aside, doubted, or silent for half of the patience. While that holds none needs
+    /// to be looked at: what is sent later is silent later.
+    fn is_calm(&mut self, now: Moment) -> bool {
+        let calm = self.calm_until.is_some_and(|until| now <= until);
+        if calm || self.engines.values().any(|e| e.aside.is_some() || !e.hearsay.is_empty()) {
+            return calm;
+        }
+        let first = self.engines.values().filter_map(Engine::silent_since).min().unwrap_or(now);
+        let until = first + self.bounds.patience.times(0.5);
+        self.calm_until = Some(until);
+        now <= until
     }
 
     /// Sets aside engines silent with work out. Threat: machines that hang without a reset. It also catches
     /// cut links and lost notes; it hurts where notes come late, so at most half of the live engines go.
     fn watch(&mut self, now: Moment) {
-        let patience = self.patience();
+        if self.is_calm(now) {
+            return;
+        }
+        let patience = self.bounds.patience;
         let live = || self.engines.iter().filter(|(_, e)| e.listed == Listed::Live);
-        let room = (live().count() / 2).saturating_sub(live().filter(|(_, e)| e.aside.is_some()).count());
         let silent = live().filter(|(_, e)| e.aside.is_none() && e.silent(now, patience));
-        for id in silent.map(|(id, _)| *id).take(room).collect::<Vec<_>>() {
+        let silent: Vec<EngineId> = silent.map(|(id, _)| *id).collect();
+        if silent.is_empty() {
+            return;
+        }
+        let room = (live().count() / 2).saturating_sub(live().filter(|(_, e)| e.aside.is_some()).count());
+        for id in silent.into_iter().take(room) {
             self.set_aside(id, Aside::Silent);
         }
     }
 
-    fn patience(&self) -> Span {
-        let sla = self.types.iter().map(|t| t.sla).max().unwrap_or_default();
-        let period = if self.watching.note_period > Span::ZERO { self.watching.note_period } else { sla };
-        period.times(SILENT_PERIODS)
-    }
-
     /// Where the list must be asked for, asks long before rule 3 would hold a change as told.
     fn follow_list(&mut self, now: Moment) -> Option<Decision> {
         let ask_again = self.watching.ask_within?.times(0.25);
@@ -615,7 +642,7 @@
             && self.repeat_safe(job, Some(engine), now)
             && (self.further.copies || job.out() == 0)
             && engine.listed == Listed::Live
-            && self.warm_enough(engine, job.kind, now)
+            && (!self.is_cold(engine, now) || self.warm_enough(engine, job.kind, now))
             && turn
             && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
             && t.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
@@ -638,8 +665,7 @@
         let window = |at: Moment| at.since(Moment::default()).micros() / c.fall.micros().max(1);
         let start = Moment::from_micros(window(now) * c.fall.micros());
         let budget = COLD_MARGIN * c.factor * self.able_cores(engine, start) * c.fall.secs();
-        let largest = self.types.iter().map(first_work).fold(0.0, f64::max);
-        let together = (budget / largest).floor().clamp(1.0, all as f64);
+        let together = (budget / self.bounds.largest_work).floor().clamp(1.0, all as f64);
         let turn = engine.mark % all + window(now) * together as u64;
         let mine = (turn + all - self.fleet.number as u64 % all) % all < together as u64;
         let sent = engine.sent.iter().filter(|(at, _)| window(*at) == window(now)).map(|(_, work)| work);
@@ -686,7 +712,8 @@
         let own = engine.out.values().map(|s| if seen.is_some_and(|at| s.at < at) { mean } else { s.work });
         let foreign = self.foreign_work(engine).unwrap_or(average) - average;
         let queued = own.sum::<f64>() + average + foreign * self.freshness(engine, now);
-        let warm = engine.groups.contains_key(&job.group) && engine.threads_out() <= cores * self.share();
+        let warm = self.bounds.is_warm(engine.groups.get(&job.group), now);
+        let warm = warm && engine.threads_out() <= cores * self.share();
         let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
         let mut total = (queued / cores + job.work / t.threads) * discount + engine.longer.secs();
         if t.waits_for_loads || t.is_load {
@@ -697,9 +724,9 @@
         }
         // Threat: an engine that fails a type fast looks idle and draws all of it. What may run once heeds
         // errors of any type. It also catches lost tables. Squared, as bad requests bring few to all engines.
-        let fades = self.patience().secs();
+        let fades = self.bounds.patience.secs();
         let fade = |(share, at): &(Mean, Moment)| share.value * (-now.since(*at).secs() / fades).exp();
-        let errors = |of| engine.errors.get(&of).map_or(0.0, fade);
+        let errors = |of| engine.errors.get(&of).filter(|(share, _)| share.value != 0.0).map_or(0.0, fade);
         let any = if t.effect == Effect::RunOnce { errors(None) } else { 0.0 };
         total += t.timeout.secs() * errors(Some(job.kind)).max(any).powi(2);
         total += t.sla.secs() * self.doubt(engine, None, now).max(self.doubt(engine, Some(job.kind), now));
@@ -711,7 +738,7 @@
 
     /// Exception to the design: what is left of loads that hold the table group there, own or as it seems.
     fn load_hold(&self, engine: &Engine, group: GroupId, now: Moment) -> f64 {
-        let run = self.load_run();
+        let run = self.bounds.load_run;
         let own = self.own_loads(engine, group).map(|s| (s.at + run).max(now + run.times(0.25)));
         own.chain(engine.holds.get(&group).copied()).max().map_or(0.0, |until| until.since(now).secs())
     }
@@ -723,10 +750,16 @@
     /// Loads of a table group keep to half of the engines, drawn alike by routers told the same list, with
     /// one of this router's out at each. Threat: loads that queue for a group everywhere, all else of it
     /// behind them on idle engines. It also stops bursts of loads; it may hurt where most work is loads.
-    fn homes(&self, group: GroupId, usable: &[(EngineId, &Engine)]) -> Vec<EngineId> {
-        let mut homes: Vec<EngineId> = usable.iter().map(|(id, _)| *id).collect();
-        homes.sort_by_cached_key(|id| Pcg32::new(group.0 as u64, self.engines[id].mark).random::<u32>());
-        homes.truncate(homes.len().div_ceil(2));
+    /// Tells of each of the usable engines whether it is among them.
+    fn homes(group: GroupId, usable: &[(EngineId, &Engine)]) -> Vec<bool> {
+        let draw = |e: &Engine| Pcg32::new(group.0 as u64, e.mark).random::<u32>();
+        let mut drawn: Vec<_> = usable.iter().enumerate().map(|(place, (_, e))| (draw(e), place)).collect();
+        let count = drawn.len().div_ceil(2);
+        if count < drawn.len() {
+            drawn.select_nth_unstable(count);
+        }
+        let mut homes = vec![false; drawn.len()];
+        drawn[..count].iter().for_each(|(_, place)| homes[*place] = true);
         homes
     }
 
@@ -746,7 +779,7 @@
     }
 
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
-        let mut ties = Pcg32::seed_from_u64(self.chance.random());
+        let ties: u64 = self.chance.random();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
         let again = |job: &Job| self.types[job.kind.0].effect == Effect::Restartable && job.out() == 1;
         let copy = |job: &Job| again(job) && job.dispatches.iter().any(|d| self.lost(job, d, now));
@@ -759,11 +792,13 @@
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0));
         let mut engines = self.usable();
         let (out, limit) = (self.threads_out(&engines, now), self.fill * self.first_limit(&engines, now).0);
-        engines.shuffle(&mut ties);
+        engines.shuffle(&mut Pcg32::seed_from_u64(ties));
+        let any_cold = engines.iter().any(|(_, e)| self.is_cold(e, now));
         let word = |e: &Engine| Some((self.foreign_work(e)?, self.freshness(e, now)));
         let heard = self.engines.values().filter_map(word);
         let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
-        let (average, held) = (heard.0 / heard.1, self.load_run().secs() * HELD_PART * (1.0 - self.share()));
+        let (average, held) =
+            (heard.0 / heard.1, self.bounds.load_run.secs() * HELD_PART * (1.0 - self.share()));
         let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
         let (job, engine) = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
@@ -771,15 +806,20 @@
             let t = &self.types[job.kind.0];
             let most = limit * if job.work < mean { SHORT_ROOM } else { 1.0 };
             let room = out == 0.0 || out + t.threads <= most;
+            if !room && !any_cold {
+                return None;
+            }
             let fits = |e: &Engine| room && (e.out.is_empty() || e.threads_out() + t.threads <= part);
             let may = |e: &Engine| (self.is_cold(e, now) || fits(e)) && self.legal(*id, job, e, now);
-            let homes = if t.is_load || t.waits_for_loads { self.homes(job.group, &engines) } else { vec![] };
+            let loads = t.is_load || t.waits_for_loads;
+            let homes = if loads { Self::homes(job.group, &engines) } else { vec![false; engines.len()] };
             let alone = |e: &Engine| self.own_loads(e, job.group).next().is_none();
-            let open = |id, e: &Engine| !t.is_load || (homes.contains(&id) && alone(e));
-            let allowed = engines.iter().filter(|(id, e)| may(e) && !here(*id) && open(*id, e));
-            let held = |id| if t.waits_for_loads && homes.contains(&id) { held } else { 0.0 };
-            let costs =
-                allowed.map(|(id, e)| (held(*id) + self.wait_and_run(job, *id, e, average, now), *id));
+            let open = |home: bool, e: &Engine| !t.is_load || (home && alone(e));
+            let placed = engines.iter().zip(homes);
+            let allowed = placed.filter(|((id, e), home)| may(e) && !here(*id) && open(*home, e));
+            let held = |home: bool| if t.waits_for_loads && home { held } else { 0.0 };
+            let cost = |id, e, home| held(home) + self.wait_and_run(job, id, e, average, now);
+            let costs = allowed.map(|((id, e), home)| (cost(*id, e, home), *id));
             costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
         })?;
         self.send(now, job, engine)
@@ -803,7 +843,7 @@
         let number = job.dispatches.len();
         self.resent.extend(self.further.ration.filter(|_| number > 0).map(|_| now));
         engine.sent.push((now, self.estimates.work[job.kind.0].value));
-        let warm = engine.groups.insert(job.group, now).is_some();
+        let warm = self.bounds.is_warm(engine.groups.insert(job.group, now).as_ref(), now);
         let sent = Sent { at: now, kind: job.kind, group: job.group, work: job.work, threads: t.threads };
         engine.out.insert((id, number), sent);
         let (zone, cell) = (engine.zone, engine.cell);
@@ -856,11 +896,13 @@
     /// Probes engines that are set aside or quiet with work out, and, where only probes carry reports, one
     /// drawn by chance, thriftily: probes in an order would tell all routers of the same engines.
     fn probe(&mut self, now: Moment) -> Option<Decision> {
-        let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.patience().times(0.5));
+        let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.bounds.patience.times(0.5));
         let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
         let told = |e: &Engine| e.silent(now, quiet) || self.doubt(e, None, now) > 0.0;
         let doubtful = |e: &Engine| e.listed != Listed::Gone && (e.aside.is_some() || told(e));
-        let mut pick = self.engines.iter().find(|(_, e)| due(e) && doubtful(e)).map(|(id, _)| *id);
+        let calm = self.calm_until.is_some_and(|until| now <= until);
+        let doubted = || self.engines.iter().find(|(_, e)| due(e) && doubtful(e));
+        let mut pick = if calm { None } else { doubted().map(|(id, _)| *id) };
         if pick.is_none() && self.watching.reports_by_probe && self.since_probe >= DISPATCHES_PER_PROBE {
             let live = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live && due(e));
             let live: Vec<EngineId> = live.map(|(id, _)| *id).collect();
@@ -886,8 +928,3 @@
         Some(Decision::Wake { after })
     }
 }
-
-/// Usual work by the settings alone, in seconds of one thread.
-fn first_work(t: &ReservationType) -> f64 {
-    t.sla.secs() * t.threads * USUAL_PART
-}
--- a/src/records.rs
+++ b/src/records.rs
@@ -5,6 +5,43 @@
 use crate::interface::*;
 use crate::time::{Moment, Span};
 
+/// What a usual job takes of its SLA time on its threads, until it is learned.
+const USUAL_PART: f64 = 0.5;
+/// Note periods, or else longest SLA times, without a word from an engine with work out that mean silence.
+const SILENT_PERIODS: f64 = 2.5;
+
+/// What the settings alone determine and many decisions ask for, worked out once.
+#[derive(Clone, Copy)]
+pub(crate) struct Bounds {
+    /// How long an engine with work out may be silent.
+    pub(crate) patience: Span,
+    /// How long a load may be taken to hold its group.
+    pub(crate) load_run: Span,
+    /// How long a table group stays warm.
+    pub(crate) lifetime: Span,
+    /// Usual work of the largest type.
+    pub(crate) largest_work: f64,
+}
+
+impl Bounds {
+    pub(crate) fn new(types: &[ReservationType], watching: &Watching) -> Self {
+        let sla = types.iter().map(|t| t.sla).max().unwrap_or_default();
+        let period = if watching.note_period > Span::ZERO { watching.note_period } else { sla };
+        let loads = types.iter().filter(|t| t.is_load);
+        Self {
+            patience: period.times(SILENT_PERIODS),
+            load_run: loads.map(|t| t.sla).max().unwrap_or_default(),
+            lifetime: types.iter().map(|t| t.timeout).min().unwrap_or_default(),
+            largest_work: types.iter().map(first_work).fold(0.0, f64::max),
+        }
+    }
+
+    /// Whether a table group that was last sent then, if at all, is still warm.
+    pub(crate) fn is_warm(&self, sent: Option<&Moment>, now: Moment) -> bool {
+        sent.is_some_and(|at| now.since(*at) <= self.lifetime)
+    }
+}
+
 #[derive(Default)]
 pub(crate) struct Dispatch {
     pub(crate) engine: EngineId,
@@ -104,10 +141,23 @@
         self.out.values().map(|sent| sent.threads).sum()
     }
 
+    /// Empties the records of what is past, which counts for nothing any more.
+    pub(crate) fn let_go(&mut self, now: Moment, fall: Span, bounds: Bounds) {
+        self.sent.retain(|(at, _)| now.since(*at) <= fall);
+        self.groups.retain(|_, at| now.since(*at) <= bounds.lifetime);
+        self.holds.retain(|_, until| now < *until);
+        self.hearsay.retain(|_, (_, at)| now.since(*at) <= bounds.patience);
+    }
+
     /// Whether it had work out, and gave no word, for longer than `span`.
     pub(crate) fn silent(&self, now: Moment, span: Span) -> bool {
+        self.silent_since().is_some_and(|since| now.since(since) > span)
+    }
+
+    /// Since when it had work out and gave no word; nothing where no work is out.
+    pub(crate) fn silent_since(&self) -> Option<Moment> {
         let first = self.out.values().map(|sent| sent.at).min();
-        first.is_some_and(|first| now.since(first.max(self.heard)) > span)
+        first.map(|first| first.max(self.heard))
     }
 }
 
@@ -152,3 +202,8 @@
 pub(crate) fn sla_of(t: &ReservationType, work: f64) -> Span {
     t.sla + t_run(t, work).times(t.sla_stretch)
 }
+
+/// Usual work by the settings alone, in seconds of one thread.
+pub(crate) fn first_work(t: &ReservationType) -> f64 {
+    t.sla.secs() * t.threads * USUAL_PART
+}
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -968,3 +968,30 @@
     host.pull();
     assert_eq!(host.engines_of(job), [E1]);
 }
+
+#[test]
+fn equal_seeds_and_events_give_equal_decisions() {
+    let day = || {
+        let mut host = Host::new(|start| start.further.copies = true);
+        (2..40).for_each(|engine| host.list(engine, Listed::Live, None));
+        for step in 0..300 {
+            let kind = if step % 7 == 0 { LOAD } else { LOOKUP };
+            host.job(kind, step % 11);
+            host.pass(20);
+            let (job, engine, _) = host.sent[host.sent.len() / 2];
+            match step % 5 {
+                0 => host.end(job, 0, Outcome::Reset, 40),
+                1 => host.router.hearsay(host.now, engine, None, 0.5),
+                2 => host.list(step % 40, Listed::Gone, None),
+                3 => host.list(step % 40, Listed::Live, Some(host.now)),
+                _ => host.end(job, 0, Outcome::Done, 30),
+            }
+        }
+        host.pass(5_000);
+        let Host { sent, grants, throttled, cancelled, called_off, probed, forgotten, .. } = host;
+        (sent, grants, throttled, cancelled, called_off, probed, forgotten)
+    };
+    let (one, other) = (day(), day());
+    assert!(!one.5.is_empty() && !one.4.is_empty(), "a day with probes and calls off");
+    assert_eq!(one, other);
+}
