An engine that is listed takes no mailbox and no task

Need: each listed engine had an actor with a mailbox of 1,024 places, all of them allocated from the start, and a copy of what all engines are given: 119,063 bytes for each engine without work. Change: the module's hold on an engine starts the task of a query or a probe directly, and its drop closes the engine's idle connections, as the actor's end did. What bounds the tasks is said there: the limit on the threads in flight, one probe an engine, the decisions of a turn. What all engines are given is shared. A dispatch can no longer meet a full mailbox.

--- a/crates/router/src/backends/sql/engine.rs
+++ b/crates/router/src/backends/sql/engine.rs
@@ -19,8 +19,7 @@
 
 /// No answer to an errand holds more.
 const BODY_BYTES: usize = 4 * 1024;
-/// What all engines' actors are given alike.
-#[derive(Clone)]
+/// What all engines are given alike: there is one of it, which they share.
 pub struct Ground {
     pub clock: Clock,
     pub tasks: Tasks,
@@ -40,8 +39,8 @@
 
 /// What the queries at one engine share.
 pub struct Engine {
-    pub ground: Ground,
-    /// Tells this actor's connections from those of an earlier one.
+    pub ground: Rc<Ground>,
+    /// Tells its connections from those of an earlier one.
     pub serial: u64,
     pub address: SocketAddr,
     /// Whether nothing was heard of its draining or end.
--- a/crates/router/src/backends/sql/peer.rs
+++ b/crates/router/src/backends/sql/peer.rs
@@ -1,4 +1,4 @@
-//! An actor an engine: it starts queries and probes there.
+//! The module's hold on an engine, through which it starts queries and probes there.
 
 use std::cell::Cell;
 use std::io;
@@ -13,7 +13,6 @@
 use crate::exchange::{Dispatch, Event};
 use crate::pool::NO_DESCRIPTOR;
 
-const MAILBOX: usize = 1024;
 /// A probe that breaks, makes no sense or hears nothing is made again so often, as that may be noise on the
 /// connection.
 const PROBES: usize = 3;
@@ -23,15 +22,15 @@
     Probe(EngineId),
 }
 
-/// The module's hold on an engine's actor, which ends when this is dropped and its errands are done.
+/// The module's hold on an engine. It takes no memory for work that may come: with thousands of engines listed, nearly
+/// all have none.
 pub struct Peer {
     pub engine: Rc<Engine>,
-    mailbox: Sender<Errand>,
+    module: Sender<Event>,
 }
 
 impl Peer {
-    pub fn start(ground: &Ground, serial: u64, address: SocketAddr, module: Sender<Event>) -> Self {
-        let (mailbox, errands) = async_channel::bounded(MAILBOX);
+    pub fn start(ground: &Rc<Ground>, serial: u64, address: SocketAddr, module: Sender<Event>) -> Self {
         let engine = Rc::new(Engine {
             ground: ground.clone(),
             serial,
@@ -39,32 +38,33 @@
             open: Cell::new(true),
             gone: Cell::new(false),
         });
-        ground.tasks.start(serve(engine.clone(), errands, module));
-        Self { engine, mailbox }
+        Self { engine, module }
     }
 
-    /// Whether the mailbox had room for it.
-    pub fn send(&self, errand: Errand) -> bool {
-        self.mailbox.try_send(errand).is_ok()
-    }
-}
-
-async fn serve(engine: Rc<Engine>, errands: Receiver<Errand>, module: Sender<Event>) {
-    while let Ok(errand) = errands.recv().await {
-        let (engine, module) = (engine.clone(), module.clone());
+    /// Starts it as a task of its own. What bounds these tasks is the module: its limit on the threads in flight bounds the
+    /// queries that are out, it has one probe out at each engine, and its host carries out so many decisions a turn.
+    pub fn send(&self, errand: Errand) {
+        let (engine, tasks) = (self.engine.clone(), self.engine.ground.tasks);
         match errand {
             Errand::Run(dispatch, orders) => {
-                engine.ground.tasks.start(query::run(engine, dispatch, orders, module));
+                tasks.start(query::run(engine, dispatch, orders, self.module.clone()));
             }
             Errand::Probe(id) => {
                 let urgent = engine.ground.urgent.clone();
-                engine.ground.tasks.start(probe(engine, id, urgent));
+                tasks.start(probe(engine, id, urgent));
             }
         }
     }
-    engine.ground.queries.close_all(engine.serial);
-    engine.ground.errands.close_all(engine.serial);
-    engine.ground.probes.close_all(engine.serial);
+}
+
+impl Drop for Peer {
+    /// Closes what is idle; what is in use by then goes by its age.
+    fn drop(&mut self) {
+        let Engine { ground, serial, .. } = &*self.engine;
+        ground.queries.close_all(*serial);
+        ground.errands.close_all(*serial);
+        ground.probes.close_all(*serial);
+    }
 }
 
 async fn probe(engine: Rc<Engine>, id: EngineId, module: Sender<Event>) {
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -57,7 +57,7 @@
     came_up: Option<Moment>,
 }
 
-/// An engine: its actor, and its line for a module that begins again.
+/// An engine: the hold on it, and its line for a module that begins again.
 struct Known {
     peer: Peer,
     line: Line,
@@ -76,7 +76,7 @@
     settings: Value,
     seed: u64,
     instance: Instance,
-    ground: Ground,
+    ground: Rc<Ground>,
     /// For actors that tell the module things.
     module: Sender<Event>,
     /// The jobs that await an answer, by connection and message; emptied by the answers.
@@ -86,7 +86,7 @@
     engines: HashMap<EngineId, Known>,
     /// Whether the whole list was told once.
     listed: bool,
-    /// Counts the actors of engines.
+    /// Counts the holds on engines.
     serial: u64,
     wake: Option<Moment>,
     /// When the last answer is due, once the router is stopping.
@@ -102,7 +102,7 @@
 
 impl Desk {
     pub fn new(
-        clock: Clock, seed: u64, settings: Value, ground: Ground, module: Sender<Event>,
+        clock: Clock, seed: u64, settings: Value, ground: Rc<Ground>, module: Sender<Event>,
         notes: Option<Notes>, share: f64,
     ) -> Result<Self> {
         let (least, most_least) = (ground.least.clone(), ground.least.get());
@@ -418,8 +418,9 @@
                 self.answer(job, Answer::Failed("Internal"));
             }
             Decision::Probe { engine } => {
-                let known = self.engines.get(&engine);
-                if !known.is_some_and(|known| known.peer.send(Errand::Probe(engine))) {
+                if let Some(known) = self.engines.get(&engine) {
+                    known.peer.send(Errand::Probe(engine));
+                } else {
                     self.instance.router.probe_ended(now, engine, Outcome::NotIssued);
                 }
             }
@@ -469,12 +470,8 @@
         let dispatch =
             Dispatch { job, number, engine, statement, decided: now, until, before, key, priority };
         let (orders, taken) = async_channel::bounded(ORDERS);
-        if known.peer.send(Errand::Run(dispatch, taken)) {
-            open.out.insert(number, (engine, orders));
-        } else {
-            let (outcome, router) = (Outcome::NotIssued, &mut self.instance.router);
-            router.dispatch_ended(now, job, number, outcome, Span::ZERO, None, false);
-        }
+        open.out.insert(number, (engine, orders));
+        known.peer.send(Errand::Run(dispatch, taken));
     }
 
     /// A new module, told the list as it stands; all open jobs have failed. The indices go on, so that what
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -89,7 +89,7 @@
         |part: f64| Room::new((given.memory_mb * 1024.0 * 1024.0 * part) as usize, descriptors.most_clients);
     let (module, mailbox) = async_channel::bounded(decide::MAILBOX);
     let (urgent, pressing) = async_channel::bounded(decide::MAILBOX);
-    let ground = Ground {
+    let ground = Rc::new(Ground {
         clock,
         tasks,
         queries: Pool::new(clock, descriptors.queries, idle_close),
@@ -100,7 +100,7 @@
         room: room(0.15),
         least: Rc::new(Cell::new(least("engine_bytes_per_s", "engine_grace_ms"))),
         urgent: urgent.clone(),
-    };
+    });
     let notes = talk.map(|talk| gossip::start(talk, clock, given.seed, tasks, module.clone())).transpose()?;
     let desk = Desk::new(clock, given.seed, settings, ground, module.clone(), notes.clone(), share)?;
     tasks.start(desk.run(pressing, mailbox));
