The middle engine's rate is worked out once a transfer, without sorting

Need: each transfer of a page asked twice for the middle of all engines' rates, and each time all were copied and sorted. Change: the middle is kept, and found by selection as a transfer or the end of an engine changes it. The same value as before: the tests of slow peers and the pace's properties are green.

--- a/crates/pace/src/crawl.rs
+++ b/crates/pace/src/crawl.rs
@@ -28,6 +28,8 @@
 pub struct Standing {
     /// Bytes of a usual result.
     usual: f64,
+    /// Seconds a byte at the engine in the middle, if enough was seen of two at least.
+    middle: Option<f64>,
     engines: BTreeMap<usize, Sending>,
 }
 
@@ -43,6 +45,7 @@
         sending.samples = (sending.samples + 1.0).min(MEMORY);
         sending.per_byte += (per_byte - sending.per_byte) / sending.samples;
         sending.first += (first.secs() - sending.first) / sending.samples;
+        self.middle = self.find_middle();
     }
 
     /// A whole result of so many bytes.
@@ -51,25 +54,26 @@
     }
 
     pub fn forget(&mut self, engine: usize) {
-        self.engines.remove(&engine);
+        if self.engines.remove(&engine).is_some() {
+            self.middle = self.find_middle();
+        }
     }
 
-    /// Seconds a byte at the engine in the middle, if enough was seen of two at least.
-    fn middle(&self) -> Option<f64> {
+    fn find_middle(&self) -> Option<f64> {
         let known = self.engines.values().filter(|sending| sending.samples >= UNTOLD);
         let mut each: Vec<f64> = known.map(|sending| sending.per_byte).collect();
-        each.sort_by(f64::total_cmp);
-        (each.len() >= 2).then(|| each[(each.len() - 1) / 2])
+        let place = each.len().saturating_sub(1) / 2;
+        (each.len() >= 2).then(|| *each.select_nth_unstable_by(place, f64::total_cmp).1)
     }
 
     /// The rate below which a body is too slow, in bytes a second: a share of the middle engine's, and never more than `most`.
     pub fn least(&self, share: f64, most: f64) -> f64 {
-        self.middle().map_or(most, |middle| (share / middle.max(1e-9)).min(most))
+        self.middle.map_or(most, |middle| (share / middle.max(1e-9)).min(most))
     }
 
     /// How much longer a usual result takes from this engine than from the one in the middle.
     pub fn longer(&self, engine: usize) -> Span {
-        let Some((own, middle)) = self.engines.get(&engine).zip(self.middle()) else { return Span::ZERO };
+        let Some((own, middle)) = self.engines.get(&engine).zip(self.middle) else { return Span::ZERO };
         Span::from_secs((own.per_byte - middle).max(0.0) * self.usual)
     }
 
