A client connection's outbox holds pointers to answers

Change: answers are boxed on their way, in a type of their own in place of a tuple. The bound and the right to one answer stay as they were.

--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -84,6 +84,14 @@
     }
 }
 
+/// An answer on its way to a client. Boxed, as each connection has a place for every answer that it may be owed at once,
+/// and most are owed none.
+struct Outgoing {
+    number: u32,
+    answer: Answer,
+    _owed: Owed,
+}
+
 /// The jobs of a connection that await an answer, by their numbers; emptied by the answers.
 type Asked = Rc<RefCell<BTreeMap<u32, Rc<Statement>>>>;
 
@@ -175,11 +183,11 @@
 }
 
 async fn write(
-    link: &Link, answers: Receiver<(u32, Answer, Owed)>, peer: &Client, clock: Clock, takes: Least,
-    mut turn: Turn,
+    link: &Link, answers: Receiver<Box<Outgoing>>, peer: &Client, clock: Clock, takes: Least, mut turn: Turn,
 ) -> io::Result<()> {
     let (mut head, mut tail) = (Vec::new(), Vec::new());
-    while let Ok((number, answer, _owed)) = answers.recv().await {
+    while let Ok(outgoing) = answers.recv().await {
+        let Outgoing { number, answer, _owed } = *outgoing;
         head.clear();
         tail.clear();
         codec::write(number, &answer, &mut head, &mut tail)?;
@@ -212,7 +220,7 @@
     holder: Holder,
     places: Arc<Semaphore>,
     aside: Arc<Semaphore>,
-    outbox: Sender<(u32, Answer, Owed)>,
+    outbox: Sender<Box<Outgoing>>,
     peer: Rc<Client>,
     /// The number of the last request: they rise, so that no two answers can be mistaken.
     last: Cell<u32>,
@@ -392,7 +400,7 @@
         // The outbox has a place for each reply; where the connection is gone, nobody is answered.
         Reply::new(number, move |answer| {
             drop(awaited);
-            let _ = outbox.try_send((number, answer, owed));
+            let _ = outbox.try_send(Box::new(Outgoing { number, answer, _owed: owed }));
         })
     }
 
