Further tries at a connection are boxed once they begin

Need: the task of each query has room for three connects at once, of which two begin only where a connection has not come up for a third of its time. Change: a further try's connect is boxed as it begins; until then its task holds a timer. The router's tests are green with it.

--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -30,7 +30,7 @@
     part: Arc<Semaphore>,
     /// Half the time after which engines close them, so that no call crosses the close.
     longest_idle: Span,
-    /// The longest idle first; emptied by age, by use and when the engine's actor ends.
+    /// The longest idle first; emptied by age, by use and when the module lets go of the engine.
     idle: RefCell<VecDeque<(u64, Connection)>>,
     /// How many wait for a descriptor; while any does, none is kept idle.
     waiting: Cell<usize>,
@@ -85,7 +85,8 @@
         let after = within.times(f64::from(thirds) / 3.0);
         pass(after).await;
         match self.part.try_acquire_arc() {
-            Some(permit) => Link::connect(at, within.less(after), permit).await,
+            // Boxed, as few connections need it and each query's task would have room for it.
+            Some(permit) => Box::pin(Link::connect(at, within.less(after), permit)).await,
             None => future::pending().await,
         }
     }
