A refused connection no longer settles the order of a key

Ruled out: the dispatches that were called off. Notes and answers were told as usual up to the reset.

At fault: Out::ask, which took a refused connection for the end of a query that was out, and Out::delete, which took it for a DELETE that came whole.

Change: both leave the dispatch in doubt. Its key goes on once the query has expired (2.25 s after it was last asked for), and rests. So does the engine's absence from the list count only then. By reading alone: a dispatch that ends as an error because it was given up (nonsense, or unknown behind an unanswered POST) now lets its key rest as well.

The stand-in engine can die: its port closes first, then its connections.

--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -75,8 +75,11 @@
     /// When a call that asks for it was last written, and when one was last answered.
     asked: Cell<Moment>,
     heard: Cell<Moment>,
-    /// Whether it was given up without word, so that it may run on.
+    /// Whether nothing shows yet that it runs no more.
     in_doubt: Cell<bool>,
+    given_up: Cell<bool>,
+    /// Whether the engine refused a connection once the POST had begun.
+    refused: Cell<bool>,
 }
 
 /// What the answer to one call said.
@@ -106,6 +109,8 @@
         asked,
         heard,
         in_doubt: Cell::new(false),
+        given_up: Cell::new(false),
+        refused: Cell::new(false),
     };
     let end = async { Ok(out.work().await) }.or(async { Err(out.stopped().await) }).await;
     if !out.began.get() && !out.dispatch.statement.wanted.still() {
@@ -120,14 +125,12 @@
             (outcome, None, None)
         }
     };
-    let in_doubt = out.in_doubt.get();
+    // An error that was given up was not told by the engine: its key rests like after any other give-up.
+    let in_doubt = out.in_doubt.get() || (out.given_up.get() && end.0 == Outcome::Error);
     verdict.tell(clock.now().since(decided), end, in_doubt).await;
     // The order of its key waits until it surely runs no more; nothing else does.
     if let Some(key) = out.dispatch.key.filter(|_| in_doubt) {
-        while out.in_doubt.get() && !out.engine.gone.get() {
-            pass(SETTLE).await;
-            let _ = out.delete().await;
-        }
+        out.settle().await;
         let _ = out.module.send(Event::Settled { key }).await;
     }
 }
@@ -253,7 +256,11 @@
                         Err(error) => self.unheard("asked", &error),
                     }
                 }
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return Err(Outcome::Reset),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    self.in_doubt.set(true);
+                    self.refused.set(true);
+                    return Err(Outcome::Reset);
+                }
                 Err(error) => self.unheard("no connection to ask over", &error),
             }
             if self.now().since(self.heard.get()) > ASK_WITHIN {
@@ -411,25 +418,47 @@
     /// Deletes the query, until that has come whole, nothing listens there, or nobody asked for it so long
     /// that the engine has ended it by itself, unless it hangs.
     async fn give_up(&self) {
-        let ended = self.asked.get() + NEWS_WAIT + ASK_WITHIN;
         self.in_doubt.set(true);
+        self.given_up.set(true);
         while let Err(error) = self.delete().await {
             self.unheard("deleted", &error);
-            if self.now() >= ended {
+            if self.refused.get() || self.now() >= self.expires() {
                 return;
             }
             pass(PAUSE).await;
         }
     }
 
-    /// One call that gives it up; done where it came whole or nothing listens.
+    /// One call that gives it up; done where it came whole.
     async fn delete(&self) -> io::Result<()> {
         match self.engine.errand("DELETE", &self.path(), "").await {
-            Err(error) if error.kind() != io::ErrorKind::ConnectionRefused => Err(error),
-            _ => {
+            Ok(_) => {
                 self.in_doubt.set(false);
                 Ok(())
             }
+            Err(error) => {
+                self.refused.set(self.refused.get() || error.kind() == io::ErrorKind::ConnectionRefused);
+                Err(error)
+            }
+        }
+    }
+
+    /// When the engine has ended it by itself at the latest, as nobody asks for it any more.
+    fn expires(&self) -> Moment {
+        self.asked.get() + NEWS_WAIT + ASK_WITHIN
+    }
+
+    /// Waits until it surely runs no more: a DELETE came whole, or nothing listens there, or the engine is gone,
+    /// and it has expired. Threat: a closed port shows that no query begins there, not that one that came before
+    /// has ended; the next of its key would run beside it. It also catches engines that close their port and work
+    /// on, and engines listed as gone early. After a crash it costs the key the rest of the expiry.
+    async fn settle(&self) {
+        while self.in_doubt.get() {
+            if self.refused.get() || self.engine.gone.get() {
+                return self.engine.ground.clock.until(self.expires()).await;
+            }
+            pass(SETTLE).await;
+            let _ = self.delete().await;
         }
     }
 }
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -471,30 +471,92 @@
         _ => Says::Nothing,
     });
     let (well, told_wakes) = (Standin::start(|call| pages(call, &[ROWS])), wakes);
-    let told = told_but(&[hung.address], nobody(), |given| {
+    // The engine that hangs comes first: the other stands in a dearer zone.
+    let mut client = two_loads_of_one_key([&hung, &well], Duration::from_millis(50));
+    // Its client hears at once that it failed; the key does not go on.
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    while hung.had("DELETE").is_empty() {
+        thread::yield_now();
+    }
+    (0..3).for_each(|_| _ = hung.awaits("DELETE /v2/q/0000000000000001 "));
+    assert!(well.had("POST").is_empty());
+    told_wakes.store(true, Ordering::Relaxed);
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+}
+
+/// A router before two engines, the second in a dearer zone, that keeps the order of loads with such a rest, and a client
+/// that asks for two loads of one key.
+fn two_loads_of_one_key(engines: [&Standin; 2], rest: Duration) -> Client {
+    let told = told_but(&[engines[0].address], nobody(), |given| {
         let settings = &mut given["settings"];
-        settings["obligations"]["turnGapUs"] = json!(50_000);
+        settings["obligations"]["turnGapUs"] = json!(rest.as_micros() as u64);
         settings["classes"][1]["keepOrder"] = json!(true);
-        // The engine that hangs comes first: the other stands in a dearer zone.
         (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
-        let mut other = member("s-b", well.address, "SERVING");
-        other["locality"] = json!("b");
-        given["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(other);
+        let mut dearer = member("s-b", engines[1].address, "SERVING");
+        dearer["locality"] = json!("b");
+        given["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(dearer);
     });
     let mut client = Client::new(&Running::with(&told));
     for (number, id) in [(1, "0000000000000001"), (2, "0000000000000002")] {
         let fields = [("id", id), ("wait", "60000"), ("cost", "10"), ("ram", "1"), ("key", "k")];
         client.0.write_all(&Client::request(number, "load", &fields, "select 1 from sales_1.x")).unwrap();
     }
-    // Its client hears at once that it failed; the key does not go on.
-    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
-    while hung.had("DELETE").is_empty() {
-        thread::yield_now();
+    client
+}
+
+/// When a stand-in had its first call that `picked` takes.
+#[derive(Clone, Default)]
+struct FirstCall(Arc<Mutex<Option<Instant>>>);
+
+impl FirstCall {
+    fn note(&self, picked: bool) {
+        let mut at = self.0.lock().unwrap();
+        *at = at.or(picked.then(Instant::now));
     }
-    (0..3).for_each(|_| _ = hung.awaits("DELETE /v2/q/0000000000000001 "));
-    assert!(well.had("POST").is_empty());
-    told_wakes.store(true, Ordering::Relaxed);
+
+    fn at(&self) -> Instant {
+        self.0.lock().unwrap().expect("there was one")
+    }
+}
+
+#[test]
+fn the_order_of_a_key_waits_where_its_engine_closed_its_port_over_a_job_that_began() {
+    let (began, next) = (FirstCall::default(), FirstCall::default());
+    let (noted, noted_next) = (began.clone(), next.clone());
+    let dies = Standin::start(move |call| {
+        noted.note(post(call));
+        if post(call) { Says::Dies } else { says(200, &[], "") }
+    });
+    let well = Standin::start(move |call| {
+        noted_next.note(post(call));
+        pages(call, &[ROWS])
+    });
+    let mut client = two_loads_of_one_key([&dies, &well], Duration::from_millis(50));
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    // A query that nobody asks for may run so long.
+    assert!(next.at() - began.at() >= Duration::from_secs(2), "{:?}", next.at() - began.at());
+}
+
+#[test]
+fn a_key_rests_after_a_job_of_which_its_engine_does_not_tell_the_end() {
+    const GAP: Duration = Duration::from_secs(1);
+    let (deleted, next) = (FirstCall::default(), FirstCall::default());
+    let (noted, noted_next) = (deleted.clone(), next.clone());
+    // Its answer to the POST makes no sense, and it does not know the query: the POST may still be on its way in.
+    let engine = Standin::start(move |call| {
+        noted.note(call.line.starts_with("DELETE"));
+        noted_next.note(post(call) && of_job(call, 2));
+        match call.line.split(' ').next() {
+            Some("POST") if of_job(call, 1) => Says::Noise("no answer\r\n\r\n".to_owned()),
+            Some("GET") if call.line.contains("0000000000000001") => says(500, &[], ""),
+            _ => pages(call, &[ROWS]),
+        }
+    });
+    let mut client = two_loads_of_one_key([&engine, &engine], GAP);
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
     assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    assert!(next.at() - deleted.at() >= GAP, "{:?}", next.at() - deleted.at());
 }
 
 #[test]
--- a/crates/standins/src/engines.rs
+++ b/crates/standins/src/engines.rs
@@ -1,5 +1,6 @@
 //! An engine over HTTP that answers as it is told.
 
+use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver};
@@ -33,6 +34,8 @@
     Noise(String),
     Cut,
     Nothing,
+    /// Its process ends: first its port is closed, then every connection.
+    Dies,
 }
 
 pub fn says(status: u16, fields: &[&str], body: &str) -> Says {
@@ -64,19 +67,26 @@
     pub fn on(listener: TcpListener, answer: impl FnMut(&Call) -> Says + Send + 'static) -> Self {
         let address = listener.local_addr().unwrap();
         let (answer, (passed, calls)) = (Arc::new(Mutex::new(answer)), mpsc::channel());
+        let open = Arc::new(Open { listener, streams: Mutex::default() });
         thread::spawn(move || {
-            for (connection, stream) in listener.incoming().enumerate() {
-                let (answer, passed) = (answer.clone(), passed.clone());
+            for (connection, stream) in open.listener.incoming().enumerate() {
+                let Ok(stream) = stream else { break };
+                open.streams.lock().unwrap().insert(connection, stream.try_clone().unwrap());
+                let (answer, passed, open) = (answer.clone(), passed.clone(), open.clone());
                 thread::spawn(move || {
-                    let mut stream = BufReader::new(stream.unwrap());
+                    let mut stream = BufReader::new(stream);
                     while let Some(call) = take_call(&mut stream, connection) {
                         let _ = passed.send(call.clone());
                         let says = answer.lock().unwrap()(&call);
+                        if matches!(says, Says::Dies) {
+                            return open.close();
+                        }
                         if !reply(stream.get_mut(), says) {
                             break;
                         }
                     }
                     let _ = stream.get_ref().shutdown(Shutdown::Both);
+                    open.streams.lock().unwrap().remove(&connection);
                 });
             }
         });
@@ -104,6 +114,23 @@
     }
 }
 
+/// The sockets of a stand-in.
+struct Open {
+    listener: TcpListener,
+    /// By connection; emptied by their ends.
+    streams: Mutex<HashMap<usize, TcpStream>>,
+}
+
+impl Open {
+    /// The port refuses before any connection ends.
+    fn close(&self) {
+        SockRef::from(&self.listener).shutdown(Shutdown::Both).unwrap();
+        for stream in self.streams.lock().unwrap().values() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 /// An address at which connections don't come up until it is opened, as where nothing is heard of a machine. One that was
 /// asked for before comes up with the system's next try, a second after its first.
 pub struct Gate {
@@ -169,7 +196,7 @@
             return false;
         }
         Says::Noise(words) => return stream.write_all(words.as_bytes()).is_ok(),
-        Says::Cut => return false,
+        Says::Cut | Says::Dies => return false,
         Says::Nothing => return true,
     };
     stream.write_all(&framed(status, &fields, &body)).is_ok() && goes_on
