--- a/crates/standins/tests/capacity/checks.rs
+++ b/crates/standins/tests/capacity/checks.rs
@@ -58,6 +58,10 @@
     if agrees(written, worked_out) { Ok(()) } else { Err(Wrong::Arithmetic { written, worked_out }) }
 }
 
+fn assert_measured(column: &'static str, written: f64, measured: f64) -> Result<(), Wrong> {
+    if agrees(written, measured) { Ok(()) } else { Err(Wrong::Measured { column, written, measured }) }
+}
+
 fn needed(figure: Option<f64>, column: &'static str) -> Result<f64, Wrong> {
     figure.ok_or(Wrong::FigureMissing(column))
 }
@@ -133,17 +137,16 @@
     }
 
     fn was_measured(&self, point: &Point) -> Result<(), Wrong> {
-        let is_it = |other: &&Point| (&other.axis, &other.measure) == (&point.axis, &point.measure);
-        let mut of_measure = self.record.points.iter().filter(is_it);
-        let found = of_measure.find(|other| other.size == point.size).ok_or(Wrong::NoSuchPoint)?;
+        let found = self.measured(&point.axis, point.size, &point.measure)?;
         if point.unit != found.unit {
             return Err(Wrong::Unit { written: point.unit.clone(), measured: found.unit.clone() });
         }
-        let (written, measured) = (point.value, found.value);
-        if agrees(written, measured) {
-            return Ok(());
-        }
-        Err(Wrong::Measured { column: "value", written, measured })
+        assert_measured("value", point.value, found.value)
+    }
+
+    fn measured(&self, axis: &str, size: f64, measure: &str) -> Result<&Point, Wrong> {
+        let is_it = |point: &&Point| point.axis == axis && point.size == size && point.measure == measure;
+        self.record.points.iter().find(is_it).ok_or(Wrong::NoSuchPoint)
     }
 
     fn is_once(&self, row: &Row) -> Result<(), Wrong> {
@@ -232,6 +235,11 @@
     fn agrees_with_source(&self, row: &Row) -> Result<(), Wrong> {
         match &row.source {
             Source::Slope { axis, measure } => self.agrees_with_slope(row, axis, measure),
+            Source::Point { axis, size, measure } => {
+                let found = self.measured(axis, *size, measure)?;
+                assert_measured("slope", needed(row.slope, "slope")?, found.value)?;
+                self.has_command(axis)
+            }
             Source::Row(name) => {
                 let other = needed(self.row_named(name)?.at_target, "at the target")?;
                 assert_figure(needed(row.slope, "slope")?, other)
@@ -254,10 +262,7 @@
         let found = self.record.slope(axis, measure).ok_or_else(absent)?;
         let pairs = [("slope", row.slope, found.slope), ("fixed", row.fixed, found.intercept)];
         for (column, written, measured) in pairs {
-            let written = needed(written, column)?;
-            if !agrees(written, measured) {
-                return Err(Wrong::Measured { column, written, measured });
-            }
+            assert_measured(column, needed(written, column)?, measured)?;
         }
         if row.unit != found.unit {
             return Err(Wrong::Unit { written: row.unit.clone(), measured: found.unit.clone() });
--- a/crates/standins/tests/capacity/main.rs
+++ b/crates/standins/tests/capacity/main.rs
@@ -44,6 +44,7 @@
 | control part | messages | gossip | 0 | bytes a second | 1,800 | routers | 4,937 | 4,937 | 3,000 | over | missing: a slower pace | results.md: Gossip |
 | control part | messages | gossip of all | 4,937 | bytes a second | 1,800 | routers | 0 | 8,886,600 | - | no limit | pace, `crates/gossip/src/budget.rs` | row: control part, gossip |
 | engine | state | datagrams' room | 1,200 | bytes | 1,800 | routers | 0 | 2,160,000 | - | no limit | `crates/gossip/src/wire.rs` | code: `crates/gossip/src/wire.rs` DATAGRAM |
+| engine | memory | as a router's | 6,200 | KB | 1,800 | routers | 0 | 11,160,000 | - | no limit | `src/records.rs` | point: engines/2,400/memory |
 | client | memory | its own | - | KB | - | - | - | - | - | not measured | missing: a client of the project's own | not measured: clients are the users' |
 ";
 
@@ -220,6 +221,12 @@
 fn a_point_apart_from_the_measured_one_is_found() {
     let wrong = found("| memory | KB | 6,200 |", "| memory | KB | 6,300 |");
     assert_eq!(wrong, Wrong::Measured { column: "value", written: 6300.0, measured: 6200.0 });
+    let wrong = found(
+        "6,200 | KB | 1,800 | routers | 0 | 11,160,000",
+        "6,300 | KB | 1,800 | routers | 0 | 11,340,000",
+    );
+    assert_eq!(wrong, Wrong::Measured { column: "slope", written: 6300.0, measured: 6200.0 });
+    assert_eq!(found("engines/2,400/memory", "engines/2,500/memory"), Wrong::NoSuchPoint);
     assert_eq!(found("| engines | 2,400 | memory |", "| engines | 2,500 | memory |"), Wrong::NoSuchPoint);
     let wrong = found("| memory | KB | 6,200 |", "| memory | MB | 6,200 |");
     assert_eq!(wrong, Wrong::Unit { written: "MB".to_owned(), measured: "KB".to_owned() });
--- a/crates/standins/tests/capacity/page.rs
+++ b/crates/standins/tests/capacity/page.rs
@@ -57,13 +57,19 @@
 }
 
 /// Where the figures of a row come from.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Source {
     /// A row of `docs/capacity/slopes.csv`.
     Slope {
         axis: String,
         measure: String,
     },
+    /// The slope is a value of `docs/capacity/AXIS.csv`.
+    Point {
+        axis: String,
+        size: f64,
+        measure: String,
+    },
     /// The slope is what another row comes to at the target.
     Row(String),
     /// What other rows come to, their fixed part counted once.
@@ -202,6 +208,12 @@
                 let (axis, measure) = rest.split_once('/').ok_or(())?;
                 Self::Slope { axis: axis.to_owned(), measure: measure.to_owned() }
             }
+            "point" => {
+                let (axis, rest) = rest.split_once('/').ok_or(())?;
+                let (size, measure) = rest.split_once('/').ok_or(())?;
+                let size = figure(size).ok_or(())?;
+                Self::Point { axis: axis.to_owned(), size, measure: measure.to_owned() }
+            }
             "row" => Self::Row(told),
             "sum" => Self::Sum(rest.split(" + ").map(str::to_owned).collect()),
             "results.md" => Self::Results(told),
