--- a/crates/standins/src/bulletin.rs
+++ b/crates/standins/src/bulletin.rs
@@ -33,11 +33,7 @@
 
     /// All after a number; waits for the first of them as long as the call says.
     pub fn answer(&self, call: &Call) -> Says {
-        let asked = |name: &str| {
-            let (_, rest) = call.line.split_once(&format!("{name}=")).unwrap();
-            rest.split(['&', ' ']).next().unwrap().parse::<u64>().unwrap()
-        };
-        let (after, patience) = (asked("after"), Duration::from_millis(asked("patience")));
+        let (after, patience) = (asked(call, "after"), Duration::from_millis(asked(call, "patience")));
         let none = |events: &mut Vec<Value>| events.iter().all(|event| event["no"].as_u64() <= Some(after));
         let events = self.0.1.wait_timeout_while(self.0.0.lock().unwrap(), patience, none).unwrap().0;
         let later = events.iter().filter(|event| event["no"].as_u64() > Some(after));
@@ -46,6 +42,12 @@
     }
 }
 
+/// A number that a call asks with.
+pub fn asked(call: &Call, name: &str) -> u64 {
+    let (_, rest) = call.line.split_once(&format!("{name}=")).unwrap();
+    rest.split(['&', ' ']).next().unwrap().parse().unwrap()
+}
+
 pub fn member(id: &str, at: SocketAddr, phase: &str) -> Value {
     json!({"id": id, "host_port": at.to_string(), "locality": "a", "flavor": "k", "cell": 0, "phase": phase,
         "size": 1, "up_since_ms": 0})
--- a/crates/standins/src/clients.rs
+++ b/crates/standins/src/clients.rs
@@ -1,6 +1,6 @@
 //! A client over MessagePack-RPC.
 
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::TcpStream;
 use std::time::Duration;
 
@@ -159,3 +159,25 @@
     stream.read_exact(&mut bytes).unwrap();
     String::from_utf8(bytes).unwrap()
 }
+
+/// The next answer, which must be to this message: whether it is a result.
+pub fn hear(stream: &mut impl Read, number: u32) -> io::Result<bool> {
+    let (mut bytes, mut piece) = (Vec::new(), [0; 4096]);
+    let (mut scan, mut scanned) = (codec::Scan::default(), 0);
+    loop {
+        let count = stream.read(&mut piece)?;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        bytes.extend_from_slice(&piece[..count]);
+        if let Some(length) = codec::whole(&bytes, &mut scan, &mut scanned).expect("what can be read") {
+            assert_eq!(length, bytes.len(), "one answer to one job");
+            break;
+        }
+    }
+    let mut message = &bytes[..];
+    assert_eq!(codec::array(&mut message).expect("an answer"), 4);
+    assert_eq!(codec::number(&mut message).expect("an answer"), 1);
+    assert_eq!(codec::number(&mut message).expect("an answer"), number, "the answer to this job");
+    Ok(decode::read_marker(&mut message).is_ok_and(|marker| marker == Marker::Null))
+}
--- a/crates/standins/src/engines.rs
+++ b/crates/standins/src/engines.rs
@@ -11,6 +11,9 @@
 
 use crate::LONG;
 
+/// Bytes that end a line of a head.
+const LINE_END: usize = 2;
+
 /// A call that a stand-in took in.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -21,6 +24,14 @@
     pub connection: usize,
 }
 
+impl Call {
+    /// How many bytes it took on the connection.
+    pub fn size(&self) -> usize {
+        let lines = self.fields.iter().chain([&self.line]);
+        lines.map(|line| line.len() + LINE_END).sum::<usize>() + LINE_END + self.body.len()
+    }
+}
+
 pub enum Says {
     Answer(u16, Vec<String>, Vec<u8>),
     /// Answers and closes the connection, without a word on it.
@@ -175,7 +186,8 @@
     stream.write_all(&framed(status, &fields, &body)).is_ok() && goes_on
 }
 
-fn framed(status: u16, fields: &[String], body: &[u8]) -> Vec<u8> {
+/// The bytes of an answer.
+pub(crate) fn framed(status: u16, fields: &[String], body: &[u8]) -> Vec<u8> {
     let fields: String = fields.iter().map(|field| format!("{field}\r\n")).collect();
     let head = format!("HTTP/1.1 {status} x\r\n{fields}Content-Length: {}\r\n\r\n", body.len());
     [head.as_bytes(), body].concat()
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::fs;
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -11,16 +11,15 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use rmp::{Marker, decode};
 use rustix::process::Signal;
 use serde_json::{Value, json};
 use woadhook::Moment;
 use woadhook_gossip::keys::{Order, Pass, public_to_text};
-use woadhook_router::{codec, keyfiles};
+use woadhook_router::keyfiles;
 
 use crate::LONG;
 use crate::bulletin::{Events, member};
-use crate::clients::Client;
+use crate::clients::{Client, hear};
 use crate::cluster::{operator, secret, tag};
 use crate::engines::{Call, Says, Standin, pages, says};
 use crate::faults::{Fault, Schedule};
@@ -603,25 +602,3 @@
         thread::sleep(pause);
     }
 }
-
-/// The next answer, which must be to this message: whether it is a result.
-fn hear(stream: &mut impl Read, number: u32) -> io::Result<bool> {
-    let (mut bytes, mut piece) = (Vec::new(), [0; 4096]);
-    let (mut scan, mut scanned) = (codec::Scan::default(), 0);
-    loop {
-        let count = stream.read(&mut piece)?;
-        if count == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        bytes.extend_from_slice(&piece[..count]);
-        if let Some(length) = codec::whole(&bytes, &mut scan, &mut scanned).expect("what can be read") {
-            assert_eq!(length, bytes.len(), "one answer to one job");
-            break;
-        }
-    }
-    let mut message = &bytes[..];
-    assert_eq!(codec::array(&mut message).expect("an answer"), 4);
-    assert_eq!(codec::number(&mut message).expect("an answer"), 1);
-    assert_eq!(codec::number(&mut message).expect("an answer"), number, "the answer to this job");
-    Ok(decode::read_marker(&mut message).is_ok_and(|marker| marker == Marker::Null))
-}
--- /dev/null
+++ b/crates/standins/src/hollow/engines.rs
@@ -0,0 +1,186 @@
+//! Hollow engines: one listener for all their addresses. Each answers every query with one row and every probe with a load
+//! report, and counts both.
+
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::thread;
+
+use async_channel::Sender;
+use async_executor::Executor;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use socket2::SockRef;
+
+/// The most engines that the addresses stand for.
+pub const MOST_ENGINES: usize = 1 << 16;
+/// The addresses begin here; the last two bytes are the engine's number.
+const NETWORK: [u8; 2] = [127, 100];
+/// Connections that wait at the one listener.
+const QUEUE: i32 = 4096;
+const THREADS: usize = 2;
+const READ_BYTES: usize = 4 * 1024;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const ROW: &str = "a\tb\tc\n";
+/// Load reports tell the processor's share in thousandths.
+const THOUSANDTHS: f64 = 1_000.0;
+
+/// What engines got.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    pub queries: u64,
+    pub probes: u64,
+    /// Bytes of probes, and of the answers to them.
+    pub probe_bytes: u64,
+    pub report_bytes: u64,
+}
+
+#[derive(Default)]
+struct Counts {
+    queries: AtomicU64,
+    probes: AtomicU64,
+    probe_bytes: AtomicU64,
+    report_bytes: AtomicU64,
+}
+
+impl Counts {
+    fn tally(&self) -> Tally {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Tally {
+            queries: read(&self.queries),
+            probes: read(&self.probes),
+            probe_bytes: read(&self.probe_bytes),
+            report_bytes: read(&self.report_bytes),
+        }
+    }
+}
+
+struct Shared {
+    engines: Vec<Counts>,
+    /// The share of its processor that each reports, in thousandths.
+    busy: AtomicU32,
+}
+
+/// Engines that differ in nothing but their addresses.
+pub struct HollowEngines {
+    port: u16,
+    shared: Arc<Shared>,
+    _over: Sender<()>,
+}
+
+impl HollowEngines {
+    /// So many engines, idle but for what they get.
+    pub fn start(count: usize) -> io::Result<Self> {
+        assert!(count <= MOST_ENGINES, "{count} engines, {MOST_ENGINES} have addresses");
+        let listener = Async::<TcpListener>::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+        SockRef::from(listener.get_ref()).listen(QUEUE)?;
+        let port = listener.get_ref().local_addr()?.port();
+        let engines = (0..count).map(|_| Counts::default()).collect();
+        let shared = Arc::new(Shared { engines, busy: AtomicU32::new(0) });
+        let (over, ended) = async_channel::bounded::<()>(1);
+        let executor = Arc::new(Executor::new());
+        for _ in 0..THREADS {
+            let (executor, ended) = (executor.clone(), ended.clone());
+            thread::spawn(move || async_io::block_on(executor.run(ended.recv())));
+        }
+        let known = shared.clone();
+        thread::spawn(move || {
+            let accepting = accept(listener, known, &executor);
+            let over = async { _ = ended.recv().await };
+            async_io::block_on(executor.run(accepting.or(over)));
+        });
+        Ok(Self { port, shared, _over: over })
+    }
+
+    pub fn address(&self, engine: usize) -> SocketAddr {
+        let [high, low] = (engine as u16).to_be_bytes();
+        SocketAddr::from(([NETWORK[0], NETWORK[1], high, low], self.port))
+    }
+
+    /// The share of its processor, from 0 to 1, that each engine reports, as others load it.
+    pub fn report(&self, share: f64) {
+        self.shared.busy.store((share * THOUSANDTHS) as u32, Ordering::Relaxed);
+    }
+
+    /// What one engine got.
+    pub fn tally(&self, engine: usize) -> Tally {
+        self.shared.engines[engine].tally()
+    }
+
+    /// What all got together.
+    pub fn total(&self) -> Tally {
+        self.shared.engines.iter().map(Counts::tally).fold(Tally::default(), |sum, each| Tally {
+            queries: sum.queries + each.queries,
+            probes: sum.probes + each.probes,
+            probe_bytes: sum.probe_bytes + each.probe_bytes,
+            report_bytes: sum.report_bytes + each.report_bytes,
+        })
+    }
+}
+
+async fn accept(listener: Async<TcpListener>, shared: Arc<Shared>, executor: &Executor<'static>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        executor.spawn(serve(stream, shared.clone())).detach();
+    }
+}
+
+/// Serves one connection until its peer ends it.
+async fn serve(mut stream: Async<TcpStream>, shared: Arc<Shared>) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let Some(counts) = number(&stream).and_then(|engine| shared.engines.get(engine)) else { return };
+    let (mut bytes, mut piece) = (Vec::new(), [0; READ_BYTES]);
+    loop {
+        while let Some(length) = whole(&bytes) {
+            let answer = answer(&bytes[..length], counts, &shared.busy);
+            bytes.drain(..length);
+            if stream.write_all(answer.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+        match stream.read(&mut piece).await {
+            Ok(0) | Err(_) => return,
+            Ok(count) => bytes.extend_from_slice(&piece[..count]),
+        }
+    }
+}
+
+/// The engine that a connection came to.
+fn number(stream: &Async<TcpStream>) -> Option<usize> {
+    match stream.get_ref().local_addr().ok()? {
+        SocketAddr::V4(at) => {
+            let [_, _, high, low] = at.ip().octets();
+            Some(usize::from(u16::from_be_bytes([high, low])))
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
+
+/// The length of the call that the bytes begin with, once it is there whole.
+fn whole(bytes: &[u8]) -> Option<usize> {
+    let head = bytes.windows(HEAD_END.len()).position(|window| window == HEAD_END)? + HEAD_END.len();
+    let text = str::from_utf8(&bytes[..head]).ok()?;
+    let told = text.lines().find_map(|line| line.strip_prefix("Content-Length: "));
+    let length = head + told.and_then(|told| told.parse().ok()).unwrap_or(0);
+    (bytes.len() >= length).then_some(length)
+}
+
+fn answer(call: &[u8], counts: &Counts, busy: &AtomicU32) -> String {
+    if call.starts_with(b"POST ") {
+        counts.queries.fetch_add(1, Ordering::Relaxed);
+        return ok("X-Batches: 1\r\nX-Batch: 0\r\n", ROW);
+    }
+    if !call.starts_with(b"GET /load ") {
+        return "HTTP/1.1 204 No Content\r\n\r\n".to_owned();
+    }
+    let share = f64::from(busy.load(Ordering::Relaxed)) / THOUSANDTHS;
+    let report = ok(&format!("X-Stats: waiting:0;cpu:{share}\r\n"), "");
+    counts.probes.fetch_add(1, Ordering::Relaxed);
+    counts.probe_bytes.fetch_add(call.len() as u64, Ordering::Relaxed);
+    counts.report_bytes.fetch_add(report.len() as u64, Ordering::Relaxed);
+    report
+}
+
+fn ok(fields: &str, body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engines;
 pub mod faults;
 pub mod fleet;
+pub mod hollow;
 pub mod net;
 pub mod processes;
 pub mod relays;
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -15,6 +15,9 @@
 use crate::LONG;
 use crate::clients::Client;
 
+/// What the processes of stories log.
+const STORY_LEVEL: &str = "info,woadhook_router=debug";
+
 /// One router as a process. It keeps its name and its address over restarts, as on the platform.
 pub struct Process {
     program: PathBuf,
@@ -22,6 +25,7 @@
     arguments: Vec<String>,
     config: PathBuf,
     log: PathBuf,
+    level: String,
     pub name: String,
     pub address: SocketAddr,
     child: Option<Child>,
@@ -35,6 +39,13 @@
 
     /// One whose command line says more.
     pub fn with(program: &str, arguments: &[String], folder: &Path, name: &str, told: &str) -> Self {
+        Self::logging(STORY_LEVEL, program, arguments, folder, name, told)
+    }
+
+    /// One that logs at such a level, as measurements want no line for each job.
+    pub fn logging(
+        level: &str, program: &str, arguments: &[String], folder: &Path, name: &str, told: &str,
+    ) -> Self {
         fs::create_dir_all(folder).expect("a folder");
         let address = free_address();
         let mut given: Value = serde_json::from_str(told).expect("a configuration");
@@ -42,8 +53,9 @@
         let config = folder.join(format!("{name}.json"));
         fs::write(&config, given.to_string()).expect("a file");
         let log = folder.join(format!("{name}.log"));
-        let (program, arguments, name) = (program.into(), arguments.to_vec(), name.to_owned());
-        let mut process = Self { program, arguments, config, log, name, address, child: None };
+        let (program, arguments) = (program.into(), arguments.to_vec());
+        let (level, name) = (level.to_owned(), name.to_owned());
+        let mut process = Self { program, arguments, config, log, level, name, address, child: None };
         process.again();
         process
     }
@@ -54,7 +66,7 @@
         let log = File::options().create(true).append(true).open(&self.log).expect("a log");
         let mut command = Command::new(&self.program);
         command.env("LB_CONFIG", &self.config).env_remove("LB_LISTEN").env_remove("RUST_LOG");
-        command.env("RUST_LOG", "info,woadhook_router=debug").args(["--log-format", "json"]);
+        command.env("RUST_LOG", &self.level).args(["--log-format", "json"]);
         command.args(&self.arguments);
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         self.child = Some(child.expect("the program starts"));
