--- a/crates/standins/examples/scale/load.rs
+++ b/crates/standins/examples/scale/load.rs
@@ -22,33 +22,43 @@
 /// Table groups that jobs read.
 const GROUPS: u32 = 50;
 
-/// Connections that do nothing but stay.
-pub struct AtRest(Vec<TcpStream>);
+/// Connections that do nothing but stay. A router closes those at which nothing passed for 5 s, as clients do themselves
+/// after 4 s, so they are refreshed before each thing that is measured beside them.
+pub struct AtRest(Vec<Client>);
 
 impl AtRest {
     /// Opens so many at a router; each is taken in before the next comes.
     pub fn open(router: SocketAddr, count: usize) -> io::Result<Self> {
         let open = |_| {
             let mut client = Client(connect(router)?);
-            if !client.tries_ping() {
-                return Err(io::Error::other("no answer to a ping"));
-            }
-            // What of the answer the look at it left.
-            client.0.read_exact(&mut [0])?;
-            Ok(client.0)
+            ping(&mut client)?;
+            Ok(client)
         };
         Ok(Self((0..count).map(open).collect::<io::Result<_>>()?))
     }
 
-    /// How many the router has not closed.
-    pub fn open_still(&self) -> usize {
-        let is_open = |stream: &&TcpStream| {
-            let _ = stream.set_nonblocking(true);
-            let looked = stream.peek(&mut [0]);
-            looked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    pub fn refresh(&mut self) -> io::Result<()> {
+        self.0.iter_mut().try_for_each(ping)
+    }
+
+    /// How many the router has closed.
+    pub fn closed(&self) -> usize {
+        let is_closed = |client: &&Client| {
+            let _ = client.0.set_nonblocking(true);
+            let looked = client.0.peek(&mut [0]);
+            let _ = client.0.set_nonblocking(false);
+            looked.map_or_else(|error| error.kind() != io::ErrorKind::WouldBlock, |count| count == 0)
         };
-        self.0.iter().filter(is_open).count()
+        self.0.iter().filter(is_closed).count()
+    }
+}
+
+fn ping(client: &mut Client) -> io::Result<()> {
+    if !client.tries_ping() {
+        return Err(io::Error::other("no answer to a ping"));
     }
+    // What of the answer the look at it left.
+    client.0.read_exact(&mut [0])
 }
 
 /// Jobs that clients ask for, at all of the routers alike.
--- a/crates/standins/examples/scale/measure.rs
+++ b/crates/standins/examples/scale/measure.rs
@@ -22,11 +22,12 @@
 const LOG_LEVEL: &str = "info";
 /// Room for what a router holds for others.
 const MEMORY_MB: u64 = 256;
-/// Until what a start or a load left behind is over.
+/// Until what a start left behind is over.
 const SETTLE: Duration = Duration::from_millis(1_500);
-const REST: Duration = Duration::from_secs(4);
+/// With the refresh, shorter than what a router lets a connection rest.
+const REST: Duration = Duration::from_secs(3);
 const WARM_UP: Duration = Duration::from_secs(1);
-const LOADED: Duration = Duration::from_secs(5);
+const LOADED: Duration = Duration::from_secs(4);
 const FULL: Duration = Duration::from_secs(3);
 /// Changes of the list, where their rate is not the axis, and the pause between two.
 const FEW_CHANGES: usize = 5;
@@ -69,12 +70,12 @@
     pub fn unit(self) -> &'static str {
         match self {
             Measure::CpuPerJob => "us",
-            Measure::CpuAtRest => "us/s",
+            Measure::CpuAtRest => "us a second",
             Measure::Memory => "KB",
             Measure::Descriptors => "count",
-            Measure::ControlSent | Measure::ControlReceived => "bytes/s",
+            Measure::ControlSent | Measure::ControlReceived => "bytes a second",
             Measure::InForce | Measure::P50 | Measure::P99 => "ms",
-            Measure::Throughput => "jobs/s",
+            Measure::Throughput => "jobs a second",
         }
     }
 }
@@ -87,6 +88,8 @@
     engines: &'a HollowEngines,
     feeds: Vec<HollowDiscovery>,
     routers: Vec<Process>,
+    /// By router.
+    at_rest: Vec<AtRest>,
     changes: Changes<'a>,
     seed: u64,
 }
@@ -104,7 +107,7 @@
     setup: &Setup, engines: &HollowEngines, program: &Path, folder: &Path, seed: u64,
 ) -> io::Result<Measured> {
     let mut site = Site::start(setup, engines, program, folder, seed);
-    let at_rest = site.open_clients()?;
+    site.open_clients()?;
     let mut measured = Measured::new();
     if setup.rests {
         site.rest(&mut measured)?;
@@ -115,11 +118,6 @@
         note_failures(&full);
         measured.insert(Measure::Throughput, throughput(&full));
     }
-    let open = at_rest.iter().map(AtRest::open_still).sum::<usize>();
-    let wanted = setup.clients_at_rest * setup.routers;
-    if open < wanted {
-        eprintln!("note: {open} of {wanted} connections at rest stayed open");
-    }
     Ok(measured)
 }
 
@@ -137,12 +135,27 @@
         let routers: Vec<Process> = feeds.iter().enumerate().map(start).collect();
         routers.iter().for_each(Process::ready);
         let changes = Changes::new(events, engines, setup.engines);
-        Self { setup, engines, feeds, routers, changes, seed }
+        Self { setup, engines, feeds, routers, at_rest: Vec::new(), changes, seed }
     }
 
-    fn open_clients(&self) -> io::Result<Vec<AtRest>> {
+    fn open_clients(&mut self) -> io::Result<()> {
         let count = self.setup.clients_at_rest;
-        self.addresses().into_iter().map(|router| AtRest::open(router, count)).collect()
+        let open = |router| AtRest::open(router, count);
+        self.at_rest = self.addresses().into_iter().map(open).collect::<io::Result<_>>()?;
+        Ok(())
+    }
+
+    /// To be called right before what is measured.
+    fn refresh(&mut self) -> io::Result<()> {
+        self.at_rest.iter_mut().try_for_each(AtRest::refresh)
+    }
+
+    /// To be called right after it.
+    fn note_closed(&self) {
+        let closed: usize = self.at_rest.iter().map(AtRest::closed).sum();
+        if closed > 0 {
+            eprintln!("note: {closed} connections at rest were closed");
+        }
     }
 
     fn addresses(&self) -> Vec<SocketAddr> {
@@ -157,12 +170,15 @@
     /// No jobs: what a router takes, and how long a change takes to be in force.
     fn rest(&mut self, measured: &mut Measured) -> io::Result<()> {
         thread::sleep(SETTLE);
+        self.refresh()?;
         measured.insert(Measure::Memory, self.mean(process::memory_kb)?);
         measured.insert(Measure::Descriptors, self.mean(process::descriptors)?);
         let before = self.reading()?;
         let told = self.beside_changes(|| thread::sleep(REST)).1;
         let after = self.reading()?;
+        self.note_closed();
         measured.insert(Measure::CpuAtRest, self.rate(before.cpu_us, after.cpu_us, &before, &after));
+        self.refresh()?;
         let told = if told.is_empty() { self.few_changes() } else { told };
         measured.insert(Measure::InForce, self.in_force(&told)?);
         Ok(())
@@ -173,9 +189,11 @@
         let (routers, rate) = (self.addresses(), self.setup.jobs_per_s);
         note_failures(&self.load(Some(rate), WARM_UP, 0).run(&routers));
         let load = self.load(Some(rate), LOADED, 1);
+        self.refresh()?;
         let before = self.reading()?;
         let (answers, _) = self.beside_changes(|| load.run(&routers));
         let after = self.reading()?;
+        self.note_closed();
         note_failures(&answers);
         let at = |quantile| answers.latencies.value_at_quantile(quantile) as f64 / MICROS_IN_MILLI;
         let jobs = answers.served.max(1) as f64;
--- a/crates/standins/examples/scale/members.rs
+++ b/crates/standins/examples/scale/members.rs
@@ -18,6 +18,8 @@
 const CALM_SECS: f64 = 10.0;
 /// A word has reached all by then, or never.
 const SPREAD_SECS: f64 = 60.0;
+/// Members of the warm-up.
+const FEW: usize = 10;
 const MILLIS: f64 = 1_000.0;
 /// The member that sees an engine fall silent, and the engine.
 const WITNESS: usize = 1;
@@ -25,6 +27,7 @@
 
 /// The processor time holds the virtual network's own.
 pub fn measure(count: usize, seed: u64) -> io::Result<Measured> {
+    warm_up(seed);
     let empty_kb = process::memory_kb(id())?;
     let mut cluster = Cluster::new(seed, count, Weather::calm(), usual_pace());
     cluster.list(&ENGINES);
@@ -41,6 +44,14 @@
     Ok(measured)
 }
 
+/// What the process takes once, whatever the count, is not to be the first point's.
+fn warm_up(seed: u64) {
+    let mut cluster = Cluster::new(seed, FEW, Weather::calm(), usual_pace());
+    cluster.acquaint();
+    cluster.pass(secs(SETTLE_SECS));
+    mem::forget(cluster);
+}
+
 fn calm(cluster: &mut Cluster, measured: &mut Measured) -> io::Result<()> {
     let count = cluster.running().count() as f64;
     let (before, before_us, started) = (bytes(cluster), process::cpu_us(id())?, Instant::now());
