The module, the router and the adapter hold a working set of the list

Need: work for a job and memory grow with the engine list. Change: a directory of all listed engines, a line each, in package door, tells the module of those in the set alone. New in the module: engines outside the set, the place among those that hold an engine (turns at cold engines, part of the limit), and two decisions that widen and narrow the set. The router and the adapter carry them out.

--- a/crates/adapter/src/flint.rs
+++ b/crates/adapter/src/flint.rs
@@ -6,16 +6,22 @@
 
 use serde_json::{Value, json};
 use woadhook::*;
-use woadhook_door::Instance;
 use woadhook_door::fields::*;
+use woadhook_door::{Directory, Instance, Line, Listing};
 
 /// All instances of this process. They share the numbered pages of the engine list, and nothing else.
 #[derive(Default)]
 pub struct Host {
-    instances: HashMap<String, Instance>,
+    instances: HashMap<String, Seat>,
     pages: BTreeMap<u64, Vec<Value>>,
 }
 
+/// One instance, and the list as it was told it.
+struct Seat {
+    instance: Instance,
+    directory: Directory<()>,
+}
+
 impl Host {
     /// Takes in one batch and returns the reply to it.
     pub fn answer(&mut self, line: &str) -> Result<Value> {
@@ -29,9 +35,9 @@
                 self.take_in(now, who, event)?;
             }
             let Some(who) = who else { continue };
-            let Some(instance) = self.instances.get_mut(who) else { continue };
+            let Some(seat) = self.instances.get_mut(who) else { continue };
             let mut steps = Vec::new();
-            if let Err(panic) = catch_unwind(AssertUnwindSafe(|| decide(instance, now, &mut steps))) {
+            if let Err(panic) = catch_unwind(AssertUnwindSafe(|| decide(seat, now, &mut steps))) {
                 self.instances.remove(who);
                 steps = vec![give_in(panic.as_ref())];
             }
@@ -52,30 +58,33 @@
                 self.pages.insert(page, rows(event, "items").map_err(named)?.to_vec());
             }
             "SPAWN" => {
-                let instance = start(now, event).map_err(named)?;
-                self.instances.insert(owner()?.to_owned(), instance);
+                let seat = start(now, event).map_err(named)?;
+                self.instances.insert(owner()?.to_owned(), seat);
             }
             "TEARDOWN" => {
                 self.instances.remove(owner()?);
             }
             _ => {
-                let Some(instance) = self.instances.get_mut(owner()?) else { return Ok(()) };
-                take_in(instance, now, kind, event, &self.pages).map_err(named)?;
+                let Some(seat) = self.instances.get_mut(owner()?) else { return Ok(()) };
+                take_in(seat, now, kind, event, &self.pages).map_err(named)?;
             }
         }
         Ok(())
     }
 }
 
-fn start(now: Moment, event: &Value) -> Result<Instance> {
-    Instance::start(now, whole(event, "initSeed")?, present(event, "bootInfo")?)
+fn start(now: Moment, event: &Value) -> Result<Seat> {
+    let instance = Instance::start(now, whole(event, "initSeed")?, present(event, "bootInfo")?)?;
+    let directory = Directory::new(instance.layout.clone());
+    Ok(Seat { instance, directory })
 }
 
 fn take_in(
-    instance: &mut Instance, now: Moment, kind: &str, event: &Value, pages: &BTreeMap<u64, Vec<Value>>,
+    seat: &mut Seat, now: Moment, kind: &str, event: &Value, pages: &BTreeMap<u64, Vec<Value>>,
 ) -> Result<()> {
+    let instance = &mut seat.instance;
     match kind {
-        "REGISTRY" => follow_list(instance, now, event, pages)?,
+        "REGISTRY" => follow_list(seat, now, event, pages)?,
         "REQUEST" => {
             let job = JobId(instance.jobs.admit(text(event, "txn")?));
             let bits = whole(event, "bitmap").unwrap_or(0);
@@ -140,41 +149,56 @@
     Ok(())
 }
 
-fn follow_list(
-    instance: &mut Instance, now: Moment, event: &Value, pages: &BTreeMap<u64, Vec<Value>>,
-) -> Result<()> {
+fn follow_list(seat: &mut Seat, now: Moment, event: &Value, pages: &BTreeMap<u64, Vec<Value>>) -> Result<()> {
     let mode = text(event, "mode")?;
     if mode == "unavailable" {
-        instance.router.list_unavailable();
+        seat.instance.router.list_unavailable();
         return Ok(());
     }
+    let complete = match mode {
+        "update" => false,
+        "restored" | "replace" => true,
+        other => return Err(format!("mode: unknown {other}")),
+    };
     let page = whole(event, "page")?;
     let items = pages.get(&page).ok_or_else(|| format!("page: no list {page}"))?;
-    let mut named = Vec::with_capacity(items.len());
-    for item in items {
-        let engine = EngineId(instance.engines.admit(text(item, "engine")?));
-        let listed = match text(item, "phase")? {
-            "live" => Listed::Live,
-            "quiescing" => Listed::Draining,
-            "dead" => Listed::Gone,
-            other => return Err(format!("phase: unknown {other}")),
-        };
-        let came_up = whole(item, "cameUpUs").ok().filter(|&at| at > 0).map(Moment::from_micros);
-        let zone = ZoneId(place(&instance.zones, text(item, "area")?, "area")?);
-        let kind = KindId(place(&instance.kinds, text(item, "familyType")?, "familyType")?);
-        let cell = CellId(whole(item, "stripe").unwrap_or(0) as usize);
-        let mark = instance.engines.mark(engine.0);
-        instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up, mark);
-        named.push(engine);
-    }
-    match mode {
-        "update" => instance.router.list_changed(),
-        "restored" | "replace" => instance.router.list_complete(&named),
-        other => return Err(format!("mode: unknown {other}")),
+    let lines = items.iter().map(|item| read_line(&seat.instance, item)).collect::<Result<Vec<_>>>()?;
+    let told = seat.directory.take_in(&lines, complete, &seat.instance.engines);
+    let named = seat.tell(now, &told);
+    match complete {
+        true => seat.instance.router.list_complete(&named),
+        false => seat.instance.router.list_changed(),
     }
     Ok(())
 }
 
+fn read_line(instance: &Instance, item: &Value) -> Result<(String, Line<()>)> {
+    let listed = match text(item, "phase")? {
+        "live" => Listed::Live,
+        "quiescing" => Listed::Draining,
+        "dead" => Listed::Gone,
+        other => return Err(format!("phase: unknown {other}")),
+    };
+    let line = Line {
+        at: (),
+        zone: ZoneId(place(&instance.zones, text(item, "area")?, "area")?),
+        kind: KindId(place(&instance.kinds, text(item, "familyType")?, "familyType")?),
+        cell: CellId(whole(item, "stripe").unwrap_or(0) as usize),
+        listed,
+        came_up: whole(item, "cameUpUs").ok().filter(|&at| at > 0).map(Moment::from_micros),
+    };
+    Ok((text(item, "engine")?.to_owned(), line))
+}
+
+impl Seat {
+    /// Tells the module of engines, and whether there are more.
+    fn tell(&mut self, now: Moment, told: &[Listing<()>]) -> Vec<EngineId> {
+        let named = told.iter().map(|listing| self.instance.list(now, listing)).collect();
+        self.instance.router.may_widen(self.directory.may_widen());
+        named
+    }
+}
+
 fn take_report(instance: &mut Instance, now: Moment, event: &Value) -> Result<()> {
     let Ok(values) = numbers(event, "pressure") else { return Ok(()) };
     if let Some(engine) = instance.engines.find(text(event, "engine")?) {
@@ -183,8 +207,9 @@
     Ok(())
 }
 
-fn decide(instance: &mut Instance, now: Moment, steps: &mut Vec<Value>) {
-    while let Some(decision) = instance.router.next_decision(now) {
+fn decide(seat: &mut Seat, now: Moment, steps: &mut Vec<Value>) {
+    while let Some(decision) = seat.instance.router.next_decision(now) {
+        let instance = &mut seat.instance;
         match decision {
             Decision::Dispatch { job, engine, timeout, memory, priority, .. } => {
                 let txn = instance.jobs.name(job.0);
@@ -221,6 +246,14 @@
             Decision::Back { engine } => {
                 steps.push(json!({"kind": "RECORD", "msg": format!("engine {} is back", engine.0)}));
             }
+            Decision::WidenWorkingSet => {
+                let told = seat.directory.widen(&instance.engines);
+                seat.tell(now, &told);
+            }
+            Decision::NarrowWorkingSet => {
+                let told = seat.directory.narrow(&instance.engines);
+                seat.tell(now, &told);
+            }
             Decision::Forget(Forgotten::Job(job)) => instance.jobs.forget(job.0),
             Decision::Forget(Forgotten::Key(key)) => instance.keys.forget(key.0),
             Decision::Forget(Forgotten::Engine(engine)) => instance.engines.forget(engine.0),
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
 //! 5. time-outs and further dispatches (`lost`, `cancel_lost`),
 //! 6. memory grants and priorities from learned estimate bias (`send`, `Estimates`).
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -134,6 +134,9 @@
     resent: Vec<Moment>,
     asked: Option<Moment>,
     subscribed: bool,
+    /// Whether more engines are listed than are held, and the last need of them, while a widened set is held.
+    may_widen: bool,
+    needed: Option<Moment>,
     /// Emptied of jobs that are over and have nothing out.
     jobs: BTreeMap<JobId, Job>,
     /// Emptied of keys with no job left, once rested.
@@ -171,6 +174,8 @@
             resent: Vec::new(),
             asked: None,
             subscribed,
+            may_widen: false,
+            needed: None,
             jobs: BTreeMap::new(),
             keys: BTreeMap::new(),
             engines: BTreeMap::new(),
@@ -403,9 +408,26 @@
         }
     }
 
+    /// How this router holds a listed engine, where not all do. Threat: while they learn of another number of
+    /// sharers, routers differ on whose turn it is at a cold engine; so none goes by a new number before `settled`.
+    pub fn engine_placed(&mut self, id: EngineId, place: Option<Place>, settled: Moment) {
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        let sharers = |place: Option<Place>| place.map(|place| place.sharers);
+        if sharers(engine.place) != sharers(place) {
+            engine.unsettled_until = settled;
+        }
+        engine.place = place;
+    }
+
+    /// Whether more engines are listed than are held, and may be held.
+    pub fn may_widen(&mut self, more: bool) {
+        self.may_widen = more;
+    }
+
     /// The list just told was complete: engines that it did not name are gone.
     pub fn list_complete(&mut self, named: &[EngineId]) {
         self.list_changed();
+        let named: BTreeSet<EngineId> = named.iter().copied().collect();
         for (id, engine) in &mut self.engines {
             if !named.contains(id) {
                 engine.listed = Listed::Gone;
@@ -442,7 +464,7 @@
     /// What the in-flight limit starts from and falls to: this router's part of the usable cores, cold ones
     /// at their start capacity, with room for bursts and without.
     fn first_limit(&self, usable: &[(EngineId, &Engine)], now: Moment) -> (f64, f64) {
-        let cores: f64 = usable.iter().map(|(_, e)| self.able_cores(e, now)).sum();
+        let cores: f64 = usable.iter().map(|(_, e)| self.able_cores(e, now) * self.weight(e)).sum();
         let part = (cores * self.share()).max(1.0);
         (part + BURST_ROOTS * part.sqrt(), part)
     }
@@ -474,6 +496,12 @@
         1.0 / self.fleet.replicas.max(1) as f64
     }
 
+    /// For how many engines of the list an engine stands: its chance of being held, inverted.
+    fn weight(&self, engine: &Engine) -> f64 {
+        let holders = |place: Place| self.fleet.replicas as f64 / place.holders.max(1) as f64;
+        engine.place.map_or(1.0, holders)
+    }
+
     fn cores(&self, kind: KindId) -> f64 {
         self.fleet.cores.get(kind.0).copied().unwrap_or(1.0).max(1.0)
     }
@@ -502,6 +530,7 @@
             .or_else(|| self.dispatch(now))
             .or_else(|| if self.watching.may_probe { self.probe(now) } else { None })
             .or_else(|| self.news.pop_front())
+            .or_else(|| self.narrow(now))
             .or_else(|| self.forgotten.pop().map(Decision::Forget))
             .or_else(|| self.wake(now))
     }
@@ -524,7 +553,9 @@
         let rested = self.keys.extract_if(.., |_, turns| rest(turns));
         self.forgotten.extend(rested.map(|(key, _)| Forgotten::Key(key)));
         let idle = |e: &mut Engine| e.out.is_empty() && !e.probe_out;
-        let gone = self.engines.extract_if(.., |_, e| e.listed == Listed::Gone && idle(e));
+        // What was sent to a cold engine counts on until its window has passed, whoever holds it.
+        let left = |e: &Engine| e.listed == Listed::Outside && e.sent.is_empty();
+        let gone = self.engines.extract_if(.., |_, e| (e.listed == Listed::Gone || left(e)) && idle(e));
         self.forgotten.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
     }
 
@@ -603,22 +634,27 @@
         }
     }
 
-    /// The one check that every dispatch passes: rules 1 to 7 in this order. In doubt it says no.
+    /// The one check that every dispatch passes, of all seven rules. In doubt it says no.
     fn legal(&self, id: JobId, job: &Job, engine: &Engine, now: Moment) -> bool {
         let t = &self.types[job.kind.0];
+        self.may_start(id, job, now)
+            && self.repeat_safe(job, Some(engine), now)
+            && engine.listed == Listed::Live
+            && self.warm_enough(engine, job.kind, now)
+            && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
+            && t.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
+    }
+
+    /// What of this check is the same at every engine.
+    fn may_start(&self, id: JobId, job: &Job, now: Moment) -> bool {
         let turn = job.key.and_then(|key| self.keys.get(&key)).is_none_or(|turns| {
             let rested = now >= turns.rest_until && turns.in_doubt == 0;
             turns.jobs.front() == Some(&id) && (rested || !job.dispatches.is_empty())
         });
         !job.over
             && now < job.deadline
-            && self.repeat_safe(job, Some(engine), now)
             && (self.further.copies || job.out() == 0)
-            && engine.listed == Listed::Live
-            && self.warm_enough(engine, job.kind, now)
             && turn
-            && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
-            && t.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
             && job.dispatches.len() < self.further.try_limit
             && (job.dispatches.is_empty() || self.ration_left())
     }
@@ -634,17 +670,22 @@
     /// age at its start, so that whose turn it is stays so. Two windows that meet stay within the budget.
     /// After its own start, a router lets one pass: what it sent before is not known.
     fn warm_enough(&self, engine: &Engine, kind: TypeId, now: Moment) -> bool {
-        let (c, all) = (&self.cold, self.fleet.replicas.max(1) as u64);
+        let c = &self.cold;
+        let alone = (self.fleet.number, self.fleet.replicas.max(1));
+        let (number, all) = engine.place.map_or(alone, |place| (place.rank, place.sharers.max(1)));
+        let (number, all) = (number as u64, all as u64);
         let window = |at: Moment| at.since(Moment::default()).micros() / c.fall.micros().max(1);
         let start = Moment::from_micros(window(now) * c.fall.micros());
         let budget = COLD_MARGIN * c.factor * self.able_cores(engine, start) * c.fall.secs();
         let largest = self.types.iter().map(first_work).fold(0.0, f64::max);
         let together = (budget / largest).floor().clamp(1.0, all as f64);
         let turn = engine.mark % all + window(now) * together as u64;
-        let mine = (turn + all - self.fleet.number as u64 % all) % all < together as u64;
+        let shares = engine.place.is_none_or(|place| place.rank < place.sharers);
+        let mine = shares && (turn + all - number % all) % all < together as u64;
         let sent = engine.sent.iter().filter(|(at, _)| window(*at) == window(now)).map(|(_, work)| work);
         let fits = sent.sum::<f64>() + self.estimates.work[kind.0].value <= budget / together;
-        !self.is_cold(engine, now) || (mine && fits && now.since(self.started) > c.fall)
+        !self.is_cold(engine, now)
+            || (mine && fits && now.since(self.started) > c.fall && now >= engine.unsettled_until)
     }
 
     fn is_cold(&self, engine: &Engine, now: Moment) -> bool {
@@ -686,7 +727,8 @@
         let own = engine.out.values().map(|s| if seen.is_some_and(|at| s.at < at) { mean } else { s.work });
         let foreign = self.foreign_work(engine).unwrap_or(average) - average;
         let queued = own.sum::<f64>() + average + foreign * self.freshness(engine, now);
-        let warm = engine.groups.contains_key(&job.group) && engine.threads_out() <= cores * self.share();
+        let warm = engine.groups.contains_key(&job.group)
+            && engine.threads_out() <= cores * self.share() * self.weight(engine);
         let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
         let mut total = (queued / cores + job.work / t.threads) * discount + engine.longer.secs();
         if t.waits_for_loads || t.is_load {
@@ -765,7 +807,8 @@
         let heard = heard.fold((0.0, 1e-9), |(sum, all), (work, fresh)| (sum + work * fresh, all + fresh));
         let (average, held) = (heard.0 / heard.1, self.load_run().secs() * HELD_PART * (1.0 - self.share()));
         let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
-        let (job, engine) = waiting.iter().find_map(|(_, id)| {
+        let mut unplaced = false;
+        let found = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
             let here = |e: EngineId| job.dispatches.iter().any(|d| d.outcome.is_none() && d.engine == e);
             let t = &self.types[job.kind.0];
@@ -780,9 +823,32 @@
             let held = |id| if t.waits_for_loads && homes.contains(&id) { held } else { 0.0 };
             let costs =
                 allowed.map(|(id, e)| (held(*id) + self.wait_and_run(job, *id, e, average, now), *id));
-            costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
-        })?;
-        self.send(now, job, engine)
+            let best = costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine));
+            unplaced |= best.is_none() && room && job.out() == 0 && self.may_start(*id, job, now);
+            best
+        });
+        match found {
+            Some((job, engine)) => self.send(now, job, engine),
+            None if unplaced => self.widen(now),
+            None => None,
+        }
+    }
+
+    /// Asks for more engines, where more are listed, and then waits for what they take.
+    fn widen(&mut self, now: Moment) -> Option<Decision> {
+        let again = self.watching.connect_timeout;
+        let soon = self.needed.is_some_and(|at| now.since(at) < again);
+        if soon || !(self.may_widen || self.needed.is_some()) {
+            return None;
+        }
+        self.needed = Some(now);
+        self.may_widen.then_some(Decision::WidenWorkingSet)
+    }
+
+    /// Gives up what was widened, once no job that came with the last need can be left.
+    fn narrow(&mut self, now: Moment) -> Option<Decision> {
+        let longest = self.types.iter().map(|t| t.timeout).max().unwrap_or_default();
+        self.needed.take_if(|at| now.since(*at) > longest).map(|_| Decision::NarrowWorkingSet)
     }
 
     fn send(&mut self, now: Moment, id: JobId, to: EngineId) -> Option<Decision> {
@@ -859,7 +925,8 @@
         let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.patience().times(0.5));
         let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
         let told = |e: &Engine| e.silent(now, quiet) || self.doubt(e, None, now) > 0.0;
-        let doubtful = |e: &Engine| e.listed != Listed::Gone && (e.aside.is_some() || told(e));
+        let followed = |e: &Engine| !matches!(e.listed, Listed::Gone | Listed::Outside);
+        let doubtful = |e: &Engine| followed(e) && (e.aside.is_some() || told(e));
         let mut pick = self.engines.iter().find(|(_, e)| due(e) && doubtful(e)).map(|(id, _)| *id);
         if pick.is_none() && self.watching.reports_by_probe && self.since_probe >= DISPATCHES_PER_PROBE {
             let live = self.engines.iter().filter(|(_, e)| e.listed == Listed::Live && due(e));
--- a/src/records.rs
+++ b/src/records.rs
@@ -75,6 +75,10 @@
     pub(crate) kind: KindId,
     pub(crate) cell: CellId,
     pub(crate) listed: Listed,
+    /// Where not all replicas hold it.
+    pub(crate) place: Option<Place>,
+    /// Until when routers may differ on who shares its cold-start budget.
+    pub(crate) unsettled_until: Moment,
     pub(crate) came_up: Option<Moment>,
     pub(crate) cold_since: Option<Moment>,
     pub(crate) report: Option<Report>,
