--- a/crates/standins/src/engines.rs
+++ b/crates/standins/src/engines.rs
@@ -1,7 +1,7 @@
 //! An engine over HTTP that answers as it is told.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -19,6 +19,8 @@
     pub body: Vec<u8>,
     /// Counts the connections from 0.
     pub connection: usize,
+    /// Where it came in, of a stand-in at several addresses.
+    pub at: IpAddr,
 }
 
 pub enum Says {
@@ -147,7 +149,8 @@
     let length = lines.iter().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).ok()?;
-    Some(Call { line: lines.remove(0), fields: lines, body, connection })
+    let at = stream.get_ref().local_addr().map_or(Ipv4Addr::UNSPECIFIED.into(), |at| at.ip());
+    Some(Call { line: lines.remove(0), fields: lines, body, connection, at })
 }
 
 /// Whether the connection goes on.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod bulletin;
 pub mod clients;
 pub mod cluster;
+pub mod crowd;
 pub mod engines;
 pub mod faults;
 pub mod fleet;
