The working set's integration is taken out again until its stories hold

By reading, not proven: the rig's one bulletin answers the long polls of four routers one after another, each up to its patience, and a call that brings a list of 2,400 has to end within patience and connect timeout.

--- a/crates/adapter/src/flint.rs
+++ b/crates/adapter/src/flint.rs
@@ -6,22 +6,16 @@
 
 use serde_json::{Value, json};
 use woadhook::*;
+use woadhook_door::Instance;
 use woadhook_door::fields::*;
-use woadhook_door::{Directory, Instance, Line, Listing};
 
 /// All instances of this process. They share the numbered pages of the engine list, and nothing else.
 #[derive(Default)]
 pub struct Host {
-    instances: HashMap<String, Seat>,
+    instances: HashMap<String, Instance>,
     pages: BTreeMap<u64, Vec<Value>>,
 }
 
-/// One instance, and the list as it was told it.
-struct Seat {
-    instance: Instance,
-    directory: Directory<()>,
-}
-
 impl Host {
     /// Takes in one batch and returns the reply to it.
     pub fn answer(&mut self, line: &str) -> Result<Value> {
@@ -35,9 +29,9 @@
                 self.take_in(now, who, event)?;
             }
             let Some(who) = who else { continue };
-            let Some(seat) = self.instances.get_mut(who) else { continue };
+            let Some(instance) = self.instances.get_mut(who) else { continue };
             let mut steps = Vec::new();
-            if let Err(panic) = catch_unwind(AssertUnwindSafe(|| decide(seat, now, &mut steps))) {
+            if let Err(panic) = catch_unwind(AssertUnwindSafe(|| decide(instance, now, &mut steps))) {
                 self.instances.remove(who);
                 steps = vec![give_in(panic.as_ref())];
             }
@@ -58,33 +52,30 @@
                 self.pages.insert(page, rows(event, "items").map_err(named)?.to_vec());
             }
             "SPAWN" => {
-                let seat = start(now, event).map_err(named)?;
-                self.instances.insert(owner()?.to_owned(), seat);
+                let instance = start(now, event).map_err(named)?;
+                self.instances.insert(owner()?.to_owned(), instance);
             }
             "TEARDOWN" => {
                 self.instances.remove(owner()?);
             }
             _ => {
-                let Some(seat) = self.instances.get_mut(owner()?) else { return Ok(()) };
-                take_in(seat, now, kind, event, &self.pages).map_err(named)?;
+                let Some(instance) = self.instances.get_mut(owner()?) else { return Ok(()) };
+                take_in(instance, now, kind, event, &self.pages).map_err(named)?;
             }
         }
         Ok(())
     }
 }
 
-fn start(now: Moment, event: &Value) -> Result<Seat> {
-    let instance = Instance::start(now, whole(event, "initSeed")?, present(event, "bootInfo")?)?;
-    let directory = Directory::new(instance.layout.clone());
-    Ok(Seat { instance, directory })
+fn start(now: Moment, event: &Value) -> Result<Instance> {
+    Instance::start(now, whole(event, "initSeed")?, present(event, "bootInfo")?)
 }
 
 fn take_in(
-    seat: &mut Seat, now: Moment, kind: &str, event: &Value, pages: &BTreeMap<u64, Vec<Value>>,
+    instance: &mut Instance, now: Moment, kind: &str, event: &Value, pages: &BTreeMap<u64, Vec<Value>>,
 ) -> Result<()> {
-    let instance = &mut seat.instance;
     match kind {
-        "REGISTRY" => follow_list(seat, now, event, pages)?,
+        "REGISTRY" => follow_list(instance, now, event, pages)?,
         "REQUEST" => {
             let job = JobId(instance.jobs.admit(text(event, "txn")?));
             let bits = whole(event, "bitmap").unwrap_or(0);
@@ -149,54 +140,39 @@
     Ok(())
 }
 
-fn follow_list(seat: &mut Seat, now: Moment, event: &Value, pages: &BTreeMap<u64, Vec<Value>>) -> Result<()> {
+fn follow_list(
+    instance: &mut Instance, now: Moment, event: &Value, pages: &BTreeMap<u64, Vec<Value>>,
+) -> Result<()> {
     let mode = text(event, "mode")?;
     if mode == "unavailable" {
-        seat.instance.router.list_unavailable();
+        instance.router.list_unavailable();
         return Ok(());
     }
-    let complete = match mode {
-        "update" => false,
-        "restored" | "replace" => true,
-        other => return Err(format!("mode: unknown {other}")),
-    };
     let page = whole(event, "page")?;
     let items = pages.get(&page).ok_or_else(|| format!("page: no list {page}"))?;
-    let lines = items.iter().map(|item| read_line(&seat.instance, item)).collect::<Result<Vec<_>>>()?;
-    let told = seat.directory.take_in(&lines, complete, &seat.instance.engines);
-    let named = seat.tell(now, &told);
-    match complete {
-        true => seat.instance.router.list_complete(&named),
-        false => seat.instance.router.list_changed(),
+    let mut named = Vec::with_capacity(items.len());
+    for item in items {
+        let engine = EngineId(instance.engines.admit(text(item, "engine")?));
+        let listed = match text(item, "phase")? {
+            "live" => Listed::Live,
+            "quiescing" => Listed::Draining,
+            "dead" => Listed::Gone,
+            other => return Err(format!("phase: unknown {other}")),
+        };
+        let came_up = whole(item, "cameUpUs").ok().filter(|&at| at > 0).map(Moment::from_micros);
+        let zone = ZoneId(place(&instance.zones, text(item, "area")?, "area")?);
+        let kind = KindId(place(&instance.kinds, text(item, "familyType")?, "familyType")?);
+        let cell = CellId(whole(item, "stripe").unwrap_or(0) as usize);
+        let mark = instance.engines.mark(engine.0);
+        instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up, mark);
+        named.push(engine);
     }
-    Ok(())
-}
-
-fn read_line(instance: &Instance, item: &Value) -> Result<(String, Line<()>)> {
-    let listed = match text(item, "phase")? {
-        "live" => Listed::Live,
-        "quiescing" => Listed::Draining,
-        "dead" => Listed::Gone,
-        other => return Err(format!("phase: unknown {other}")),
-    };
-    let line = Line {
-        at: (),
-        zone: ZoneId(place(&instance.zones, text(item, "area")?, "area")?),
-        kind: KindId(place(&instance.kinds, text(item, "familyType")?, "familyType")?),
-        cell: CellId(whole(item, "stripe").unwrap_or(0) as usize),
-        listed,
-        came_up: whole(item, "cameUpUs").ok().filter(|&at| at > 0).map(Moment::from_micros),
-    };
-    Ok((text(item, "engine")?.to_owned(), line))
-}
-
-impl Seat {
-    /// Tells the module of engines, and whether there are more.
-    fn tell(&mut self, now: Moment, told: &[Listing<()>]) -> Vec<EngineId> {
-        let named = told.iter().map(|listing| self.instance.list(now, listing)).collect();
-        self.instance.router.may_widen(self.directory.may_widen());
-        named
+    match mode {
+        "update" => instance.router.list_changed(),
+        "restored" | "replace" => instance.router.list_complete(&named),
+        other => return Err(format!("mode: unknown {other}")),
     }
+    Ok(())
 }
 
 fn take_report(instance: &mut Instance, now: Moment, event: &Value) -> Result<()> {
@@ -207,9 +183,8 @@
     Ok(())
 }
 
-fn decide(seat: &mut Seat, now: Moment, steps: &mut Vec<Value>) {
-    while let Some(decision) = seat.instance.router.next_decision(now) {
-        let instance = &mut seat.instance;
+fn decide(instance: &mut Instance, now: Moment, steps: &mut Vec<Value>) {
+    while let Some(decision) = instance.router.next_decision(now) {
         match decision {
             Decision::Dispatch { job, engine, timeout, memory, priority, .. } => {
                 let txn = instance.jobs.name(job.0);
@@ -246,14 +221,6 @@
             Decision::Back { engine } => {
                 steps.push(json!({"kind": "RECORD", "msg": format!("engine {} is back", engine.0)}));
             }
-            Decision::WidenWorkingSet => {
-                let told = seat.directory.widen(&instance.engines);
-                seat.tell(now, &told);
-            }
-            Decision::NarrowWorkingSet => {
-                let told = seat.directory.narrow(&instance.engines);
-                seat.tell(now, &told);
-            }
             Decision::Forget(Forgotten::Job(job)) => instance.jobs.forget(job.0),
             Decision::Forget(Forgotten::Key(key)) => instance.keys.forget(key.0),
             Decision::Forget(Forgotten::Engine(engine)) => instance.engines.forget(engine.0),
--- a/crates/door/src/instance.rs
+++ b/crates/door/src/instance.rs
@@ -3,7 +3,6 @@
 use serde_json::Value;
 use woadhook::*;
 
-use crate::directory::{Layout, Listing};
 use crate::fields::*;
 use crate::names::Door;
 
@@ -21,11 +20,6 @@
     pub kinds: Vec<String>,
     pub report_names: Vec<String>,
     pub costs_told: bool,
-    /// What the working set follows from.
-    pub layout: Layout,
-    /// How long after a change of the list routers may still differ on who shares an engine's cold-start budget, and
-    /// what they sent on that may still count.
-    settles_within: Span,
 }
 
 /// The longest come-back time that clients heed, where they are told one.
@@ -125,9 +119,6 @@
             grants: mark(family, "takesGrants"),
             most_grant: number(family, "maxGrantShare").unwrap_or(1.0),
         };
-        let layout = Layout::new(&fleet, &types);
-        let learned_within = span(rules, "stopSendingWithinUs").unwrap_or(cold.fall);
-        let settles_within = learned_within + cold.fall;
         let ordered = types.iter().map(|kind| kind.ordered).collect();
         let router = Router::new(now, seed, types, fleet, cold, further, watching, answers, terms);
         Ok(Self {
@@ -148,21 +139,9 @@
             kinds,
             report_names: if how == "none" { Vec::new() } else { names(feedback, "names")? },
             costs_told: mark(family, "costInAnswers"),
-            layout,
-            settles_within,
         })
     }
 
-    /// Tells the module of an engine of the list.
-    pub fn list<A>(&mut self, now: Moment, listing: &Listing<A>) -> EngineId {
-        let engine = EngineId(self.engines.admit(&listing.name));
-        let (line, mark) = (&listing.line, self.engines.mark(engine.0));
-        let router = &mut self.router;
-        router.engine_listed(now, engine, line.zone, line.kind, line.cell, line.listed, line.came_up, mark);
-        router.engine_placed(engine, listing.place, now + self.settles_within);
-        engine
-    }
-
     /// The index of a key, where the type keeps order; the module would never let go of another.
     pub fn key(&mut self, kind: TypeId, name: &str) -> Option<KeyId> {
         self.ordered[kind.0].then(|| KeyId(self.keys.admit(name)))
--- a/crates/door/src/names.rs
+++ b/crates/door/src/names.rs
@@ -5,13 +5,6 @@
 
 use fnv::FnvHasher;
 
-/// A number from a name, the same at every router and spread over all its bits.
-pub fn mark_of(name: &str) -> u64 {
-    let mut hash = FnvHasher::default();
-    hash.write(name.as_bytes());
-    hash.finish()
-}
-
 /// Names and their indices. A forgotten index is given out again, so that it stays as small as what is held.
 #[derive(Default)]
 pub struct Door {
@@ -41,7 +34,9 @@
 
     /// A number from the name, the same at every router and spread over all its bits.
     pub fn mark(&self, index: usize) -> u64 {
-        mark_of(&self.names[index])
+        let mut hash = FnvHasher::default();
+        hash.write(self.names[index].as_bytes());
+        hash.finish()
     }
 
     pub fn name(&self, index: usize) -> &str {
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -2,22 +2,22 @@
 //! takes in all that is queued, then pulls decisions until there is none.
 
 use std::cell::Cell;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
 use futures_lite::{FutureExt, future};
 use serde_json::Value;
 use woadhook::*;
+use woadhook_door::Instance;
 use woadhook_door::fields::*;
-use woadhook_door::{Directory, Instance, Line, Listing};
 use woadhook_gossip::Seen;
 use woadhook_pace::crawl::Standing;
 use woadhook_pace::rate::Least;
 
-use crate::backends::sql::engine::{Engine, Ground};
+use crate::backends::sql::engine::Ground;
 use crate::backends::sql::peer::{Errand, Peer};
 use crate::clock::Clock;
 use crate::config::address;
@@ -46,32 +46,31 @@
     out: HashMap<usize, (EngineId, Sender<u8>)>,
 }
 
-/// An engine that the module knows: the hold on it, and what is told of it to a module that begins again.
+/// A line of the engine list.
+#[derive(Clone, Copy)]
+struct Line {
+    at: SocketAddr,
+    zone: ZoneId,
+    kind: KindId,
+    cell: CellId,
+    listed: Listed,
+    came_up: Option<Moment>,
+}
+
+/// An engine: the hold on it, and its line for a module that begins again.
 struct Known {
     peer: Peer,
-    listing: Listing<SocketAddr>,
+    line: Line,
 }
 
 impl Known {
-    fn list(&mut self, listing: Listing<SocketAddr>) {
-        self.peer.engine.gone.set(listing.line.listed == Listed::Gone);
-        self.peer.engine.open.set(listing.line.listed == Listed::Live);
-        self.listing = listing;
-    }
-
-    fn gone(&mut self) {
-        let mut listing = self.listing.clone();
-        listing.line.listed = Listed::Gone;
-        self.list(listing);
+    fn list(&mut self, line: Line) {
+        self.line = line;
+        self.peer.engine.gone.set(line.listed == Listed::Gone);
+        self.peer.engine.open.set(line.listed == Listed::Live);
     }
 }
 
-/// An engine that the module has let go of while it is listed: queries there may wait to know that it is gone.
-struct Left {
-    name: String,
-    engine: Weak<Engine>,
-}
-
 pub struct Desk {
     clock: Clock,
     settings: Value,
@@ -85,9 +84,6 @@
     /// Both emptied as the module forgets.
     jobs: HashMap<JobId, Open>,
     engines: HashMap<EngineId, Known>,
-    directory: Directory<SocketAddr>,
-    /// Emptied of those that no query waits for, as the list changes.
-    left: Vec<Left>,
     /// Whether the whole list was told once.
     listed: bool,
     /// Counts the holds on engines.
@@ -110,16 +106,13 @@
         notes: Option<Notes>, share: f64,
     ) -> Result<Self> {
         let (least, most_least) = (ground.least.clone(), ground.least.get());
-        let instance = Instance::start(clock.now(), seed, &settings)?;
         Ok(Self {
             standing: Standing::default(),
             least,
             most_least,
             share,
             clock,
-            directory: Directory::new(instance.layout.clone()),
-            left: Vec::new(),
-            instance,
+            instance: Instance::start(clock.now(), seed, &settings)?,
             settings,
             seed,
             ground,
@@ -266,13 +259,13 @@
         }
     }
 
-    /// The engines of the list that are not gone, held or not: words on others are of no use.
+    /// The engines of the list that are not gone: words on others are of no use.
     fn tell_list(&self) {
         if let Some(notes) = &self.notes {
-            let lines = self.directory.lines();
-            notes.list(
-                lines.map(|(name, line)| (name.to_owned(), line.came_up.unwrap_or_default())).collect(),
-            );
+            let there = self.engines.iter().filter(|(_, known)| known.line.listed != Listed::Gone);
+            let name = |engine: &EngineId| self.instance.engines.name(engine.0).to_owned();
+            let lines = there.map(|(engine, known)| (name(engine), known.line.came_up.unwrap_or_default()));
+            notes.list(lines.collect());
         }
     }
 
@@ -352,44 +345,25 @@
         let usable =
             |line: &Result<_>| !in_part || line.as_ref().inspect_err(|fault| passed_over(fault)).is_ok();
         let lines = lines.filter(usable).collect::<Result<Vec<_>>>()?;
-        let (complete, lines_told) = (mark(roster, "complete"), lines.len());
-        let told = self.directory.take_in(&lines, complete, &self.instance.engines);
-        let named = self.tell(now, told);
-        if complete {
+        let mut named = Vec::with_capacity(lines.len());
+        for (name, line) in lines {
+            let engine = EngineId(self.instance.engines.admit(&name));
+            self.list(now, engine, line);
+            named.push(engine);
+        }
+        if mark(roster, "complete") {
             self.listed = true;
-            let named: HashSet<EngineId> = named.iter().copied().collect();
-            let gone = self.engines.iter_mut().filter(|(engine, _)| !named.contains(engine));
-            gone.for_each(|(_, known)| known.gone());
-            self.instance.router.list_complete(&named.into_iter().collect::<Vec<_>>());
+            self.instance.router.list_complete(&named);
+            for (_, known) in self.engines.iter_mut().filter(|(engine, _)| !named.contains(engine)) {
+                known.list(Line { listed: Listed::Gone, ..known.line });
+            }
         } else {
             self.instance.router.list_changed();
         }
-        self.settle_left();
-        let (listed, known) = (self.directory.lines().count(), self.engines.len());
-        let took = self.clock.now().since(now);
-        log::info!(event = "list_taken_in", lines = lines_told, listed, known, took_us = took.micros(); "{lines_told} lines of the list taken in: {listed} engines listed, {known} known");
         Ok(())
     }
 
-    /// Tells the module of engines, and whether there are more.
-    fn tell(&mut self, now: Moment, told: Vec<Listing<SocketAddr>>) -> Vec<EngineId> {
-        let named = told.into_iter().map(|listing| self.list(now, listing)).collect();
-        self.instance.router.may_widen(self.directory.may_widen());
-        named
-    }
-
-    /// Lets queries at engines that were let go of know which of those are gone. Threat: the order of a key would
-    /// wait for ever for an engine that has left the working set and then the list.
-    fn settle_left(&mut self) {
-        self.left.retain(|left| left.engine.strong_count() > 0);
-        for left in self.left.iter().filter(|left| !self.directory.lists(&left.name)) {
-            if let Some(engine) = left.engine.upgrade() {
-                engine.gone.set(true);
-            }
-        }
-    }
-
-    fn read_line(&self, member: &Value) -> Result<(String, Line<SocketAddr>)> {
+    fn read_line(&self, member: &Value) -> Result<(String, Line)> {
         let listed = match text(member, "phase")? {
             "SERVING" => Listed::Live,
             "DRAINING" => Listed::Draining,
@@ -408,22 +382,21 @@
         Ok((text(member, "id")?.to_owned(), line))
     }
 
-    fn list(&mut self, now: Moment, listing: Listing<SocketAddr>) -> EngineId {
-        let engine = self.instance.list(now, &listing);
-        let at = listing.line.at;
-        if let Some(known) = self.engines.get_mut(&engine).filter(|known| known.listing.line.at == at) {
-            known.list(listing);
-            return engine;
+    fn list(&mut self, now: Moment, engine: EngineId, line: Line) {
+        let Line { at, zone, kind, cell, listed, came_up } = line;
+        let mark = self.instance.engines.mark(engine.0);
+        self.instance.router.engine_listed(now, engine, zone, kind, cell, listed, came_up, mark);
+        if let Some(known) = self.engines.get_mut(&engine).filter(|known| known.line.at == at) {
+            return known.list(line);
         }
         self.serial += 1;
         let peer = Peer::start(&self.ground, self.serial, at, self.module.clone());
-        let mut new = Known { peer, listing: listing.clone() };
-        new.list(listing);
+        let mut new = Known { peer, line };
+        new.list(line);
         if let Some(old) = self.engines.insert(engine, new) {
             old.peer.engine.open.set(false);
             old.peer.engine.gone.set(true);
         }
-        engine
     }
 
     fn carry_out(&mut self, now: Moment, decision: Decision) {
@@ -468,28 +441,13 @@
                 log::info!(event = "engine_back", engine = name; "engine {name} is back");
                 self.note(engine, |engine| Note::Judged { engine, seen: Seen::Well });
             }
-            Decision::WidenWorkingSet => {
-                let told = self.directory.widen(&self.instance.engines);
-                log::info!(event = "working_set_widened", engines = told.len(); "the working set is widened");
-                self.tell(now, told);
-            }
-            Decision::NarrowWorkingSet => {
-                let told = self.directory.narrow(&self.instance.engines);
-                log::info!(event = "working_set_narrowed"; "the working set is as usual again");
-                self.tell(now, told);
-            }
             Decision::Forget(Forgotten::Job(job)) => {
                 self.jobs.remove(&job);
                 self.instance.jobs.forget(job.0);
             }
             Decision::Forget(Forgotten::Key(key)) => self.instance.keys.forget(key.0),
             Decision::Forget(Forgotten::Engine(engine)) => {
-                let known = self.engines.remove(&engine);
-                let outside = known.filter(|known| known.listing.line.listed == Listed::Outside);
-                self.left.extend(outside.map(|known| Left {
-                    name: known.listing.name,
-                    engine: Rc::downgrade(&known.peer.engine),
-                }));
+                self.engines.remove(&engine);
                 self.standing.forget(engine.0);
                 self.instance.engines.forget(engine.0);
             }
@@ -527,10 +485,10 @@
         let Ok(new) = Instance::start(now, self.seed, &self.settings) else { return };
         let old = std::mem::replace(&mut self.instance, new);
         (self.instance.jobs, self.instance.keys, self.instance.engines) = (old.jobs, old.keys, old.engines);
-        for known in self.engines.values() {
-            self.instance.list(now, &known.listing);
+        for (engine, Known { line, .. }) in &self.engines {
+            let Line { zone, kind, cell, listed, came_up, .. } = *line;
+            let mark = self.instance.engines.mark(engine.0);
+            self.instance.router.engine_listed(now, *engine, zone, kind, cell, listed, came_up, mark);
         }
-        let told = self.directory.narrow(&self.instance.engines);
-        self.tell(now, told);
     }
 }
--- a/crates/standins/src/engines.rs
+++ b/crates/standins/src/engines.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{self, Receiver};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -23,8 +23,6 @@
     pub body: Vec<u8>,
     /// Counts the connections from 0.
     pub connection: usize,
-    /// Where it came in, of a stand-in at several addresses.
-    pub at: IpAddr,
 }
 
 impl Call {
@@ -187,8 +185,7 @@
     let length = lines.iter().find_map(|line| line.strip_prefix("Content-Length: ")?.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).ok()?;
-    let at = stream.get_ref().local_addr().map_or(Ipv4Addr::UNSPECIFIED.into(), |at| at.ip());
-    Some(Call { line: lines.remove(0), fields: lines, body, connection, at })
+    Some(Call { line: lines.remove(0), fields: lines, body, connection })
 }
 
 /// Whether the connection goes on.
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -57,19 +57,19 @@
 
 /// What engines and callers saw, over all processes together; as long as a story.
 #[derive(Default)]
-pub(crate) struct Seen {
+struct Seen {
     /// Engine, job, when it came.
-    pub(crate) posts: Vec<(usize, String, Instant)>,
+    posts: Vec<(usize, String, Instant)>,
     answers: Vec<Asked>,
     /// When each engine was told to drain.
-    pub(crate) drained: HashMap<usize, Instant>,
-    pub(crate) cold: HashMap<usize, Instant>,
+    drained: HashMap<usize, Instant>,
+    cold: HashMap<usize, Instant>,
     /// When each router was killed or told to end.
-    pub(crate) killed: Vec<(usize, Instant)>,
+    killed: Vec<(usize, Instant)>,
     ended: Vec<(usize, Instant)>,
 }
 
-pub(crate) struct Asked {
+struct Asked {
     router: usize,
     id: String,
     at: Instant,
@@ -87,10 +87,10 @@
 }
 
 /// One router's bulletin, which moves with a configuration. It names the engines as that router reaches them.
-pub(crate) struct Feed {
-    pub(crate) events: Events,
-    pub(crate) open: Arc<AtomicBool>,
-    pub(crate) standin: Standin,
+struct Feed {
+    events: Events,
+    open: Arc<AtomicBool>,
+    standin: Standin,
 }
 
 /// How a fleet is laid out. Routers and engines are dealt to the zones in turn; callers and bulletins stand in their
@@ -166,7 +166,14 @@
             let at = relays.passage(&format!("n{router}"), &format!("b{router}"), feed.standin.address);
             let mut given: Value = serde_json::from_str(&told(&[], at, 512)).expect("a configuration");
             given["known"]["items"][0]["roster"]["members"] = json!(members);
-            promise(&mut given, layout.routers, router, &layout.zone(router).0, &layout.zone_names());
+            let settings = &mut given["settings"];
+            (settings["replicasOfMe"], settings["myNumber"]) = (json!(layout.routers), json!(router));
+            (settings["zone"], settings["zones"]) =
+                (json!(layout.zone(router).0), json!(layout.zone_names()));
+            let rules = &mut settings["obligations"];
+            (rules["fallUs"], rules["stopSendingWithinUs"]) = (json!(FALL * 1000), json!(GRACE * 1000));
+            (rules["overloadFactor"], rules["startCapacity"]) = (json!(FACTOR), json!(START_CAPACITY));
+            (rules["coldUs"], given["limits"]["memory_mb"]) = (json!(COLD.as_micros() as u64), json!(32));
             let arguments = talk.get(router).cloned().unwrap_or_default();
             routers.push(Process::with(
                 program,
@@ -179,10 +186,14 @@
         }
         routers.iter().for_each(Process::ready);
         let over: Arc<AtomicBool> = Arc::default();
-        let way = |router: usize| {
-            relays.passage(&format!("c{router}"), &format!("n{router}"), routers[router].address)
-        };
-        let callers = call_all(routers.len(), way, &seen, &over);
+        let callers = (0..routers.len() * CALLERS).map(|number| {
+            let (router, seen, over) = (number % routers.len(), seen.clone(), over.clone());
+            let pause = BETWEEN * routers.len().div_ceil(USUAL) as u32;
+            let (from, to) = (format!("c{router}"), format!("n{router}"));
+            let address = relays.passage(&from, &to, routers[router].address);
+            thread::spawn(move || call((router, number), address, pause, &seen, &over))
+        });
+        let callers = callers.collect();
         Self { layout, relays, routers, engines, number: 1, feeds, seen, over, callers }
     }
 
@@ -351,44 +362,35 @@
     /// Waits until every router has done a job asked for from now on, then ends the callers and counts; the first
     /// broken rule, if any, in words.
     pub fn verdict(mut self) -> Result<Tally, String> {
-        judge(&mut self.routers, &self.seen, &self.over, self.callers.drain(..))
-    }
-}
-
-/// Waits until every router has done a job asked for from now on, then ends the callers and counts; the first
-/// broken rule, if any, in words.
-pub(crate) fn judge(
-    routers: &mut [Process], seen: &Mutex<Seen>, over: &AtomicBool,
-    callers: impl Iterator<Item = JoinHandle<()>>,
-) -> Result<Tally, String> {
-    let (from, by) = (Instant::now(), Instant::now() + LONG);
-    let serves = |seen: &Seen, router: usize| {
-        seen.answers.iter().any(|a| a.router == router && a.at >= from && matches!(a.got, Ok(true)))
-    };
-    for (number, router) in routers.iter().enumerate() {
-        while !serves(&seen.lock().unwrap(), number) {
-            if Instant::now() > by {
-                return Err(format!("{} does not serve in the end", router.name));
+        let (from, by) = (Instant::now(), Instant::now() + LONG);
+        let serves = |seen: &Seen, router: usize| {
+            seen.answers.iter().any(|a| a.router == router && a.at >= from && matches!(a.got, Ok(true)))
+        };
+        for router in 0..self.routers.len() {
+            while !serves(&self.seen.lock().unwrap(), router) {
+                if Instant::now() > by {
+                    return Err(format!("{} does not serve in the end", self.routers[router].name));
+                }
+                thread::sleep(Duration::from_millis(10));
             }
-            thread::sleep(Duration::from_millis(10));
         }
+        self.over.store(true, Ordering::Relaxed);
+        for caller in self.callers.drain(..) {
+            caller.join().map_err(|_| "a caller met what no answer may be".to_owned())?;
+        }
+        if let Some(dead) = self.routers.iter_mut().find_map(|r| (!r.lives()).then(|| r.name.clone())) {
+            return Err(format!("{dead} ended by itself"));
+        }
+        let seen = self.seen.lock().unwrap();
+        let told = |id: &str| self.routers.iter().flat_map(|r| r.on_job(id)).collect::<Vec<_>>().join("\n");
+        one_answer(&seen).map_err(|(fault, id)| format!("{fault}\n{}", told(&id)))?;
+        no_effect_twice(&seen).map_err(|(fault, id)| format!("{fault}\n{}", told(&id)))?;
+        nothing_after_the_grace(&seen)?;
+        cold_engines_hold(&seen)?;
+        let done = seen.answers.iter().filter(|asked| matches!(asked.got, Ok(true))).count();
+        let cold = seen.posts.iter().filter(|(engine, ..)| seen.cold.contains_key(engine)).count();
+        Ok(Tally { asked: seen.answers.len(), done, to_cold: cold })
     }
-    over.store(true, Ordering::Relaxed);
-    for caller in callers {
-        caller.join().map_err(|_| "a caller met what no answer may be".to_owned())?;
-    }
-    if let Some(dead) = routers.iter_mut().find_map(|r| (!r.lives()).then(|| r.name.clone())) {
-        return Err(format!("{dead} ended by itself"));
-    }
-    let seen = seen.lock().unwrap();
-    let told = |id: &str| routers.iter().flat_map(|r| r.on_job(id)).collect::<Vec<_>>().join("\n");
-    one_answer(&seen).map_err(|(fault, id)| format!("{fault}\n{}", told(&id)))?;
-    no_effect_twice(&seen).map_err(|(fault, id)| format!("{fault}\n{}", told(&id)))?;
-    nothing_after_the_grace(&seen)?;
-    cold_engines_hold(&seen)?;
-    let done = seen.answers.iter().filter(|asked| matches!(asked.got, Ok(true))).count();
-    let cold = seen.posts.iter().filter(|(engine, ..)| seen.cold.contains_key(engine)).count();
-    Ok(Tally { asked: seen.answers.len(), done, to_cold: cold })
 }
 
 /// What happened, for a story to see that it was a story at all.
@@ -520,56 +522,34 @@
         .collect()
 }
 
-/// Settings of one router among so many replicas, with what such a fleet promises.
-pub(crate) fn promise(given: &mut Value, replicas: usize, number: usize, zone: &str, zones: &[String]) {
-    let settings = &mut given["settings"];
-    (settings["replicasOfMe"], settings["myNumber"]) = (json!(replicas), json!(number));
-    (settings["zone"], settings["zones"]) = (json!(zone), json!(zones));
-    let rules = &mut settings["obligations"];
-    (rules["fallUs"], rules["stopSendingWithinUs"]) = (json!(FALL * 1000), json!(GRACE * 1000));
-    (rules["overloadFactor"], rules["startCapacity"]) = (json!(FACTOR), json!(START_CAPACITY));
-    (rules["coldUs"], given["limits"]["memory_mb"]) = (json!(COLD.as_micros() as u64), json!(32));
-}
-
 fn place(number: usize, seen: Arc<Mutex<Seen>>) -> Place {
     let bad: Arc<AtomicBool> = Arc::default();
-    let (fails, mut runs) = (bad.clone(), Runs::default());
+    let fails = bad.clone();
+    // Until when each slow query runs; as long as a story.
+    let mut runs: HashMap<String, Instant> = HashMap::new();
     let engine = Standin::start(move |call| {
-        let bad = fails.load(Ordering::Relaxed);
-        runs.answer(call, number, &seen, bad)
-    });
-    Place { engine, bad, ways: Mutex::default() }
-}
-
-/// Until when each slow query runs at a stand-in; as long as a story.
-#[derive(Default)]
-pub(crate) struct Runs(HashMap<String, Instant>);
-
-impl Runs {
-    /// What the engine of such a number says to a call; a bad one answers each with an error.
-    pub(crate) fn answer(&mut self, call: &Call, number: usize, seen: &Mutex<Seen>, bad: bool) -> Says {
         let id = call.line.split(['/', ' ']).nth(4).unwrap_or_default().to_owned();
         if call.line.starts_with("POST") {
             let id = call.fields.iter().find_map(|field| field.strip_prefix("X-Trace: ")).unwrap_or_default();
             seen.lock().unwrap().posts.push((number, id.to_owned(), Instant::now()));
             if id.ends_with(['3', 'a']) {
-                self.0.insert(id.to_owned(), Instant::now() + RUN);
+                runs.insert(id.to_owned(), Instant::now() + RUN);
                 return says(202, &[], "");
             }
         }
-        if bad {
+        if fails.load(Ordering::Relaxed) {
             return says(500, &[], "");
         }
-        let runs_on =
-            call.line.starts_with("GET") && self.0.get(&id).is_some_and(|end| Instant::now() < *end);
+        let runs_on = call.line.starts_with("GET") && runs.get(&id).is_some_and(|end| Instant::now() < *end);
         if runs_on {
             return Says::Slow(202, vec![], vec![], 16, Duration::from_millis(20));
         }
         pages(call, &["a\tb\tc\n"])
-    }
+    });
+    Place { engine, bad, ways: Mutex::default() }
 }
 
-pub(crate) fn feed(events: Events) -> Feed {
+fn feed(events: Events) -> Feed {
     let open = Arc::new(AtomicBool::new(true));
     let (told, all) = (open.clone(), events.clone());
     let standin = Standin::start(move |call: &Call| {
@@ -582,24 +562,6 @@
     Feed { events, open, standin }
 }
 
-/// Callers at each of so many routers; `way` is where they reach it.
-pub(crate) fn call_all(
-    routers: usize, way: impl Fn(usize) -> SocketAddr, seen: &Arc<Mutex<Seen>>, over: &Arc<AtomicBool>,
-) -> Vec<JoinHandle<()>> {
-    let pause = BETWEEN * routers.div_ceil(USUAL) as u32;
-    let callers = (0..routers * CALLERS).map(|number| {
-        let (router, seen, over) = (number % routers, seen.clone(), over.clone());
-        let address = way(router);
-        thread::spawn(move || call((router, number), address, pause, &seen, &over))
-    });
-    callers.collect()
-}
-
-/// The number of the caller that gave a job its name.
-pub(crate) fn caller_of(id: &str) -> Option<usize> {
-    usize::from_str_radix(id.get(1..6)?, 16).ok()
-}
-
 /// A caller: one job after another, over a new connection where the old one ended; one in ten runs once.
 fn call(
     (router, caller): (usize, usize), at: SocketAddr, pause: Duration, seen: &Mutex<Seen>, over: &AtomicBool,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod bulletin;
 pub mod clients;
 pub mod cluster;
-pub mod crowd;
 pub mod engines;
 pub mod faults;
 pub mod fleet;
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -367,9 +367,6 @@
                     self.hosts[router].instance.engines.forget(engine.0);
                 }
                 Decision::Forget(_) | Decision::Subscribe => {}
-                Decision::WidenWorkingSet | Decision::NarrowWorkingSet => {
-                    unreachable!("this world's engines all fit into a working set")
-                }
             }
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -82,20 +82,6 @@
     Live,
     Draining,
     Gone,
-    /// As it stands in the list, it is live; but it has left this router's working set: it gets nothing more, what
-    /// is out there ends as usual.
-    Outside,
-}
-
-/// How a router holds an engine that not all replicas hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Place {
-    /// This router's place among those that hold it, counted from 0.
-    pub rank: usize,
-    /// Those of the lowest ranks share its cold-start budget; others send it nothing while it is cold.
-    pub sharers: usize,
-    /// Of all replicas, so many hold it: this router's part of the engine.
-    pub holders: usize,
 }
 
 /// How a dispatch or a probe ended.
@@ -179,11 +165,6 @@
     Wake {
         after: Span,
     },
-    /// No engine of the working set can take a job that the in-flight limit would let go: hold more, if they are
-    /// there, and say so by [`may_widen`](crate::logic::Router::may_widen).
-    WidenWorkingSet,
-    /// No need of more than the usual working set was seen for long: hold that one again.
-    NarrowWorkingSet,
     /// Drop the mapping of this index.
     Forget(Forgotten),
     /// An engine was set aside: worth a line in the log, and a word to other routers where they talk.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -133,17 +133,14 @@
     resent: VecDeque<Moment>,
     asked: Option<Moment>,
     subscribed: bool,
-    /// Whether more engines are listed than are held, and the last need of them, while a widened set is held.
-    may_widen: bool,
-    needed: Option<Moment>,
     /// Emptied of jobs that are over and have nothing out.
     jobs: BTreeMap<JobId, Job>,
     /// Emptied of keys with no job left, once rested.
     keys: BTreeMap<KeyId, Turns>,
     engines: BTreeMap<EngineId, Engine>,
     swept: Moment,
-    /// Whether an engine that is gone or outside the working set may still be kept.
-    some_leave: bool,
+    /// Whether an engine that is gone may still be kept.
+    some_gone: bool,
     /// Until then no engine is silent, set aside or doubted; unknown once one may be.
     calm_until: Option<Moment>,
     since_probe: u32,
@@ -179,13 +176,11 @@
             resent: VecDeque::new(),
             asked: None,
             subscribed,
-            may_widen: false,
-            needed: None,
             jobs: BTreeMap::new(),
             keys: BTreeMap::new(),
             engines: BTreeMap::new(),
             swept: now,
-            some_leave: false,
+            some_gone: false,
             calm_until: None,
             since_probe: 0,
             wake_at: None,
@@ -414,7 +409,7 @@
         let fresh = Engine { mark, came_up, cold_since: came_up, heard: now, ..Engine::default() };
         let engine = self.engines.entry(id).or_insert(fresh);
         (engine.zone, engine.kind, engine.cell, engine.listed) = (zone, kind, cell, listed);
-        self.some_leave |= engine.leaves();
+        self.some_gone |= listed == Listed::Gone;
         if came_up > engine.came_up {
             (engine.came_up, engine.cold_since) = (came_up, engine.cold_since.max(came_up));
             engine.groups.clear();
@@ -422,29 +417,13 @@
         }
     }
 
-    /// How this router holds a listed engine, where not all do. Threat: while they learn of another number of
-    /// sharers, routers differ on whose turn it is at a cold engine; so none goes by a new number before `settled`.
-    pub fn engine_placed(&mut self, id: EngineId, place: Option<Place>, settled: Moment) {
-        let Some(engine) = self.engines.get_mut(&id) else { return };
-        let sharers = |place: Option<Place>| place.map(|place| place.sharers);
-        if sharers(engine.place) != sharers(place) {
-            engine.unsettled_until = settled;
-        }
-        engine.place = place;
-    }
-
-    /// Whether more engines are listed than are held, and may be held.
-    pub fn may_widen(&mut self, more: bool) {
-        self.may_widen = more;
-    }
-
     /// The list just told was complete: engines that it did not name are gone.
     pub fn list_complete(&mut self, named: &[EngineId]) {
         self.list_changed();
         let named: BTreeSet<EngineId> = named.iter().copied().collect();
         for (_, engine) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
             engine.listed = Listed::Gone;
-            self.some_leave = true;
+            self.some_gone = true;
         }
     }
 
@@ -477,7 +456,7 @@
     /// What the in-flight limit starts from and falls to: this router's part of the usable cores, cold ones
     /// at their start capacity, with room for bursts and without.
     fn first_limit(&self, usable: &[(EngineId, &Engine)], now: Moment) -> (f64, f64) {
-        let cores: f64 = usable.iter().map(|(_, e)| self.able_cores(e, now) * self.weight(e)).sum();
+        let cores: f64 = usable.iter().map(|(_, e)| self.able_cores(e, now)).sum();
         let part = (cores * self.share()).max(1.0);
         (part + BURST_ROOTS * part.sqrt(), part)
     }
@@ -509,12 +488,6 @@
         1.0 / self.fleet.replicas.max(1) as f64
     }
 
-    /// For how many engines of the list an engine stands: its chance of being held, inverted.
-    fn weight(&self, engine: &Engine) -> f64 {
-        let holders = |place: Place| self.fleet.replicas as f64 / place.holders.max(1) as f64;
-        engine.place.map_or(1.0, holders)
-    }
-
     fn cores(&self, kind: KindId) -> f64 {
         self.fleet.cores.get(kind.0).copied().unwrap_or(1.0).max(1.0)
     }
@@ -538,7 +511,6 @@
             .or_else(|| self.dispatch(now))
             .or_else(|| if self.watching.may_probe { self.probe(now) } else { None })
             .or_else(|| self.news.pop_front())
-            .or_else(|| self.narrow(now))
             .or_else(|| self.forgotten.pop().map(Decision::Forget))
             .or_else(|| self.wake(now))
     }
@@ -561,13 +533,11 @@
         let rest = |t: &Turns| t.jobs.is_empty() && t.in_doubt == 0 && now >= t.rest_until;
         let rested = self.keys.extract_if(.., |_, turns| rest(turns));
         self.forgotten.extend(rested.map(|(key, _)| Forgotten::Key(key)));
-        if self.some_leave {
+        if self.some_gone {
             let idle = |e: &mut Engine| e.out.is_empty() && !e.probe_out;
-            // What was sent to a cold engine counts on until its window has passed, whoever holds it.
-            let left = |e: &Engine| e.listed == Listed::Outside && e.sent.is_empty();
-            let gone = self.engines.extract_if(.., |_, e| (e.listed == Listed::Gone || left(e)) && idle(e));
+            let gone = self.engines.extract_if(.., |_, e| e.listed == Listed::Gone && idle(e));
             self.forgotten.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
-            self.some_leave = self.engines.values().any(Engine::leaves);
+            self.some_gone = self.engines.values().any(|e| e.listed == Listed::Gone);
         }
     }
 
@@ -660,27 +630,22 @@
         }
     }
 
-    /// The one check that every dispatch passes, of all seven rules. In doubt it says no.
+    /// The one check that every dispatch passes: rules 1 to 7 in this order. In doubt it says no.
     fn legal(&self, id: JobId, job: &Job, engine: &Engine, now: Moment) -> bool {
         let t = &self.types[job.kind.0];
-        self.may_start(id, job, now)
-            && self.repeat_safe(job, Some(engine), now)
-            && engine.listed == Listed::Live
-            && (!self.is_cold(engine, now) || self.warm_enough(engine, job.kind, now))
-            && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
-            && t.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
-    }
-
-    /// What of this check is the same at every engine.
-    fn may_start(&self, id: JobId, job: &Job, now: Moment) -> bool {
         let turn = job.key.and_then(|key| self.keys.get(&key)).is_none_or(|turns| {
             let rested = now >= turns.rest_until && turns.in_doubt == 0;
             turns.jobs.front() == Some(&id) && (rested || !job.dispatches.is_empty())
         });
         !job.over
             && now < job.deadline
+            && self.repeat_safe(job, Some(engine), now)
             && (self.further.copies || job.out() == 0)
+            && engine.listed == Listed::Live
+            && (!self.is_cold(engine, now) || self.warm_enough(engine, job.kind, now))
             && turn
+            && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
+            && t.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
             && job.dispatches.len() < self.further.try_limit
             && (job.dispatches.is_empty() || self.ration_left())
     }
@@ -696,21 +661,16 @@
     /// age at its start, so that whose turn it is stays so. Two windows that meet stay within the budget.
     /// After its own start, a router lets one pass: what it sent before is not known.
     fn warm_enough(&self, engine: &Engine, kind: TypeId, now: Moment) -> bool {
-        let c = &self.cold;
-        let alone = (self.fleet.number, self.fleet.replicas.max(1));
-        let (number, all) = engine.place.map_or(alone, |place| (place.rank, place.sharers.max(1)));
-        let (number, all) = (number as u64, all as u64);
+        let (c, all) = (&self.cold, self.fleet.replicas.max(1) as u64);
         let window = |at: Moment| at.since(Moment::default()).micros() / c.fall.micros().max(1);
         let start = Moment::from_micros(window(now) * c.fall.micros());
         let budget = COLD_MARGIN * c.factor * self.able_cores(engine, start) * c.fall.secs();
         let together = (budget / self.bounds.largest_work).floor().clamp(1.0, all as f64);
         let turn = engine.mark % all + window(now) * together as u64;
-        let shares = engine.place.is_none_or(|place| place.rank < place.sharers);
-        let mine = shares && (turn + all - number % all) % all < together as u64;
+        let mine = (turn + all - self.fleet.number as u64 % all) % all < together as u64;
         let sent = engine.sent.iter().filter(|(at, _)| window(*at) == window(now)).map(|(_, work)| work);
         let fits = sent.sum::<f64>() + self.estimates.work[kind.0].value <= budget / together;
-        !self.is_cold(engine, now)
-            || (mine && fits && now.since(self.started) > c.fall && now >= engine.unsettled_until)
+        !self.is_cold(engine, now) || (mine && fits && now.since(self.started) > c.fall)
     }
 
     fn is_cold(&self, engine: &Engine, now: Moment) -> bool {
@@ -753,7 +713,7 @@
         let foreign = self.foreign_work(engine).unwrap_or(average) - average;
         let queued = own.sum::<f64>() + average + foreign * self.freshness(engine, now);
         let warm = self.bounds.is_warm(engine.groups.get(&job.group), now);
-        let warm = warm && engine.threads_out() <= cores * self.share() * self.weight(engine);
+        let warm = warm && engine.threads_out() <= cores * self.share();
         let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
         let mut total = (queued / cores + job.work / t.threads) * discount + engine.longer.secs();
         if t.waits_for_loads || t.is_load {
@@ -840,8 +800,7 @@
         let (average, held) =
             (heard.0 / heard.1, self.bounds.load_run.secs() * HELD_PART * (1.0 - self.share()));
         let (part, mean) = (limit * ENGINE_PARTS / engines.len() as f64, self.estimates.all_work.value);
-        let mut unplaced = false;
-        let found = waiting.iter().find_map(|(_, id)| {
+        let (job, engine) = waiting.iter().find_map(|(_, id)| {
             let job = &self.jobs[id];
             let here = |e: EngineId| job.dispatches.iter().any(|d| d.outcome.is_none() && d.engine == e);
             let t = &self.types[job.kind.0];
@@ -861,32 +820,9 @@
             let held = |home: bool| if t.waits_for_loads && home { held } else { 0.0 };
             let cost = |id, e, home| held(home) + self.wait_and_run(job, id, e, average, now);
             let costs = allowed.map(|((id, e), home)| (cost(*id, e, home), *id));
-            let best = costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine));
-            unplaced |= best.is_none() && room && job.out() == 0 && self.may_start(*id, job, now);
-            best
-        });
-        match found {
-            Some((job, engine)) => self.send(now, job, engine),
-            None if unplaced => self.widen(now),
-            None => None,
-        }
-    }
-
-    /// Asks for more engines, where more are listed, and then waits for what they take.
-    fn widen(&mut self, now: Moment) -> Option<Decision> {
-        let again = self.watching.connect_timeout;
-        let soon = self.needed.is_some_and(|at| now.since(at) < again);
-        if soon || !(self.may_widen || self.needed.is_some()) {
-            return None;
-        }
-        self.needed = Some(now);
-        self.may_widen.then_some(Decision::WidenWorkingSet)
-    }
-
-    /// Gives up what was widened, once no job that came with the last need can be left.
-    fn narrow(&mut self, now: Moment) -> Option<Decision> {
-        let longest = self.types.iter().map(|t| t.timeout).max().unwrap_or_default();
-        self.needed.take_if(|at| now.since(*at) > longest).map(|_| Decision::NarrowWorkingSet)
+            costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
+        })?;
+        self.send(now, job, engine)
     }
 
     fn send(&mut self, now: Moment, id: JobId, to: EngineId) -> Option<Decision> {
@@ -963,7 +899,7 @@
         let (every, quiet) = (self.watching.connect_timeout.times(2.0), self.bounds.patience.times(0.5));
         let due = |e: &Engine| !e.probe_out && e.probed.is_none_or(|at| now.since(at) >= every);
         let told = |e: &Engine| e.silent(now, quiet) || self.doubt(e, None, now) > 0.0;
-        let doubtful = |e: &Engine| !e.leaves() && (e.aside.is_some() || told(e));
+        let doubtful = |e: &Engine| e.listed != Listed::Gone && (e.aside.is_some() || told(e));
         let calm = self.calm_until.is_some_and(|until| now <= until);
         let doubted = || self.engines.iter().find(|(_, e)| due(e) && doubtful(e));
         let mut pick = if calm { None } else { doubted().map(|(id, _)| *id) };
--- a/src/records.rs
+++ b/src/records.rs
@@ -112,10 +112,6 @@
     pub(crate) kind: KindId,
     pub(crate) cell: CellId,
     pub(crate) listed: Listed,
-    /// Where not all replicas hold it.
-    pub(crate) place: Option<Place>,
-    /// Until when routers may differ on who shares its cold-start budget.
-    pub(crate) unsettled_until: Moment,
     pub(crate) came_up: Option<Moment>,
     pub(crate) cold_since: Option<Moment>,
     pub(crate) report: Option<Report>,
@@ -158,11 +154,6 @@
         self.silent_since().is_some_and(|since| now.since(since) > span)
     }
 
-    /// Whether it is gone or outside the working set: it gets nothing more, and is let go of once it is idle.
-    pub(crate) fn leaves(&self) -> bool {
-        matches!(self.listed, Listed::Gone | Listed::Outside)
-    }
-
     /// Since when it had work out and gave no word; nothing where no work is out.
     pub(crate) fn silent_since(&self) -> Option<Moment> {
         let first = self.out.values().map(|sent| sent.at).min();
--- a/tests/stories/host.rs
+++ b/tests/stories/host.rs
@@ -37,8 +37,6 @@
     pub probed: Vec<EngineId>,
     pub subscribed: usize,
     pub forgotten: Vec<Forgotten>,
-    pub widened: Vec<Moment>,
-    pub narrowed: Vec<Moment>,
 }
 
 fn kind(threads: f64, sla: u64, effect: Effect, is_load: bool) -> ReservationType {
@@ -115,8 +113,6 @@
             probed: vec![],
             subscribed: 0,
             forgotten: vec![],
-            widened: vec![],
-            narrowed: vec![],
         };
         host.list(0, Listed::Live, None);
         host.list(1, Listed::Live, None);
@@ -130,12 +126,6 @@
         self.router.engine_listed(self.now, EngineId(engine), zone, kind, cell, listed, came_up, mark);
     }
 
-    /// Places an engine among those that hold it; the routers agree on its sharers at once.
-    pub fn place(&mut self, engine: usize, rank: usize, sharers: usize, holders: usize) {
-        let place = Place { rank, sharers, holders };
-        self.router.engine_placed(EngineId(engine), Some(place), self.now);
-    }
-
     /// A job of 100 ms of work on a table group.
     pub fn job(&mut self, kind: TypeId, group: usize) -> JobId {
         self.job_of(kind, group, None, None, 100)
@@ -165,8 +155,6 @@
                 Decision::CancelDispatch { job, number } => self.called_off.push((job, number)),
                 Decision::Probe { engine } => self.probed.push(engine),
                 Decision::Subscribe => self.subscribed += 1,
-                Decision::WidenWorkingSet => self.widened.push(self.now),
-                Decision::NarrowWorkingSet => self.narrowed.push(self.now),
                 Decision::Forget(what) => self.forgotten.push(what),
                 Decision::Wake { .. } | Decision::SetAside { .. } | Decision::Back { .. } => {}
             }
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -1,7 +1,6 @@
 //! Short stories, one for each rule and each failure met.
 
 mod host;
-mod subset;
 
 use host::*;
 use woadhook::*;
