The order of a key waits out a job whose connection broke

Not traced: by reading. Cause, by reading: behind a reset, what answers at an address may be a process started anew. Its 500 to a call for the query, or its answer to the DELETE, was taken for the end of a job that began before, and the key went on at once or behind its rest. Ruled out: dispatches that the engine itself ended; answers that don't come in time keep the key in doubt already.

--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -538,6 +538,26 @@
     assert!(next.at() - began.at() >= Duration::from_secs(2), "{:?}", next.at() - began.at());
 }
 
+/// A process that was started anew in place of the one that had the job says that it knows nothing of it.
+#[test]
+fn the_order_of_a_key_waits_where_its_engine_came_back_without_a_job_that_began() {
+    let (began, next) = (FirstCall::default(), FirstCall::default());
+    let (noted, noted_next) = (began.clone(), next.clone());
+    let engine = Standin::start(move |call| {
+        noted.note(post(call) && of_job(call, 1));
+        noted_next.note(post(call) && of_job(call, 2));
+        match call.line.split(' ').next() {
+            Some("POST") if of_job(call, 1) => Says::Cut,
+            Some("GET") if call.line.contains("0000000000000001") => says(500, &[], ""),
+            _ => pages(call, &[ROWS]),
+        }
+    });
+    let mut client = two_loads_of_one_key([&engine, &engine], Duration::from_millis(50));
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    assert!(next.at() - began.at() >= Duration::from_secs(2), "{:?}", next.at() - began.at());
+}
+
 #[test]
 fn a_key_rests_after_a_job_of_which_its_engine_does_not_tell_the_end() {
     const GAP: Duration = Duration::from_secs(1);
