A key's order waits while its engine refuses connections for a moment only

Ruled out: the expiry counted too short (2.5 s passed, and a query that nobody asks for ends after 2 s, but not at an engine that hangs). Lines at fault: Out::settle, which took one refusal as the end of all calls and then waited for the expiry alone. Change: the query goes on being deleted until that is answered, or the engine is listed as gone, or has refused every connection for 2.25 s.

--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -22,9 +22,10 @@
 const PAGE_BYTES: usize = 6_000;
 const PAGES: usize = 48;
 const COLUMNS: usize = 3;
-/// An engine ends a query that was not asked for so long; news take up to `NEWS_WAIT`.
+/// An engine ends a query that was not asked for so long.
 const ASK_WITHIN: Span = Span::from_micros(2_000_000);
-const NEWS_WAIT: Span = Span::from_micros(250_000);
+/// How long a query lives at most behind a call for it: news take up to 250 ms, and then that long without a call.
+const EXPIRY: Span = Span::from_micros(2_250_000);
 /// Between calls that fail at once.
 const PAUSE: Span = Span::from_micros(20_000);
 /// Between calls that give up a query that an engine says nothing of.
@@ -467,18 +468,25 @@
 
     /// When the engine has ended it by itself at the latest, as nobody asks for it any more.
     fn expires(&self) -> Moment {
-        self.asked.get() + NEWS_WAIT + ASK_WITHIN
+        self.asked.get() + EXPIRY
     }
 
-    /// Waits until it surely runs no more: a DELETE came whole, or nothing listens there or the engine is gone, and
-    /// it has expired. Behind a connection that broke it always waits for that. Threat: a closed port, or a process
-    /// that was started anew and knows nothing of it, shows that no query begins there, not that one that came before
-    /// has ended; the next of its key would run beside it. It also catches engines that close their port and work
-    /// on, and engines listed as gone early. Behind a reset it costs the key the rest of the expiry.
+    /// Waits until it surely runs no more: a DELETE came whole, or the engine is gone or has refused every connection
+    /// for as long as a query lives that nobody asks for, and it has expired. Behind a connection that broke it always
+    /// waits for that. Threat: a port that refuses for a moment, or a process that was started anew and knows nothing of
+    /// it, shows that no query begins there, not that one that came before has ended; the next of its key would run
+    /// beside it. It also catches engines that close their port and work on, and engines listed as gone early. Behind a
+    /// reset it costs the key the rest of the expiry, behind a crash all of it.
     async fn settle(&self) {
-        while self.in_doubt.get() && !self.refused.get() && !self.engine.gone.get() {
+        let mut refused_since = None;
+        while self.in_doubt.get() && !self.engine.gone.get() {
             pass(SETTLE).await;
-            let _ = self.delete().await;
+            let refused =
+                self.delete().await.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
+            refused_since = refused.then(|| refused_since.unwrap_or(self.now()));
+            if refused_since.is_some_and(|since| self.now().since(since) >= EXPIRY) {
+                break;
+            }
         }
         if self.in_doubt.get() || self.broke.get() {
             self.engine.ground.clock.until(self.expires()).await;
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -4,7 +4,7 @@
 
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -538,6 +538,34 @@
     assert!(next.at() - began.at() >= Duration::from_secs(2), "{:?}", next.at() - began.at());
 }
 
+/// Where nothing accepts for a moment, what runs there goes on: here at an engine that hangs once it accepts again.
+#[test]
+fn the_order_of_a_key_waits_where_its_engine_refuses_for_a_moment_and_accepts_again() {
+    let refuses = Standin::start(|call| if post(call) { Says::Dies } else { says(200, &[], "") });
+    let well = Standin::start(|call| pages(call, &[ROWS]));
+    let mut client = two_loads_of_one_key([&refuses, &well], Duration::from_millis(50));
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    let listener = loop {
+        match TcpListener::bind(refuses.address) {
+            Ok(listener) => break listener,
+            Err(_) => thread::yield_now(),
+        }
+    };
+    let wakes: Arc<AtomicBool> = Arc::default();
+    let told_wakes = wakes.clone();
+    let again =
+        Standin::on(
+            listener,
+            move |_| {
+                if wakes.load(Ordering::Relaxed) { says(204, &[], "") } else { Says::Nothing }
+            },
+        );
+    (0..12).for_each(|_| _ = again.awaits("DELETE /v2/q/0000000000000001 "));
+    assert!(well.had("POST").is_empty());
+    told_wakes.store(true, Ordering::Relaxed);
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+}
+
 /// A process that was started anew in place of the one that had the job says that it knows nothing of it.
 #[test]
 fn the_order_of_a_key_waits_where_its_engine_came_back_without_a_job_that_began() {
