--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -80,6 +80,8 @@
     given_up: Cell<bool>,
     /// Whether the engine refused a connection once the POST had begun.
     refused: Cell<bool>,
+    /// Whether a connection broke once the POST had begun, so that what answers since may be another process.
+    broke: Cell<bool>,
 }
 
 /// What the answer to one call said.
@@ -111,6 +113,7 @@
         in_doubt: Cell::new(false),
         given_up: Cell::new(false),
         refused: Cell::new(false),
+        broke: Cell::new(false),
     };
     let end = async { Ok(out.work().await) }.or(async { Err(out.stopped().await) }).await;
     if !out.began.get() && !out.dispatch.statement.wanted.still() {
@@ -125,8 +128,7 @@
             (outcome, None, None)
         }
     };
-    // An error that was given up was not told by the engine: its key rests like after any other give-up.
-    let in_doubt = out.in_doubt.get() || (out.given_up.get() && end.0 == Outcome::Error);
+    let in_doubt = out.may_run_on(end.0);
     verdict.tell(clock.now().since(decided), end, in_doubt).await;
     // The order of its key waits until it surely runs no more; nothing else does.
     if let Some(key) = out.dispatch.key.filter(|_| in_doubt) {
@@ -199,11 +201,13 @@
                 Ok(answer) => return Ok((answer, lease)),
                 Err(_) if !self.began.get() && in_time => continue,
                 Err(_) if !self.began.get() => return Err(Outcome::NotConnected),
-                Err(_) => drop(lease),
+                Err(error) => self.note_break(&error),
             }
+            drop(lease);
             let (answer, lease) = self.ask(0, None).await?;
             if answer.status == 500 {
                 // The POST may still be on its way in.
+                self.broke.set(true);
                 self.give_up().await;
             }
             return Ok((answer, lease));
@@ -253,12 +257,15 @@
                             self.heard.set(self.now());
                             continue;
                         }
-                        Err(error) => self.unheard("asked", &error),
+                        Err(error) => {
+                            self.note_break(&error);
+                            self.unheard("asked", &error);
+                        }
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
                     self.in_doubt.set(true);
-                    self.refused.set(true);
+                    self.note_break(&error);
                     return Err(Outcome::Reset);
                 }
                 Err(error) => self.unheard("no connection to ask over", &error),
@@ -437,29 +444,45 @@
                 Ok(())
             }
             Err(error) => {
-                self.refused.set(self.refused.get() || error.kind() == io::ErrorKind::ConnectionRefused);
+                self.note_break(&error);
                 Err(error)
             }
         }
     }
 
+    /// A call that got no answer, once the POST had begun.
+    fn note_break(&self, error: &io::Error) {
+        use io::ErrorKind::{ConnectionRefused, InvalidData, TimedOut, WouldBlock};
+        self.refused.set(self.refused.get() || error.kind() == ConnectionRefused);
+        let broke = !matches!(error.kind(), InvalidData | TimedOut | WouldBlock | NO_DESCRIPTOR);
+        self.broke.set(self.broke.get() || broke);
+    }
+
+    /// Whether it may run on behind such an end, for all that the engine told.
+    fn may_run_on(&self, outcome: Outcome) -> bool {
+        let unproven = self.in_doubt.get() || self.broke.get();
+        let untold = self.given_up.get() && outcome == Outcome::Error;
+        self.began.get() && outcome != Outcome::Done && (unproven || untold)
+    }
+
     /// When the engine has ended it by itself at the latest, as nobody asks for it any more.
     fn expires(&self) -> Moment {
         self.asked.get() + NEWS_WAIT + ASK_WITHIN
     }
 
-    /// Waits until it surely runs no more: a DELETE came whole, or nothing listens there, or the engine is gone,
-    /// and it has expired. Threat: a closed port shows that no query begins there, not that one that came before
+    /// Waits until it surely runs no more: a DELETE came whole, or nothing listens there or the engine is gone, and
+    /// it has expired. Behind a connection that broke it always waits for that. Threat: a closed port, or a process
+    /// that was started anew and knows nothing of it, shows that no query begins there, not that one that came before
     /// has ended; the next of its key would run beside it. It also catches engines that close their port and work
-    /// on, and engines listed as gone early. After a crash it costs the key the rest of the expiry.
+    /// on, and engines listed as gone early. Behind a reset it costs the key the rest of the expiry.
     async fn settle(&self) {
-        while self.in_doubt.get() {
-            if self.refused.get() || self.engine.gone.get() {
-                return self.engine.ground.clock.until(self.expires()).await;
-            }
+        while self.in_doubt.get() && !self.refused.get() && !self.engine.gone.get() {
             pass(SETTLE).await;
             let _ = self.delete().await;
         }
+        if self.in_doubt.get() || self.broke.get() {
+            self.engine.ground.clock.until(self.expires()).await;
+        }
     }
 }
 
