--- a/src/logic.rs
+++ b/src/logic.rs
@@ -541,8 +541,8 @@
         }
     }
 
-    /// Whether no engine is set aside, doubted, or silent for half of the patience. While that holds none needs
-    /// to be looked at: what is sent later is silent later.
+    /// Whether no engine is set aside, doubted, or silent for half of the patience. While that holds none
+    /// needs to be looked at: what is sent later is silent later.
     fn is_calm(&mut self, now: Moment) -> bool {
         let calm = self.calm_until.is_some_and(|until| now <= until);
         if calm || self.engines.values().any(|e| e.aside.is_some() || !e.hearsay.is_empty()) {
