--- a/crates/standins/src/engines.rs
+++ b/crates/standins/src/engines.rs
@@ -39,6 +39,8 @@
     Last(u16, Vec<String>, Vec<u8>),
     /// An answer that comes in pieces of so many bytes, with such gaps, head and all.
     Slow(u16, Vec<String>, Vec<u8>, usize, Duration),
+    /// Says so once the time has passed; calls on other connections don't wait for it.
+    Late(Duration, Box<Says>),
     /// Such bytes and no more, with which the connection ends.
     Raw(&'static str),
     /// Such bytes, behind which the connection stays open.
@@ -190,6 +192,10 @@
 
 /// Whether the connection goes on.
 fn reply(stream: &mut TcpStream, says: Says) -> bool {
+    if let Says::Late(after, then) = says {
+        thread::sleep(after);
+        return reply(stream, *then);
+    }
     let (status, fields, body, goes_on) = match says {
         Says::Answer(status, fields, body) => (status, fields, body, true),
         Says::Last(status, fields, body) => (status, fields, body, false),
@@ -209,6 +215,7 @@
         Says::Noise(words) => return stream.write_all(words.as_bytes()).is_ok(),
         Says::Cut | Says::Dies => return false,
         Says::Nothing => return true,
+        Says::Late(..) => unreachable!("said above"),
     };
     stream.write_all(&framed(status, &fields, &body)).is_ok() && goes_on
 }
