Calls to discovery overlap, so that a slow one is heard and a silent one is found out

Lines at fault: poll::ask, which gave a call up after patience and connect timeout, whatever was under way, and began anew. Weighed: a longer limit (then a silent watch hides a notice to drain beyond the grace); time since the last byte alone (does not help a discovery whose first byte is late); two calls (the older may be the silent one). Change: a call lives for 30 s and one more goes out each 1.5 patiences (0.375 s here) while none answers, six at most, thinned so that their ages stay spread; the first whole answer counts and ends the older ones. A router that knows nothing doubles the spacing, as each answer is the whole list.

--- /dev/null
+++ b/crates/router/src/discovery/calls.rs
@@ -0,0 +1,66 @@
+//! The calls to discovery that are out at once, and when the next one is due. A call that is answered late is not given up:
+//! others go out beside it, so that a connection that fell silent is found out within the grace, and a discovery that is
+//! merely slow is heard all the same.
+
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Poll;
+
+use woadhook::{Moment, Span};
+
+/// Calls that may be out at once, each on a connection of its own.
+pub const MOST_CALLS: usize = 6;
+
+/// A call under way; dropping it closes its connection.
+pub type Call<T, E> = Pin<Box<dyn Future<Output = Result<T, E>>>>;
+
+/// Calls by their age, the oldest first.
+pub struct Calls<T, E> {
+    out: Vec<(Moment, Call<T, E>)>,
+}
+
+impl<T, E> Calls<T, E> {
+    pub fn new() -> Self {
+        Self { out: Vec::new() }
+    }
+
+    pub fn count(&self) -> usize {
+        self.out.len()
+    }
+
+    /// Sends out one more. Where too many are out, one goes whose neighbours are nearest to it in age: what is left is spread
+    /// over ages from the newest to the oldest, so that an answer is met however late discovery answers, also where some
+    /// connections are silent for good.
+    pub fn start(&mut self, now: Moment, call: Call<T, E>) {
+        self.out.push((now, call));
+        if self.out.len() > MOST_CALLS {
+            let spread = |place: &usize| {
+                let age = |place: usize| now.since(self.out[place].0).secs();
+                age(place - 1) / age(place + 1).max(Span::from_micros(1).secs())
+            };
+            let places = 1..self.out.len() - 1;
+            let closest = places.min_by(|a, b| spread(a).total_cmp(&spread(b))).expect("more than two");
+            drop(self.out.remove(closest));
+        }
+    }
+
+    /// The end of the first call that ends; none ends where none is out. An answer ends the calls that are older, too.
+    pub async fn next(&mut self) -> Result<T, E> {
+        poll_fn(|context| {
+            for place in 0..self.out.len() {
+                if let Poll::Ready(end) = self.out[place].1.as_mut().poll(context) {
+                    let ended = if end.is_ok() { 0..place + 1 } else { place..place + 1 };
+                    self.out.drain(ended);
+                    return Poll::Ready(end);
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+
+    /// Drops all that are out.
+    pub fn clear(&mut self) {
+        self.out.clear();
+    }
+}
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -8,10 +8,11 @@
 use async_lock::Semaphore;
 use futures_lite::{FutureExt, future};
 use serde_json::Value;
-use woadhook::Span;
+use woadhook::{Moment, Span};
 use woadhook_door::fields::*;
 
-use crate::clock::{Clock, pass};
+use crate::clock::Clock;
+use crate::discovery::calls::{Calls, MOST_CALLS};
 use crate::exchange::Event;
 use crate::http::{Connection, head};
 use crate::sockets::{Link, limited};
@@ -19,6 +20,15 @@
 const LIST_BYTES: usize = 4 * 1024 * 1024;
 /// The longest patience that it grants.
 const LONGEST: Span = Span::from_micros(5_000_000);
+/// Part of the grace for which a call asks to wait: a change is to be heard within the grace even where the open
+/// connection went silent.
+const PATIENCE_PART: f64 = 0.25;
+/// A call is overdue after so many times the patience that it asks for, and another one goes out.
+const OVERDUE: f64 = 1.5;
+/// Part of the patience between a call that failed and the next.
+const PAUSE_PART: f64 = 0.25;
+/// No call lives longer, connect and all.
+const CALL_LIFE: Span = Span::from_micros(30_000_000);
 
 /// So often an event that can't be read is asked for again, as that may be noise on the connection. Threat: a line that makes
 /// no sense for good would hide all that comes behind it, notices to drain among it. Then the lines that do are taken.
@@ -30,80 +40,160 @@
     pub known: Value,
 }
 
+/// An answer of discovery, and its connection where another call can be made over it.
+type Answer = (Value, Option<Connection>);
+
 enum Heard {
-    Told(io::Result<Value>),
+    Due,
+    Ended(io::Result<Answer>),
     Moved(Move),
 }
 
-/// `last` is the number of the last event known, which goes on at a new address. A change is to be heard
-/// within `grace` even over a connection that went silent, so each call waits for a quarter of it only; after
-/// a fault it asks again on a new connection soon.
+/// Follows discovery from `last`, the number of the last event known, which goes on at a new address.
 pub async fn follow(
-    clock: Clock, mut address: SocketAddr, connect_timeout: Span, grace: Span, mut last: u64,
-    moves: Receiver<Move>, module: Sender<Event>,
+    clock: Clock, address: SocketAddr, grace: Span, last: u64, moves: Receiver<Move>, module: Sender<Event>,
 ) {
-    let part = Arc::new(Semaphore::new(1));
-    let patience = grace.times(0.25).min(LONGEST);
-    let mut connection = None;
-    let (mut fault, mut faulty, mut doubts) = (String::new(), false, 0);
-    while !module.is_closed() {
-        let asked = async {
-            if faulty {
-                pass(patience.times(0.25)).await;
+    let patience = grace.times(PATIENCE_PART).min(LONGEST);
+    let follower = Follower {
+        clock,
+        address,
+        patience,
+        last,
+        module,
+        descriptors: Arc::new(Semaphore::new(MOST_CALLS + 1)),
+        calls: Calls::new(),
+        kept: None,
+        due: clock.now(),
+        fault: String::new(),
+        doubts: 0,
+    };
+    follower.run(moves).await;
+}
+
+/// What the actor holds.
+struct Follower {
+    clock: Clock,
+    address: SocketAddr,
+    /// How long discovery may keep a call where it has nothing to tell.
+    patience: Span,
+    last: u64,
+    module: Sender<Event>,
+    /// For its connections.
+    descriptors: Arc<Semaphore>,
+    calls: Calls<Answer, io::Error>,
+    /// The connection of the last answer.
+    kept: Option<Connection>,
+    /// When the next call goes out.
+    due: Moment,
+    /// The fault that was logged last.
+    fault: String,
+    /// How many answers in a row could not be taken in.
+    doubts: usize,
+}
+
+impl Follower {
+    async fn run(mut self, moves: Receiver<Move>) {
+        while !self.module.is_closed() {
+            let heard = self.hear(&moves).await;
+            // Passing on is never cut short, so that each event is told whole and its number kept.
+            let passed = match heard {
+                Heard::Due => {
+                    self.call();
+                    continue;
+                }
+                Heard::Ended(Ok((told, connection))) => self.answered(told, connection).await,
+                Heard::Ended(Err(error)) => Err(error.to_string()),
+                Heard::Moved(moved) => self.moved(moved).await,
+            };
+            if let Err(fault) = passed {
+                self.failed(fault);
             }
-            let path = format!("/bulletins?after={last}&patience={}", patience.micros() / 1000);
-            Heard::Told(ask(clock, &mut connection, &part, address, &path, patience, connect_timeout).await)
-        };
+        }
+    }
+
+    async fn hear(&mut self, moves: &Receiver<Move>) -> Heard {
         let moved = async {
             match moves.recv().await {
                 Ok(to) => Heard::Moved(to),
                 Err(_) => future::pending().await,
             }
         };
-        // Passing on is never cut short, so that each event is told whole and its number kept.
-        let passed = match moved.or(asked).await {
-            Heard::Told(Ok(told)) => {
-                let passed = pass_on(&told, &mut last, doubts >= DOUBTS, &module).await;
-                doubts = if passed.is_ok() { 0 } else { doubts + 1 };
-                passed
-            }
-            Heard::Told(Err(error)) => Err(error.to_string()),
-            Heard::Moved(Move { to, known }) => {
-                log::info!("discovery is at {to}");
-                (address, connection) = (to, None);
-                pass_on_known(&known, &mut last, &module).await
-            }
+        let (clock, at) = (self.clock, self.due);
+        let due = async {
+            clock.until(at).await;
+            Heard::Due
         };
-        faulty = passed.is_err();
-        if let Err(error) = passed {
-            connection = None;
-            if error != fault {
-                log::warn!("discovery: {error}");
-            }
-            fault = error;
+        let ended = async { Heard::Ended(self.calls.next().await) };
+        moved.or(ended).or(due).await
+    }
+
+    /// Sends out a call for the events behind the last one. Threat: a connection that went silent, under a notice to drain; a
+    /// discovery that answers late, which would never be heard were each call given up for the next. So one more goes out
+    /// each time the youngest is overdue. It costs a crowded discovery some calls more, of which each may be answered with
+    /// the same events; a router that knows nothing yet asks for the whole list, and less and less often.
+    fn call(&mut self) {
+        let now = self.clock.now();
+        let path = format!("/bulletins?after={}&patience={}", self.last, self.patience.micros() / 1000);
+        let kept = self.kept.take().filter(Connection::is_ready);
+        let call = ask(self.clock, kept, self.descriptors.clone(), self.address, path);
+        self.calls.start(now, Box::pin(limited(CALL_LIFE, call)));
+        let spacing = if self.last == 0 { f64::from(1 << (self.calls.count() - 1)) } else { 1.0 };
+        self.due = now + self.patience.times(OVERDUE).times(spacing);
+    }
+
+    async fn answered(&mut self, told: Value, connection: Option<Connection>) -> Result<()> {
+        let passed = pass_on(&told, &mut self.last, self.doubts >= DOUBTS, &self.module).await;
+        if passed.is_ok() {
+            self.doubts = 0;
+            self.kept = connection;
+        } else {
+            self.doubts += 1;
+        }
+        // Younger calls ask already.
+        if self.calls.count() == 0 {
+            self.due = self.clock.now();
+        }
+        passed
+    }
+
+    async fn moved(&mut self, Move { to, known }: Move) -> Result<()> {
+        log::info!(event = "discovery_moved", to:% = to; "discovery is at {to}");
+        self.address = to;
+        self.kept = None;
+        self.calls.clear();
+        self.due = self.clock.now();
+        pass_on_known(&known, &mut self.last, &self.module).await
+    }
+
+    /// Asks again on a new connection soon.
+    fn failed(&mut self, fault: String) {
+        let soon = self.clock.now() + self.patience.times(PAUSE_PART);
+        self.due = if self.calls.count() == 0 { soon } else { self.due.min(soon) };
+        if fault != self.fault {
+            log::warn!(event = "discovery_failed"; "discovery: {fault}");
         }
+        self.fault = fault;
     }
 }
 
-/// One call, over the connection of the last one if that can be used again.
+/// One call, over the connection of the last one if there is one.
 async fn ask(
-    clock: Clock, connection: &mut Option<Connection>, part: &Arc<Semaphore>, address: SocketAddr,
-    path: &str, patience: Span, connect_timeout: Span,
-) -> io::Result<Value> {
-    let mut open = match connection.take().filter(Connection::is_ready) {
+    clock: Clock, kept: Option<Connection>, descriptors: Arc<Semaphore>, address: SocketAddr, path: String,
+) -> io::Result<Answer> {
+    let mut connection = match kept {
         Some(kept) => kept,
         None => {
-            Connection::new(Link::connect(address, connect_timeout, part.acquire_arc().await).await?, clock)
+            let permit = descriptors.acquire_arc().await;
+            Connection::new(Link::connect(address, CALL_LIFE, permit).await?, clock)
         }
     };
-    let head = head("GET", path, address, &[], 0);
-    let call = open.call(&head, &[], LIST_BYTES, |_| (), |_, _| ());
-    let (status, body) = limited(patience + connect_timeout, call).await?;
+    let head = head("GET", &path, address, &[], 0);
+    let (status, body) = connection.call(&head, &[], LIST_BYTES, |_| (), |_, _| ()).await?;
     if status != 200 {
         return Err(io::Error::other(format!("status {status}")));
     }
-    *connection = Some(open);
-    Ok(serde_json::from_slice(&body)?)
+    let told = serde_json::from_slice(&body)?;
+    Ok((told, connection.reusable.then_some(connection)))
 }
 
 /// Passes on what a configuration held, which may be nothing.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -110,7 +110,7 @@
         log::warn!("known: {fault}");
     }
     let (moves, moved) = async_channel::bounded(1);
-    tasks.start(poll::follow(clock, given.bulletin, connect_timeout, grace, last, moved, urgent.clone()));
+    tasks.start(poll::follow(clock, given.bulletin, grace, last, moved, urgent.clone()));
     let (stop, told_to_stop) = async_channel::bounded(1);
     tasks.start(stop::heed(orders, moves, stop, notes));
 
