--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -204,6 +204,37 @@
     }
 }
 
+/// Threat: wall clocks that differ. Were turns taken by them, routers whose clocks differ by whole windows would all have
+/// the same one.
+#[test]
+fn routers_whose_clocks_differ_keep_a_cold_engine_to_its_budget_together() {
+    const ALL: usize = 4;
+    let mut sent = vec![];
+    for number in 0..ALL {
+        let mut host = Host::new(|start| (start.fleet.replicas, start.fleet.number) = (ALL, number));
+        host.list(0, Listed::Gone, None);
+        host.now = host.now + ms(10_700 + 2_000 * number as u64);
+        host.list(1, Listed::Live, Some(host.now));
+        let heard = host.now;
+        for _ in 0..300 {
+            host.job(LOOKUP, 1);
+            host.pull();
+            for (job, ..) in std::mem::take(&mut host.sent) {
+                sent.push(host.now.since(heard));
+                host.end(job, 0, Outcome::Done, 20);
+            }
+            host.now = host.now + ms(20);
+        }
+    }
+    assert!(sent.len() > 100, "the engine is used: {}", sent.len());
+    for from in &sent {
+        let within = sent.iter().filter(|at| *at >= from && at.less(*from) < ms(2_000)).count() as f64;
+        // Factor 2, 8 cores of which a quarter at the start and all after 15 s, 2 s, jobs of 0.1 s.
+        let most = 2.0 * 8.0 * (0.25 + 0.75 * from.secs() / 15.0) * 2.0 / 0.1;
+        assert!(within <= most + 2.0 * most.sqrt() + 2.0, "{within} in a window, {most} are allowed");
+    }
+}
+
 #[test]
 fn a_restarted_router_waits_a_window_before_it_sends_to_a_cold_engine() {
     let mut host = Host::new(|_| ());
