A query at an engine that closed its port is given up over its own connection; faults typed

Change: where the DELETE's new connection is refused, the dispatch goes on until the call under way on its own connection is answered (0.5 s at most), and the DELETE goes over that one. In doubt still, the key waits until a DELETE comes whole, the engine refuses and the first one's time is over, or it was told gone 2.25 s ago: the process ends behind that word. With it, faults of calls have a type (faults.rs): a timer of ours, a call that failed on this machine, no connection by the peer's fault, one that broke, nonsense.

--- a/crates/router/src/backends/sql/engine.rs
+++ b/crates/router/src/backends/sql/engine.rs
@@ -1,7 +1,6 @@
 //! What the queries and probes at one engine share.
 
 use std::cell::Cell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -11,10 +10,11 @@
 
 use crate::clock::Clock;
 use crate::exchange::Event;
+use crate::faults::CallFault;
 use crate::http::head;
 use crate::memory::Room;
 use crate::pool::{Lease, Pool};
-use crate::sockets::limited;
+use crate::sockets::within;
 use crate::tasks::Tasks;
 
 /// No answer to an errand holds more.
@@ -50,22 +50,23 @@
 }
 
 impl Engine {
-    pub async fn lease(&self, pool: &Rc<Pool>) -> io::Result<Lease> {
+    pub async fn lease(&self, pool: &Rc<Pool>) -> Result<Lease, CallFault> {
         pool.lease(self.serial, self.address, self.ground.connect_timeout).await
     }
 
     /// A short call beside the queries' own: giving up or a new priority.
-    pub async fn errand(&self, method: &str, path: &str, body: &str) -> io::Result<u16> {
+    pub async fn errand(&self, method: &str, path: &str, body: &str) -> Result<u16, CallFault> {
         self.short_call(&self.ground.errands, method, path, body, |_, _| ()).await
     }
 
     pub async fn short_call(
         &self, pool: &Rc<Pool>, method: &str, path: &str, body: &str, field: impl FnMut(&str, &str),
-    ) -> io::Result<u16> {
+    ) -> Result<u16, CallFault> {
         let mut connection = self.lease(pool).await?;
         let head = head(method, path, self.address, &[], body.len());
         let call = connection.call(&head, body.as_bytes(), BODY_BYTES, |_| (), field);
-        let (status, _) = limited(self.ground.connect_timeout, call).await?;
+        let answer = within(self.ground.connect_timeout, call).await;
+        let (status, _) = answer.unwrap_or(Err(CallFault::NoAnswerInTime))?;
         Ok(status)
     }
 }
--- a/crates/router/src/backends/sql/peer.rs
+++ b/crates/router/src/backends/sql/peer.rs
@@ -1,7 +1,6 @@
 //! The module's hold on an engine, through which it starts queries and probes there.
 
 use std::cell::Cell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -11,7 +10,7 @@
 use crate::backends::sql::engine::{Engine, Ground};
 use crate::backends::sql::query;
 use crate::exchange::{Dispatch, Event};
-use crate::pool::NO_DESCRIPTOR;
+use crate::faults::CallFault;
 
 /// A probe that breaks, makes no sense or hears nothing is made again so often, as that may be noise on the
 /// connection.
@@ -97,12 +96,13 @@
         Ok(200) => Outcome::Done,
         Ok(503) => Outcome::TurnedAway,
         Ok(_) => Outcome::Error,
-        Err(error) => match error.kind() {
-            NO_DESCRIPTOR => Outcome::NotIssued,
-            io::ErrorKind::ConnectionRefused => Outcome::NotConnected,
-            io::ErrorKind::TimedOut => Outcome::TimedOut,
-            _ => Outcome::Reset,
-        },
+        // What fails on this machine says nothing of the engine. Threat: one bad second would set all engines aside at once.
+        Err(CallFault::NoDescriptor | CallFault::Local(_)) => Outcome::NotIssued,
+        Err(CallFault::Refused) => Outcome::NotConnected,
+        Err(CallFault::NoConnectionInTime | CallFault::NoAnswerInTime | CallFault::TooSlow(_)) => {
+            Outcome::TimedOut
+        }
+        Err(CallFault::Unreachable(_) | CallFault::Broken(_) | CallFault::Nonsense(_)) => Outcome::Reset,
     };
     (outcome, stats)
 }
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -1,7 +1,7 @@
 //! One dispatch: the POST, its news, the pages of its result, and giving it up.
 
 use std::cell::Cell;
-use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
@@ -12,9 +12,10 @@
 use crate::backends::sql::engine::Engine;
 use crate::clock::pass;
 use crate::exchange::{Dispatch, Event, Rows, measure};
+use crate::faults::CallFault;
 use crate::http::head;
-use crate::pool::{Lease, NO_DESCRIPTOR};
-use crate::sockets::limited;
+use crate::pool::Lease;
+use crate::sockets::within;
 use crate::tasks::Tasks;
 
 /// A result holds at most so many bytes, in pages of at most so many each.
@@ -28,6 +29,9 @@
 const EXPIRY: Span = Span::from_micros(2_250_000);
 /// Between calls that fail at once.
 const PAUSE: Span = Span::from_micros(20_000);
+/// Between tries to connect that fail at once, which double: thousands of jobs may wait for the same.
+const LEAST_PAUSE: Span = Span::from_micros(5_000);
+const MOST_PAUSE: Span = Span::from_micros(40_000);
 /// Between calls that give up a query that an engine says nothing of.
 const SETTLE: Span = Span::from_micros(100_000);
 /// A call without an answer for so long is made again on another connection.
@@ -79,6 +83,8 @@
     /// Whether nothing shows yet that it runs no more.
     in_doubt: Cell<bool>,
     given_up: Cell<bool>,
+    /// Whether it is to be given up over its own connection, once the call under way there is answered.
+    stops: Cell<bool>,
     /// Whether the engine refused a connection once the POST had begun.
     refused: Cell<bool>,
     /// Whether a connection broke once the POST had begun, so that what answers since may be another process.
@@ -113,10 +119,12 @@
         heard,
         in_doubt: Cell::new(false),
         given_up: Cell::new(false),
+        stops: Cell::new(false),
         refused: Cell::new(false),
         broke: Cell::new(false),
     };
-    let end = async { Ok(out.work().await) }.or(async { Err(out.stopped().await) }).await;
+    let mut work = std::pin::pin!(out.work());
+    let end = async { Ok(work.as_mut().await) }.or(async { Err(out.stopped().await) }).await;
     if !out.began.get() && !out.dispatch.statement.wanted.still() {
         let _ = out.module.send(Event::Unwanted { job }).await;
     }
@@ -126,6 +134,7 @@
         Err(_) if !out.began.get() => (Outcome::NotIssued, None, None),
         Err(outcome) => {
             out.give_up().await;
+            out.give_up_behind(work).await;
             (outcome, None, None)
         }
     };
@@ -154,11 +163,20 @@
     async fn follow(&self) -> Result<(Option<(Span, f64)>, Rows), Outcome> {
         let (mut answer, mut lease) = self.begin().await?;
         while answer.status == 202 {
+            if self.stops.get() {
+                self.delete_over(&mut lease).await;
+                return Err(Outcome::Cancelled);
+            }
             if let Some((name, value)) = answer.note {
                 self.pass_on(&name, value).await;
             }
             (answer, lease) = self.ask(0, Some(lease)).await?;
         }
+        if self.stops.get() {
+            // An error may mean as well that the engine does not know it.
+            self.in_doubt.set(answer.status == 500);
+            return Err(Outcome::Cancelled);
+        }
         match answer.status {
             200 => Ok((answer.told, self.collect(answer, lease).await?)),
             503 | 504 => Err(Outcome::TurnedAway),
@@ -173,15 +191,19 @@
         let connect_timeout = self.engine.ground.connect_timeout;
         let statement = &self.dispatch.statement;
         let (began, priority) = (self.now(), self.dispatch.priority.to_string());
+        let mut pause = LEAST_PAUSE;
         loop {
             let in_time = self.now().since(began) < connect_timeout;
             let mut lease = match self.engine.lease(&self.engine.ground.queries).await {
                 Ok(lease) => lease,
-                Err(error) if error.kind() == NO_DESCRIPTOR => return Err(Outcome::NotIssued),
-                Err(error) if in_time && is_noise(&error) => {
-                    pass(PAUSE.times(0.25)).await;
+                Err(CallFault::NoDescriptor) => return Err(Outcome::NotIssued),
+                Err(CallFault::Local(_) | CallFault::Unreachable(_) | CallFault::Broken(_)) if in_time => {
+                    pass(pause).await;
+                    pause = pause.times(2.0).min(MOST_PAUSE);
                     continue;
                 }
+                // It says nothing of the engine, which is not set aside for it.
+                Err(CallFault::Local(_)) => return Err(Outcome::NotIssued),
                 Err(_) => return Err(Outcome::NotConnected),
             };
             if !self.may_begin() {
@@ -198,11 +220,11 @@
             fields.extend(statement.key.as_deref().map(|key| ("X-Asset", key)));
             fields.extend(statement.once.as_deref().map(|once| ("X-Op-Key", once)));
             let post = self.call(&mut lease, "POST", "/v2/q", &fields, statement.text.as_bytes(), 0);
-            match limited(ASK_AGAIN, post).await {
+            match within(ASK_AGAIN, post).await.unwrap_or(Err(CallFault::NoAnswerInTime)) {
                 Ok(answer) => return Ok((answer, lease)),
                 Err(_) if !self.began.get() && in_time => continue,
                 Err(_) if !self.began.get() => return Err(Outcome::NotConnected),
-                Err(error) => self.note_break(&error),
+                Err(fault) => self.note_break(&fault),
             }
             drop(lease);
             let (answer, lease) = self.ask(0, None).await?;
@@ -246,30 +268,30 @@
                     lease.least = if crawls < CRAWLS { least } else { Least { rate: 1.0, ..least } };
                     match self.flowing(&mut lease, &path, page).await {
                         Ok(answer) => return Ok((answer, lease)),
-                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                        Err(CallFault::TooSlow(figures)) => {
                             crawls += 1;
                             let at = self.engine.address;
-                            log::debug!(event = "engine_crawls", engine:% = at, page; "engine {at}: page {page} {error}");
+                            log::debug!(event = "engine_crawls", engine:% = at, page; "engine {at}: page {page} {figures}");
                             self.heard.set(self.now());
                             continue;
                         }
-                        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                        Err(CallFault::Nonsense(_)) => {
                             doubts += 1;
                             self.heard.set(self.now());
                             continue;
                         }
-                        Err(error) => {
-                            self.note_break(&error);
-                            self.unheard("asked", &error);
+                        Err(fault) => {
+                            self.note_break(&fault);
+                            self.unheard("asked", &fault);
                         }
                     }
                 }
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                Err(CallFault::Refused) => {
                     self.in_doubt.set(true);
-                    self.note_break(&error);
+                    self.note_break(&CallFault::Refused);
                     return Err(Outcome::Reset);
                 }
-                Err(error) => self.unheard("no connection to ask over", &error),
+                Err(fault) => self.unheard("no connection to ask over", &fault),
             }
             if self.now().since(self.heard.get()) > ASK_WITHIN {
                 self.give_up().await;
@@ -282,9 +304,8 @@
         Err(Outcome::Error)
     }
 
-    /// One call that is given up where no byte of its answer comes in time, or the rest of it too slowly (told apart
-    /// as `WouldBlock`).
-    async fn flowing(&self, lease: &mut Lease, path: &str, page: usize) -> io::Result<Answer> {
+    /// One call that is given up where no byte of its answer comes in time, or the rest of it too slowly.
+    async fn flowing(&self, lease: &mut Lease, path: &str, page: usize) -> Result<Answer, CallFault> {
         let clock = self.engine.ground.clock;
         let began = self.now();
         let flow = lease.flow.clone();
@@ -293,10 +314,10 @@
                 let came = flow.came();
                 let due = came.map_or(began + ASK_AGAIN, |came| came.due());
                 if clock.now() >= due {
-                    let Some(came) = came else { return Err(io::ErrorKind::TimedOut.into()) };
+                    let Some(came) = came else { return Err(CallFault::NoAnswerInTime) };
                     let span = came.last.since(began).secs();
-                    let words = format!("crawls: {} bytes in {span:.2} s", came.bytes);
-                    return Err(io::Error::new(io::ErrorKind::WouldBlock, words));
+                    let figures = format!("crawls: {} bytes in {span:.2} s", came.bytes);
+                    return Err(CallFault::TooSlow(figures));
                 }
                 clock.until(due).await;
             }
@@ -313,7 +334,7 @@
     /// One call for what page 0 or a further page answers; it may be any of the ends, and must make sense.
     async fn call(
         &self, lease: &mut Lease, method: &str, path: &str, fields: &[(&str, &str)], body: &[u8], page: usize,
-    ) -> io::Result<Answer> {
+    ) -> Result<Answer, CallFault> {
         let head = head(method, path, self.engine.address, fields, body.len());
         let mut answer = Answer::default();
         let (mut note, mut value, mut spent, mut wanted, mut stats) = (None, None, None, None, None);
@@ -352,7 +373,7 @@
         (answer.status, answer.body) = (status, body);
         if !sound || note.is_some() != value.is_some() || !answer.makes_sense(page) {
             lease.reusable = false;
-            return Err(io::Error::new(io::ErrorKind::InvalidData, "no sense"));
+            return Err(CallFault::Nonsense("no answer to this call"));
         }
         if let Some(stats) = stats {
             let _ = self.module.send(Event::Reported { engine: self.dispatch.engine, stats }).await;
@@ -414,9 +435,9 @@
         late.or(told).await
     }
 
-    fn unheard(&self, what: &str, error: &io::Error) {
+    fn unheard(&self, what: &str, fault: &CallFault) {
         let (job, number) = (&self.dispatch.statement.id, self.dispatch.number);
-        log::debug!(event = "unheard", job = job.as_str(), number, what; "{what}: {error}");
+        log::debug!(event = "unheard", job = job.as_str(), number, what; "{what}: {fault}");
     }
 
     fn path(&self) -> String {
@@ -437,26 +458,44 @@
         }
     }
 
+    /// Gives up a query at an engine that takes no new connection: over its own, once the call under way there is answered.
+    /// Threat: an engine that drains closes its port and works on, so that no other call reaches it. It costs the dispatch
+    /// that was given up a call's time more.
+    async fn give_up_behind(&self, work: Pin<&mut impl Future<Output = End>>) {
+        if self.refused.get() && self.in_doubt.get() {
+            self.stops.set(true);
+            within(ASK_AGAIN, work).await;
+        }
+    }
+
     /// One call that gives it up; done where it came whole.
-    async fn delete(&self) -> io::Result<()> {
-        match self.engine.errand("DELETE", &self.path(), "").await {
-            Ok(_) => {
-                self.in_doubt.set(false);
-                Ok(())
-            }
-            Err(error) => {
-                self.note_break(&error);
-                Err(error)
-            }
+    async fn delete(&self) -> Result<(), CallFault> {
+        let answer = self.engine.errand("DELETE", &self.path(), "").await;
+        self.deleted(answer.map(|_| ()))
+    }
+
+    /// The same over a connection that is up.
+    async fn delete_over(&self, lease: &mut Lease) {
+        let head = head("DELETE", &self.path(), self.engine.address, &[], 0);
+        let call = lease.call(&head, &[], PAGE_BYTES, |_| (), |_, _| ());
+        let answer = within(self.engine.ground.connect_timeout, call).await;
+        if let Err(fault) = self.deleted(answer.unwrap_or(Err(CallFault::NoAnswerInTime)).map(|_| ())) {
+            self.unheard("deleted over its connection", &fault);
+        }
+    }
+
+    fn deleted(&self, answer: Result<(), CallFault>) -> Result<(), CallFault> {
+        match &answer {
+            Ok(()) => self.in_doubt.set(false),
+            Err(fault) => self.note_break(fault),
         }
+        answer
     }
 
     /// A call that got no answer, once the POST had begun.
-    fn note_break(&self, error: &io::Error) {
-        use io::ErrorKind::{ConnectionRefused, InvalidData, TimedOut, WouldBlock};
-        self.refused.set(self.refused.get() || error.kind() == ConnectionRefused);
-        let broke = !matches!(error.kind(), InvalidData | TimedOut | WouldBlock | NO_DESCRIPTOR);
-        self.broke.set(self.broke.get() || broke);
+    fn note_break(&self, fault: &CallFault) {
+        self.refused.set(self.refused.get() || matches!(fault, CallFault::Refused));
+        self.broke.set(self.broke.get() || fault.is_break());
     }
 
     /// Whether it may run on behind such an end, for all that the engine told.
@@ -471,20 +510,24 @@
         self.asked.get() + EXPIRY
     }
 
-    /// Waits until it surely runs no more: a DELETE came whole, or the engine is gone or has refused every connection
-    /// for as long as a query lives that nobody asks for, and it has expired. Behind a connection that broke it always
-    /// waits for that. Threat: a port that refuses for a moment, or a process that was started anew and knows nothing of
-    /// it, shows that no query begins there, not that one that came before has ended; the next of its key would run
-    /// beside it. It also catches engines that close their port and work on, and engines listed as gone early. Behind a
-    /// reset it costs the key the rest of the expiry, behind a crash all of it.
+    /// Waits until it surely runs no more: a DELETE came whole, or the engine refuses every connection and its client's time
+    /// is over, or it was told gone as long ago as a query lives that nobody asks for. Behind a connection that broke it
+    /// always waits for its expiry. Threat: a port that refuses shows that no query begins there, not that one that came
+    /// before has ended, as an engine that drains closes its port and works on until it ends, some time after it is told
+    /// gone; a process that was started anew knows nothing of it. The next of its key would run beside it. It also
+    /// catches engines listed as gone early. Behind a reset it costs the key the rest of the expiry; behind a crash
+    /// all of the first one's time, or until the engine is told gone or answers anew.
     async fn settle(&self) {
-        let mut refused_since = None;
-        while self.in_doubt.get() && !self.engine.gone.get() {
+        let mut gone_since = None;
+        while self.in_doubt.get() {
             pass(SETTLE).await;
-            let refused =
-                self.delete().await.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
-            refused_since = refused.then(|| refused_since.unwrap_or(self.now()));
-            if refused_since.is_some_and(|since| self.now().since(since) >= EXPIRY) {
+            let now = self.now();
+            gone_since = self.engine.gone.get().then(|| gone_since.unwrap_or(now));
+            if gone_since.is_some_and(|since| now.since(since) >= EXPIRY) {
+                break;
+            }
+            let refused = self.delete().await.is_err_and(|fault| matches!(fault, CallFault::Refused));
+            if refused && now >= self.dispatch.until {
                 break;
             }
         }
@@ -522,8 +565,3 @@
         None => false,
     }
 }
-
-/// Whether a connection came to nothing that may come up all the same.
-fn is_noise(error: &io::Error) -> bool {
-    !matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::TimedOut)
-}
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -1,6 +1,6 @@
 //! The actor of discovery: it asks for the next events over and over and passes them on, none left out.
 
-use std::io;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -14,8 +14,9 @@
 use crate::clock::Clock;
 use crate::discovery::calls::{Asked, Calls, MOST_CALLS};
 use crate::exchange::Event;
+use crate::faults::CallFault;
 use crate::http::{Connection, head};
-use crate::sockets::{Link, limited};
+use crate::sockets::{Link, within};
 use crate::starts::Happened;
 
 const LIST_BYTES: usize = 4 * 1024 * 1024;
@@ -46,7 +47,7 @@
 
 enum Heard {
     Due,
-    Ended(io::Result<Answer>),
+    Ended(std::result::Result<Answer, DiscoveryFault>),
     Moved(Move),
 }
 
@@ -81,7 +82,7 @@
     module: Sender<Event>,
     /// For its connections.
     descriptors: Arc<Semaphore>,
-    calls: Calls<Answer, io::Error>,
+    calls: Calls<Answer, DiscoveryFault>,
     /// The connection of the last answer.
     kept: Option<Connection>,
     /// When to call again behind a failed call.
@@ -103,7 +104,7 @@
                     continue;
                 }
                 Heard::Ended(Ok((told, connection))) => self.answered(told, connection).await,
-                Heard::Ended(Err(error)) => Err(error.to_string()),
+                Heard::Ended(Err(fault)) => Err(fault.to_string()),
                 Heard::Moved(moved) => self.moved(moved).await,
             };
             if let Err(fault) = passed {
@@ -148,7 +149,7 @@
         let kept = self.kept.take().filter(Connection::is_ready);
         let asked = Asked::default();
         let call = ask(self.clock, kept, self.descriptors.clone(), self.address, path, asked.clone());
-        self.calls.start(now, asked, Box::pin(limited(CALL_LIFE, call)));
+        self.calls.start(now, asked, Box::pin(call));
     }
 
     async fn answered(&mut self, told: Value, connection: Option<Connection>) -> Result<()> {
@@ -190,11 +191,43 @@
     }
 }
 
-/// One call, over the connection of the last one if there is one.
+/// Why a call to discovery brought nothing.
+#[derive(Debug)]
+enum DiscoveryFault {
+    Call(CallFault),
+    Status(u16),
+    Body(serde_json::Error),
+}
+
+impl fmt::Display for DiscoveryFault {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Call(fault) => fault.fmt(out),
+            Self::Status(status) => write!(out, "status {status}"),
+            Self::Body(error) => error.fmt(out),
+        }
+    }
+}
+
+/// One call, over the connection of the last one if there is one, which ends in its time.
 async fn ask(
     clock: Clock, kept: Option<Connection>, descriptors: Arc<Semaphore>, address: SocketAddr, path: String,
     asked: Asked,
-) -> io::Result<Answer> {
+) -> std::result::Result<Answer, DiscoveryFault> {
+    let call = within(CALL_LIFE, call(clock, kept, descriptors, address, path, asked)).await;
+    let (status, body, connection) =
+        call.unwrap_or(Err(CallFault::NoAnswerInTime)).map_err(DiscoveryFault::Call)?;
+    if status != 200 {
+        return Err(DiscoveryFault::Status(status));
+    }
+    let told = serde_json::from_slice(&body).map_err(DiscoveryFault::Body)?;
+    Ok((told, connection.reusable.then_some(connection)))
+}
+
+async fn call(
+    clock: Clock, kept: Option<Connection>, descriptors: Arc<Semaphore>, address: SocketAddr, path: String,
+    asked: Asked,
+) -> std::result::Result<(u16, Vec<u8>, Connection), CallFault> {
     let mut connection = match kept {
         Some(kept) => kept,
         None => {
@@ -205,11 +238,7 @@
     let head = head("GET", &path, address, &[], 0);
     let wrote = |_| asked.set(true);
     let (status, body) = connection.call(&head, &[], LIST_BYTES, wrote, |_, _| ()).await?;
-    if status != 200 {
-        return Err(io::Error::other(format!("status {status}")));
-    }
-    let told = serde_json::from_slice(&body)?;
-    Ok((told, connection.reusable.then_some(connection)))
+    Ok((status, body, connection))
 }
 
 /// Passes on what the configuration held at the start, which may be nothing.
--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -9,7 +9,7 @@
 
 use async_channel::{Receiver, Sender};
 use async_lock::{Semaphore, SemaphoreGuardArc};
-use futures_lite::{AsyncReadExt, FutureExt, future};
+use futures_lite::{FutureExt, future};
 use woadhook::{Moment, Span};
 use woadhook_pace::rate::{Least, Watch};
 use woadhook_pace::turns::Turn;
@@ -20,7 +20,7 @@
 use crate::frontends::rpc::connections::{Client, Stay};
 use crate::frontends::rpc::request::Range;
 use crate::memory::{Held, Holder, Room};
-use crate::sockets::{Link, Waiting, limited, write_at_rate};
+use crate::sockets::{Link, Waiting, read, within, write_at_rate};
 use crate::tasks::Tasks;
 
 /// The most open requests of a connection, and some whose withdrawal is on its way.
@@ -258,10 +258,8 @@
             if filled == buffer.len() {
                 // Threat: many clients with long messages. Those that find no room are closed when theirs is
                 // due.
-                let more = limited(MESSAGE_WITHIN, async {
-                    Ok(self.hall.messages.take(self.holder, filled * 2).await)
-                });
-                room = Some(more.await?);
+                let more = within(MESSAGE_WITHIN, self.hall.messages.take(self.holder, filled * 2)).await;
+                room = Some(more.ok_or(io::ErrorKind::TimedOut)?);
                 buffer.resize(filled * 2, 0);
             } else if filled == 0 && room.take().is_some() {
                 buffer = vec![0; READ_BYTES];
@@ -332,9 +330,8 @@
                 return Err(io::ErrorKind::TimedOut.into());
             }
             let left = if left == Span::ZERO { IDLE } else { left };
-            match limited(left, (&link.stream).read(buffer)).await {
-                Err(error) if error.kind() == io::ErrorKind::TimedOut => {}
-                other => return other,
+            if let Some(count) = within(left, read(&link.stream, buffer)).await {
+                return count;
             }
         }
     }
--- a/crates/router/src/frontends/rpc/listen.rs
+++ b/crates/router/src/frontends/rpc/listen.rs
@@ -12,7 +12,7 @@
 use crate::clock::{Clock, pass};
 use crate::frontends::rpc::connections::Connections;
 use crate::frontends::rpc::front::{self, Hall};
-use crate::sockets::{Link, limited};
+use crate::sockets::{Link, within};
 
 /// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
 const PAUSE: Span = Span::from_micros(20_000);
@@ -32,7 +32,7 @@
         let mut permit = part.try_acquire_arc();
         while permit.is_none() {
             connections.send_off_one(clock.now());
-            permit = limited(PAUSE, async { Ok(part.acquire_arc().await) }).await.ok();
+            permit = within(PAUSE, part.acquire_arc()).await;
         }
         let Some(permit) = permit else { continue };
         let link = Rc::new(Link::accepted(stream, permit));
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -5,17 +5,19 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use futures_lite::AsyncReadExt;
 use httparse::{EMPTY_HEADER, Response, Status};
 use woadhook::{Moment, Span};
 use woadhook_pace::rate::{Least, Watch};
 
 use crate::clock::Clock;
-use crate::sockets::{Link, Waiting, write_gathered};
+use crate::faults::CallFault;
+use crate::sockets::{Link, Waiting, read, write_gathered};
 
 const HEAD_BYTES: usize = 4 * 1024;
 const HEAD_FIELDS: usize = 48;
 const READ_BYTES: usize = 4 * 1024;
+type Result<T> = std::result::Result<T, CallFault>;
+
 /// Answers of the 1xx kind that one answer may follow.
 const INTERIM: usize = 8;
 
@@ -109,10 +111,11 @@
     pub async fn call(
         &mut self, head: &str, body: &[u8], most: usize, wrote: impl FnMut(usize),
         mut field: impl FnMut(&str, &str),
-    ) -> io::Result<(u16, Vec<u8>)> {
+    ) -> Result<(u16, Vec<u8>)> {
         self.reusable = false;
         self.flow.0.set(None);
-        write_gathered(&self.link.stream, &[head.as_bytes(), body], wrote).await?;
+        let written = write_gathered(&self.link.stream, &[head.as_bytes(), body], wrote).await;
+        written.map_err(CallFault::Broken)?;
         let mut interim = 0;
         let head = loop {
             match parse(&self.buffer, &mut field)? {
@@ -141,40 +144,31 @@
         Ok((head.status, body))
     }
 
-    async fn read_more(&mut self) -> io::Result<()> {
+    async fn read_more(&mut self) -> Result<()> {
         let filled = self.buffer.len();
         self.buffer.resize(filled + READ_BYTES, 0);
-        let count = (&self.link.stream).read(&mut self.buffer[filled..]).await;
+        let count = some_of(&self.link, &mut self.buffer[filled..]).await;
         self.buffer.truncate(filled + count.as_ref().copied().unwrap_or(0));
-        match count? {
-            0 => Err(io::ErrorKind::UnexpectedEof.into()),
-            count => {
-                self.flow.moved(self.clock, self.least, count);
-                Ok(())
-            }
-        }
+        self.flow.moved(self.clock, self.least, count?);
+        Ok(())
     }
 
     /// The next `length` bytes: those in the buffer, and the rest read straight to their place.
-    async fn take(&mut self, length: usize) -> io::Result<Vec<u8>> {
+    async fn take(&mut self, length: usize) -> Result<Vec<u8>> {
         let here = self.buffer.len().min(length);
         let mut taken = Vec::with_capacity(length);
         taken.extend(self.buffer.drain(..here));
         taken.resize(length, 0);
         let mut filled = here;
         while filled < length {
-            match (&self.link.stream).read(&mut taken[filled..]).await? {
-                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-                count => {
-                    filled += count;
-                    self.flow.moved(self.clock, self.least, count);
-                }
-            }
+            let count = some_of(&self.link, &mut taken[filled..]).await?;
+            filled += count;
+            self.flow.moved(self.clock, self.least, count);
         }
         Ok(taken)
     }
 
-    async fn chunks(&mut self, most: usize) -> io::Result<Vec<u8>> {
+    async fn chunks(&mut self, most: usize) -> Result<Vec<u8>> {
         let mut body = Vec::new();
         loop {
             let (start, size) = loop {
@@ -201,7 +195,7 @@
 
 /// `None` until the head is there whole. Without a length or chunks, as up to the close of the connection,
 /// nobody could tell whether a body is whole.
-fn parse(buffer: &[u8], field: &mut impl FnMut(&str, &str)) -> io::Result<Option<Head>> {
+fn parse(buffer: &[u8], field: &mut impl FnMut(&str, &str)) -> Result<Option<Head>> {
     let mut fields = [EMPTY_HEADER; HEAD_FIELDS];
     let mut response = Response::new(&mut fields);
     let Status::Complete(length) = response.parse(buffer).map_err(|_| broken("no HTTP"))? else {
@@ -239,8 +233,16 @@
     Ok(Some(Head { status, length, kept, body }))
 }
 
-fn broken(what: &str) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, what)
+/// At least one byte; the peer's end of the connection is a break here.
+async fn some_of(link: &Link, buffer: &mut [u8]) -> Result<usize> {
+    match read(&link.stream, buffer).await {
+        Ok(0) => Err(CallFault::Broken(io::ErrorKind::UnexpectedEof.into())),
+        count => count.map_err(CallFault::Broken),
+    }
+}
+
+fn broken(what: &'static str) -> CallFault {
+    CallFault::Nonsense(what)
 }
 
 /// The head of a call.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod decide;
 mod discovery;
 mod exchange;
+mod faults;
 mod frontends;
 pub mod gossip;
 mod http;
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io;
 use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
@@ -13,11 +12,10 @@
 use woadhook::Span;
 
 use crate::clock::{Clock, pass};
+use crate::faults::CallFault;
 use crate::http::Connection;
-use crate::sockets::{Link, limited};
+use crate::sockets::{Link, within};
 
-/// The error where no descriptor came free in time.
-pub const NO_DESCRIPTOR: io::ErrorKind = io::ErrorKind::QuotaExceeded;
 /// How long a connection rests after an answer before a call for anything else is made on it. Threat: an answer that
 /// comes twice, the second time some milliseconds late, would be taken for the answer to the next call, which may be
 /// another job's. A second copy that comes meanwhile is seen before the next use. It costs a new connection where
@@ -56,7 +54,7 @@
 
     /// A rested connection to this engine that its peer has not closed, or else a new one. Where all
     /// descriptors are in use, the longest idle of any engine is closed for it, or one waited for.
-    pub async fn lease(self: &Rc<Self>, engine: u64, at: SocketAddr, within: Span) -> io::Result<Lease> {
+    pub async fn lease(self: &Rc<Self>, engine: u64, at: SocketAddr, span: Span) -> Result<Lease, CallFault> {
         let lease = |connection| Lease { pool: self.clone(), engine, connection: Some(connection) };
         self.close_old();
         while let Some(connection) = self.latest(engine) {
@@ -69,24 +67,23 @@
             None => {
                 self.idle.borrow_mut().pop_front();
                 let _waiting = Waiting::new(&self.waiting);
-                let free = async { Ok(self.part.acquire_arc().await) };
-                limited(within, free).await.map_err(|_| io::Error::from(NO_DESCRIPTOR))?
+                within(span, self.part.acquire_arc()).await.ok_or(CallFault::NoDescriptor)?
             }
         };
-        let link = Link::connect(at, within, permit);
-        let link = link.or(self.another(at, within, 1)).or(self.another(at, within, 2)).await?;
+        let link = Link::connect(at, span, permit);
+        let link = link.or(self.another(at, span, 1)).or(self.another(at, span, 2)).await?;
         Ok(lease(Connection::new(link, self.clock)))
     }
 
     /// Another try at a connection that has not come up for so many thirds of its time. Threat: connections that come up
     /// late, or never, at engines that are well: each would set one aside. It costs a second connection, and a
     /// descriptor if one is free, where an engine is slow to take any.
-    async fn another(&self, at: SocketAddr, within: Span, thirds: u32) -> io::Result<Link> {
-        let after = within.times(f64::from(thirds) / 3.0);
+    async fn another(&self, at: SocketAddr, span: Span, thirds: u32) -> Result<Link, CallFault> {
+        let after = span.times(f64::from(thirds) / 3.0);
         pass(after).await;
         match self.part.try_acquire_arc() {
             // Boxed, as few connections need it and each query's task would have room for it.
-            Some(permit) => Box::pin(Link::connect(at, within.less(after), permit)).await,
+            Some(permit) => Box::pin(Link::connect(at, span.less(after), permit)).await,
             None => future::pending().await,
         }
     }
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -9,10 +9,12 @@
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{AsyncReadExt, AsyncWrite, FutureExt, future};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use rustix::io::retry_on_intr;
 use woadhook::Span;
 use woadhook_pace::rate::{Least, Watch};
 
 use crate::clock::{Clock, pass};
+use crate::faults::CallFault;
 
 /// Descriptors that are no sockets of peers: standard streams, poller, signals, listener, bulletin.
 const OWN: usize = 24;
@@ -69,8 +71,9 @@
         Self { stream, _permit: permit }
     }
 
-    pub async fn connect(to: SocketAddr, within: Span, permit: SemaphoreGuardArc) -> io::Result<Self> {
-        let stream = limited(within, Async::<TcpStream>::connect(to)).await?;
+    pub async fn connect(to: SocketAddr, span: Span, permit: SemaphoreGuardArc) -> Result<Self, CallFault> {
+        let stream = within(span, Async::<TcpStream>::connect(to)).await;
+        let stream = stream.ok_or(CallFault::NoConnectionInTime)?.map_err(CallFault::of_connect)?;
         Ok(Self::accepted(stream, permit))
     }
 
@@ -80,7 +83,7 @@
     }
 
     pub fn waiting(&self) -> Waiting {
-        match self.stream.get_ref().peek(&mut [0]) {
+        match uninterrupted(|| self.stream.get_ref().peek(&mut [0])) {
             Ok(1..) => Waiting::Bytes,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Waiting::Nothing,
             _ => Waiting::Close,
@@ -96,7 +99,8 @@
                 let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
                 let mut looked = [PollFd::new(&self.stream, PollFlags::RDHUP)];
                 let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-                poll(&mut looked, Some(&at_once)).is_ok() && looked[0].revents().intersects(ends)
+                let look = retry_on_intr(|| poll(&mut looked, Some(&at_once)));
+                look.is_ok() && looked[0].revents().intersects(ends)
             }
         }
     }
@@ -104,29 +108,49 @@
     /// Ends it in order, for so long at most. Threat: a close over unread bytes resets the connection, and what was
     /// written and not yet read by the peer goes with it. So the peer is told of the end, and what still comes is read
     /// and thrown away: it never was a request. It may hold a descriptor for that long.
-    pub async fn part(&self, within: Span) {
+    pub async fn part(&self, span: Span) {
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
         let drain = async {
             let (mut passed, mut left) = (vec![0; PARTING_READ], PARTING_BYTES);
             while left > 0 {
-                match (&self.stream).read(&mut passed).await? {
-                    0 => break,
-                    count => left = left.saturating_sub(count),
+                match read(&self.stream, &mut passed).await {
+                    Ok(0) | Err(_) => break,
+                    Ok(count) => left = left.saturating_sub(count),
                 }
             }
-            Ok(())
         };
-        let _ = limited(within, drain).await;
+        within(span, drain).await;
     }
 }
 
-/// The outcome of `work`, or an error once the span has passed.
-pub async fn limited<T>(span: Span, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+/// The outcome of `work`, or nothing once the span has passed.
+pub async fn within<T>(span: Span, work: impl Future<Output = T>) -> Option<T> {
+    let done = async { Some(work.await) };
     let late = async {
         pass(span).await;
-        Err(io::ErrorKind::TimedOut.into())
+        None
     };
-    work.or(late).await
+    done.or(late).await
+}
+
+/// The outcome of a system call, made again where a signal interrupted it.
+pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            outcome => return outcome,
+        }
+    }
+}
+
+/// Reads what has come, or waits for it. Threat: a read that a signal interrupts would pass for the end of the connection.
+pub async fn read(mut stream: &Async<TcpStream>, buffer: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match stream.read(buffer).await {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            outcome => return outcome,
+        }
+    }
 }
 
 /// Writes all the parts, and no slower than `least`; the error tells how slow the peer took them.
@@ -159,12 +183,13 @@
     IoSlice::advance_slices(&mut left, 0);
     while !left.is_empty() {
         let mut stream = stream;
-        let count =
-            future::poll_fn(|context| std::pin::Pin::new(&mut stream).poll_write_vectored(context, left))
-                .await?;
-        if count == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
-        }
+        let written =
+            future::poll_fn(|context| std::pin::Pin::new(&mut stream).poll_write_vectored(context, left));
+        let count = match written.await {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            written => written?,
+        };
         wrote(count);
         IoSlice::advance_slices(&mut left, count);
     }
