--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -691,3 +691,28 @@
     engine.awaits("POST");
     assert!(other.had("POST").is_empty());
 }
+
+/// Threat: clients that wait for a place, one accepted and others not, as the router ends: their requests have come.
+#[test]
+fn clients_without_a_place_as_the_router_ends_are_answered() {
+    // Thirteen descriptors for clients, each of which awaits an answer that does not come.
+    const PLACES: u32 = 13;
+    let engine = Standin::start(|call| if post(call) { says(202, &[], "") } else { Says::Nothing });
+    let router = process("places", &told(&[engine.address], nobody(), 41));
+    let mut holding: Vec<Client> = (0..PLACES).map(|_| client(&router)).collect();
+    for (place, holds) in holding.iter_mut().enumerate() {
+        assert!(holds.pings(0));
+        let id = format!("{:016x}", place + 1);
+        holds.0.write_all(&Client::message(1, "look", &id, 2_000, "select 1 from sales_1.x")).unwrap();
+        assert!(holds.pings(0), "its request was read");
+    }
+    let mut waiting: Vec<Client> = (0..5).map(|_| client(&router)).collect();
+    for (place, waits) in waiting.iter_mut().enumerate() {
+        let id = format!("{:016x}", 100 + place);
+        waits.0.write_all(&Client::message(1, "look", &id, 20_000, "select 1 from sales_1.x")).unwrap();
+    }
+    router.signal(Signal::TERM);
+    for one in holding.iter_mut().chain(&mut waiting) {
+        assert_eq!(one.hears().0, 1, "each has its answer");
+    }
+}
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use woadhook_standins::{Events, told};
 
@@ -267,3 +268,25 @@
     let lease = check("order", "lease_ms: 3000, clock_tolerance_ms: 2000").unwrap_err();
     assert!(lease.contains("accord.lease_ms: 3000 given, allowed is more than twice"), "{lease}");
 }
+
+/// Threat: an order that comes while the program still reads its files, which would end it.
+#[test]
+fn a_reload_ordered_before_the_program_serves_does_not_end_it() {
+    let folder = folder("early-order");
+    let (operator, config) = (folder.join("site.jsonnet"), folder.join("config.json"));
+    assert!(Command::new("mkfifo").arg(&operator).status().unwrap().success());
+    fs::write(&config, told(&[], Events::default().serve().address, 64)).unwrap();
+    let mut command = woadhook(&folder, &["run", "--operator", "site.jsonnet"]);
+    let mut child = command.env("LB_CONFIG", &config).stderr(Stdio::piped()).spawn().unwrap();
+    // Opened once the program is at reading it.
+    let mut pipe = fs::File::options().write(true).open(&operator).unwrap();
+    let process = Pid::from_raw(child.id() as i32).unwrap();
+    kill_process(process, Signal::HUP).unwrap();
+    std::io::Write::write_all(&mut pipe, b"{}").unwrap();
+    drop(pipe);
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let serves = lines.map_while(Result::ok).any(|line| line.contains("serving on"));
+    let _ = child.kill();
+    let _ = child.wait();
+    assert!(serves, "it ended");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod hollow;
 pub mod net;
+pub mod preload;
 pub mod processes;
 pub mod relays;
 pub mod routers;
--- /dev/null
+++ b/crates/standins/src/preload.rs
@@ -0,0 +1,98 @@
+//! A small library that is preloaded into a router's process, fails its system calls in documented ways and steps its wall
+//! clock. It is built from `preload/faults.c` with the machine's compiler. Calls that a program makes past the C library, as
+//! connects and polls here, are out of its reach.
+
+use std::fmt;
+use std::fs::{self, File};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+const SOURCE: &str = include_str!("../preload/faults.c");
+/// The slots that the library reads: two for each call, the shortest transfer, the step of the clock.
+const CALLS: usize = 5;
+const SHORTEST: usize = 2 * CALLS;
+const STEP: usize = SHORTEST + 1;
+const SLOTS: usize = STEP + 1;
+
+/// A call that can fail, in the order of the library's slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SystemCall {
+    Read,
+    Peek,
+    Send,
+    Write,
+    Accept,
+}
+
+/// Why there is no library.
+#[derive(Debug)]
+pub struct NoLibrary(String);
+
+impl fmt::Display for NoLibrary {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "no library of faults can be built: {}", self.0)
+    }
+}
+
+/// The faults of one process.
+pub struct Preload {
+    library: PathBuf,
+    slots: PathBuf,
+    file: File,
+}
+
+impl Preload {
+    /// Builds the library into `folder`, and the file through which faults are set for a process of that name.
+    pub fn build(folder: &Path, name: &str) -> Result<Self, NoLibrary> {
+        let fault = |error: std::io::Error| NoLibrary(error.to_string());
+        fs::create_dir_all(folder).map_err(fault)?;
+        let (source, library) = (folder.join("faults.c"), folder.join("libfaults.so"));
+        if !library.exists() {
+            fs::write(&source, SOURCE).map_err(fault)?;
+            let mut compiler = Command::new("cc");
+            compiler.args(["-shared", "-fPIC", "-O1", "-o"]).arg(&library).arg(&source).arg("-ldl");
+            let output = compiler.output().map_err(|error| NoLibrary(format!("cc: {error}")))?;
+            if !output.status.success() {
+                return Err(NoLibrary(String::from_utf8_lossy(&output.stderr).into_owned()));
+            }
+        }
+        let slots = folder.join(format!("{name}.faults"));
+        fs::write(&slots, [0; SLOTS * 8]).map_err(fault)?;
+        let file = File::options().write(true).open(&slots).map_err(fault)?;
+        Ok(Self { library, slots, file })
+    }
+
+    /// What the process is to be started with.
+    pub fn environment(&self) -> Vec<(String, String)> {
+        let shown = |path: &Path| path.display().to_string();
+        vec![("LD_PRELOAD".into(), shown(&self.library)), ("WOADHOOK_FAULTS".into(), shown(&self.slots))]
+    }
+
+    /// From now on each so many-th such call fails with this error; with 0, none.
+    pub fn fail(&self, call: SystemCall, every: u32, error: rustix::io::Errno) {
+        self.set(2 * call as usize + 1, error.raw_os_error().into());
+        self.set(2 * call as usize, every.into());
+    }
+
+    /// From now on no read or write passes on more than so many bytes; with 0, as many as there are.
+    pub fn shorten(&self, most: u32) {
+        self.set(SHORTEST, most.into());
+    }
+
+    /// The wall clock of the process shows so much more, or less, from now on.
+    pub fn step_clock(&self, step: Duration, back: bool) {
+        let micros = i64::try_from(step.as_micros()).expect("less than an age");
+        self.set(STEP, if back { -micros } else { micros });
+    }
+
+    /// No fault from now on.
+    pub fn clear(&self) {
+        self.file.write_all_at(&[0; SLOTS * 8], 0).expect("the file of faults");
+    }
+
+    fn set(&self, slot: usize, value: i64) {
+        self.file.write_all_at(&value.to_ne_bytes(), slot as u64 * 8).expect("the file of faults");
+    }
+}
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -14,6 +14,7 @@
 
 use crate::LONG;
 use crate::clients::Client;
+use crate::preload::Preload;
 
 /// What the processes of stories log.
 const STORY_LEVEL: &str = "info,woadhook_router=debug";
@@ -26,6 +27,8 @@
     config: PathBuf,
     log: PathBuf,
     level: String,
+    /// Beside what every process of stories is told.
+    environment: Vec<(String, String)>,
     pub name: String,
     pub address: SocketAddr,
     child: Option<Child>,
@@ -45,6 +48,18 @@
     /// One that logs at such a level, as measurements want no line for each job.
     pub fn logging(
         level: &str, program: &str, arguments: &[String], folder: &Path, name: &str, told: &str,
+    ) -> Self {
+        Self::within(Vec::new(), level, program, arguments, folder, name, told)
+    }
+
+    /// One with faults of its system calls and its wall clock.
+    pub fn preloaded(preload: &Preload, program: &str, folder: &Path, name: &str, told: &str) -> Self {
+        Self::within(preload.environment(), STORY_LEVEL, program, &[], folder, name, told)
+    }
+
+    fn within(
+        environment: Vec<(String, String)>, level: &str, program: &str, arguments: &[String], folder: &Path,
+        name: &str, told: &str,
     ) -> Self {
         fs::create_dir_all(folder).expect("a folder");
         let address = free_address();
@@ -55,7 +70,8 @@
         let log = folder.join(format!("{name}.log"));
         let (program, arguments) = (program.into(), arguments.to_vec());
         let (level, name) = (level.to_owned(), name.to_owned());
-        let mut process = Self { program, arguments, config, log, level, name, address, child: None };
+        let child = None;
+        let mut process = Self { program, arguments, config, log, level, environment, name, address, child };
         process.again();
         process
     }
@@ -67,7 +83,7 @@
         let mut command = Command::new(&self.program);
         command.env("LB_CONFIG", &self.config).env_remove("LB_LISTEN").env_remove("RUST_LOG");
         command.env("RUST_LOG", &self.level).args(["--log-format", "json"]);
-        command.args(&self.arguments);
+        command.args(&self.arguments).envs(self.environment.iter().map(|(name, value)| (name, value)));
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         self.child = Some(child.expect("the program starts"));
     }
