A request's time counts from when its bytes may have come; signals are taken first

Weighed: kernel timestamps (wall clock, not on this path); the last turn in which the socket was empty, kept alive while a reader waits by a tick each 25 ms of the one thread: chosen, as it needs nothing of the kernel. Change: arrivals.rs; what may have come more than 0.1 s before it was read counts from then, also over the accept queue. Cost: 40 wake-ups a second at rest (not measured by itself yet).

--- /dev/null
+++ b/crates/router/src/arrivals.rs
@@ -0,0 +1,95 @@
+//! When bytes that are read may have come at the earliest. Clients count their time from when they sent a request; what it
+//! stood in the kernel meanwhile, as this thread was busy, or stopped, or did not read, is off that time.
+
+use std::cell::Cell;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use futures_lite::future;
+use woadhook::{Moment, Span};
+
+use crate::clock::{Clock, pass};
+use crate::tasks::Tasks;
+
+/// How often this thread notes that it hears of its sockets.
+const TICK: Span = Span::from_micros(25_000);
+/// Bytes that may have come so long before they were read count as come just then.
+const TOLERANCE: Span = Span::from_micros(100_000);
+
+/// Moments at which this thread came round. Between two of them it was told of all its sockets at least once, so a reader that
+/// waits, and reads after the third, reads what came behind the first.
+#[derive(Clone, Default)]
+pub struct Rounds(Rc<[Cell<Moment>; 3]>);
+
+impl Rounds {
+    pub fn start(clock: Clock, tasks: Tasks) -> Self {
+        let rounds = Self::default();
+        let noted = rounds.clone();
+        tasks.start(async move {
+            loop {
+                noted.note(clock.now());
+                pass(TICK).await;
+            }
+        });
+        rounds
+    }
+
+    fn note(&self, now: Moment) {
+        let [first, second, third] = &*self.0;
+        first.set(second.replace(third.replace(now)));
+    }
+
+    /// What a waiting reader reads now came behind this.
+    fn first(&self) -> Moment {
+        self.0[0].get()
+    }
+}
+
+/// The earliest at which what is taken from one socket may have come.
+pub struct Arrivals {
+    clock: Clock,
+    rounds: Rounds,
+    /// When nothing stood there last.
+    empty: Cell<Moment>,
+    /// The earliest for what was taken last.
+    came: Cell<Moment>,
+}
+
+impl Arrivals {
+    /// For a socket with which nothing had come yet at such a moment.
+    pub fn since(empty: Moment, clock: Clock, rounds: Rounds) -> Self {
+        Self { clock, rounds, empty: Cell::new(empty), came: Cell::new(empty) }
+    }
+
+    /// Takes from the socket: `take` is pending while nothing stands there.
+    pub async fn taking<T>(&self, take: impl Future<Output = T>) -> T {
+        let mut take = std::pin::pin!(take);
+        let waited = Cell::new(false);
+        let taken = future::poll_fn(|context| {
+            let take: Pin<&mut _> = take.as_mut();
+            let polled = take.poll(context);
+            if polled.is_pending() {
+                self.empty.set(self.clock.now());
+                waited.set(true);
+            }
+            polled
+        });
+        let taken = taken.await;
+        let empty = self.empty.get();
+        self.came.set(if waited.get() { empty.max(self.rounds.first()) } else { empty });
+        taken
+    }
+
+    /// The earliest at which what was taken last may have come.
+    pub fn came(&self) -> Moment {
+        self.came.get()
+    }
+
+    /// From when on a request counts whose last bytes were taken last. Threat: a deadline that is passed on longer than the client
+    /// waits. It also catches a process that stood, an accept queue and a client that was not read. It may hurt where
+    /// the bytes came late in a span in which the thread was busy: the request gets less time than it has.
+    pub fn counts_from(&self) -> Moment {
+        let (now, came) = (self.clock.now(), self.came.get());
+        if now.since(came) <= TOLERANCE { now } else { came }
+    }
+}
--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -153,21 +153,21 @@
 }
 
 fn run(Run { file }: Run, format: Option<Format>) -> bool {
+    // Before all that may take time. Threat: an order of the operators that comes sooner ends the process.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string());
     let sheet = read_operator(file.as_deref());
     let section = sheet.as_ref().ok().and_then(|sheet| sheet.section("log"));
     let told = section.filter(|section| section.text("format") == "json").map(|_| Format::Json);
     let level = section.map_or("info", |section| section.text("level"));
     logs::start(format.or(told).unwrap_or(Format::Text), level);
-    let ended = sheet.and_then(|sheet| route(&sheet, file));
+    let ended = sheet.and_then(|sheet| route(&sheet, file, signals?));
     if let Err(fault) = &ended {
         fault.lines().for_each(|line| log::error!("{line}"));
     }
     ended.is_ok()
 }
 
-fn route(sheet: &Sheet, file: Option<PathBuf>) -> Result<(), String> {
-    let signals =
-        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string())?;
+fn route(sheet: &Sheet, file: Option<PathBuf>, signals: Signals) -> Result<(), String> {
     let (reread, rekeyed) = async_channel::bounded(1);
     let orders = signals.filter_map(move |signal| match signal.ok()? {
         Signal::Hup => {
--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -14,6 +14,7 @@
 use woadhook_pace::rate::{Least, Watch};
 use woadhook_pace::turns::Turn;
 
+use crate::arrivals::{Arrivals, Rounds};
 use crate::clock::{Clock, pass};
 use crate::exchange::{Answer, Event, MALFORMED, Reply, Statement, Wanted};
 use crate::frontends::rpc::codec::{self, Malformed, Scan};
@@ -66,6 +67,7 @@
     pub takes: Least,
     /// Bytes that a connection may read or write before the others' turn.
     pub turn: usize,
+    pub rounds: Rounds,
 }
 
 /// A place among the open requests of a connection, and one of the answers that the router owes; kept until
@@ -107,8 +109,9 @@
     }
 }
 
-/// Serves one connection until either side ends it or its place is needed, then withdraws its jobs.
-pub async fn serve(link: Rc<Link>, client: u64, stay: Stay, hall: Hall) {
+/// Serves one connection, which came after such a moment, until either side ends it or its place is needed, then withdraws its
+/// jobs.
+pub async fn serve(link: Rc<Link>, client: u64, stay: Stay, came: Moment, hall: Hall) {
     let gone = Rc::new(Cell::new(false));
     let leave = Leave { client, gone: gone.clone(), module: hall.module.clone(), tasks: hall.tasks };
     let (outbox, answers) = async_channel::bounded(OPEN + ASIDE);
@@ -127,6 +130,7 @@
         outbox,
         peer: own,
         last: Cell::new(0),
+        arrivals: Arrivals::since(came, clock, hall.rounds.clone()),
         credit: Cell::new((BURST, clock.now())),
         asked,
         gone,
@@ -224,6 +228,7 @@
     peer: Rc<Client>,
     /// The number of the last request: they rise, so that no two answers can be mistaken.
     last: Cell<u32>,
+    arrivals: Arrivals,
     /// How many answers of the door are left at once, and since when that holds.
     credit: Cell<(f64, Moment)>,
     asked: Asked,
@@ -330,7 +335,8 @@
                 return Err(io::ErrorKind::TimedOut.into());
             }
             let left = if left == Span::ZERO { IDLE } else { left };
-            if let Some(count) = within(left, read(&link.stream, buffer)).await {
+            let taken = self.arrivals.taking(read(&link.stream, buffer));
+            if let Some(count) = within(left, taken).await {
                 return count;
             }
         }
@@ -347,7 +353,7 @@
 
     /// Takes in one whole message, and returns how many it answered by itself.
     async fn take(&self, mut message: &[u8]) -> codec::Result<usize> {
-        let (arrived, message) = (self.hall.clock.now(), &mut message);
+        let (arrived, message) = (self.arrivals.counts_from(), &mut message);
         let parts = codec::array(message)?;
         match (codec::number(message)?, parts) {
             (codec::REQUEST, 4) => {
--- a/crates/router/src/frontends/rpc/listen.rs
+++ b/crates/router/src/frontends/rpc/listen.rs
@@ -1,5 +1,7 @@
 //! Takes in the connections of clients, as many as their part of the descriptors allows.
 
+use std::cell::Cell;
+use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,19 +11,41 @@
 use futures_lite::future::yield_now;
 use woadhook::Span;
 
+use crate::arrivals::Arrivals;
 use crate::clock::{Clock, pass};
 use crate::frontends::rpc::connections::Connections;
 use crate::frontends::rpc::front::{self, Hall};
-use crate::sockets::{Link, within};
+use crate::sockets::{Link, is_readable, within};
 
 /// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
 const PAUSE: Span = Span::from_micros(20_000);
 
+/// What came to be taken in and was not yet.
+#[derive(Clone)]
+pub struct Intake {
+    listener: Rc<Async<TcpListener>>,
+    /// Whether a connection that was accepted waits for a place.
+    holds_one: Rc<Cell<bool>>,
+}
+
+impl Intake {
+    pub fn new(listener: TcpListener) -> io::Result<Self> {
+        Ok(Self { listener: Rc::new(Async::new(listener)?), holds_one: Rc::default() })
+    }
+
+    /// Whether nothing waits: a client may have written a request to a connection that was not accepted yet.
+    pub fn is_empty(&self) -> bool {
+        !self.holds_one.get() && !is_readable(self.listener.get_ref())
+    }
+}
+
 pub async fn accept(
-    listener: Async<TcpListener>, part: Arc<Semaphore>, clock: Clock, connections: Connections, hall: Hall,
+    intake: Intake, part: Arc<Semaphore>, clock: Clock, connections: Connections, hall: Hall,
 ) {
+    let listener = &intake.listener;
+    let arrivals = Arrivals::since(clock.now(), clock, hall.rounds.clone());
     for client in 0.. {
-        let stream = match listener.accept().await {
+        let stream = match arrivals.taking(listener.accept()).await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("accept: {error}");
@@ -29,15 +53,20 @@
                 continue;
             }
         };
-        let mut permit = part.try_acquire_arc();
-        while permit.is_none() {
+        intake.holds_one.set(true);
+        let permit = loop {
+            if let Some(permit) = part.try_acquire_arc() {
+                break permit;
+            }
             connections.send_off_one(clock.now());
-            permit = within(PAUSE, part.acquire_arc()).await;
-        }
-        let Some(permit) = permit else { continue };
+            if let Some(permit) = within(PAUSE, part.acquire_arc()).await {
+                break permit;
+            }
+        };
         let link = Rc::new(Link::accepted(stream, permit));
         let stay = connections.enter(client, &link, clock.now());
-        hall.tasks.start(front::serve(link, client, stay, hall.clone()));
+        intake.holds_one.set(false);
+        hall.tasks.start(front::serve(link, client, stay, arrivals.came(), hall.clone()));
         // Those taken in before are heard first.
         yield_now().await;
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,7 @@
 //! `discovery` follows the engines, `gossip` talks with other routers where the operator file says so, `sockets` and `memory` own
 //! what is scarce, `stop` heeds what the operators order. What these say to each other stands in `exchange`, below them all.
 
+mod arrivals;
 mod backends;
 pub mod clock;
 pub mod config;
@@ -30,7 +31,6 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 
-use async_io::Async;
 use futures_lite::Stream;
 use woadhook::Span;
 use woadhook_door::fields::*;
@@ -39,13 +39,14 @@
 
 pub use crate::frontends::rpc::codec;
 
+use crate::arrivals::Rounds;
 use crate::backends::sql::engine::Ground;
 use crate::clock::Clock;
 use crate::decide::Desk;
 use crate::discovery::poll;
 use crate::frontends::rpc::connections::Connections;
 use crate::frontends::rpc::front::Hall;
-use crate::frontends::rpc::listen;
+use crate::frontends::rpc::listen::{self, Intake};
 use crate::frontends::rpc::request::Range;
 use crate::gossip::Talk;
 use crate::memory::Room;
@@ -116,7 +117,7 @@
     let (stop, told_to_stop) = async_channel::bounded(1);
     tasks.start(stop::heed(orders, moves, stop, notes));
 
-    let listener = Async::new(listener).map_err(|error| error.to_string())?;
+    let intake = Intake::new(listener).map_err(|error| error.to_string())?;
     let owing = Rc::new(Cell::new(0));
     let hall = Hall {
         clock,
@@ -130,13 +131,14 @@
         sends: least("client_sends_bytes_per_s", "client_grace_ms"),
         takes: least("client_takes_bytes_per_s", "client_grace_ms"),
         turn: pace.whole("turn_bytes") as usize,
+        rounds: Rounds::start(clock, tasks),
     };
     let connections = Connections::default();
-    tasks.start(listen::accept(listener, descriptors.clients, clock, connections.clone(), hall));
+    tasks.start(listen::accept(intake.clone(), descriptors.clients, clock, connections.clone(), hall));
     log::info!("serving on {}", given.listen);
     if told_to_stop.recv().await.is_err() {
         std::future::pending().await
     }
-    stop::wait(clock, longest, &owing, &connections, urgent).await;
+    stop::wait(clock, longest, &owing, &connections, &intake, urgent).await;
     Ok(())
 }
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::os::fd::AsFd;
 use std::sync::Arc;
 
 use async_io::Async;
@@ -123,6 +124,13 @@
     }
 }
 
+/// Whether a socket has something to take at once.
+pub fn is_readable(socket: impl AsFd) -> bool {
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    let mut looked = [PollFd::new(&socket, PollFlags::IN)];
+    retry_on_intr(|| poll(&mut looked, Some(&at_once))).is_ok_and(|count| count > 0)
+}
+
 /// The outcome of `work`, or nothing once the span has passed.
 pub async fn within<T>(span: Span, work: impl Future<Output = T>) -> Option<T> {
     let done = async { Some(work.await) };
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -13,6 +13,7 @@
 use crate::discovery::poll::Move;
 use crate::exchange::{Event, Note, Notes};
 use crate::frontends::rpc::connections::Connections;
+use crate::frontends::rpc::listen::Intake;
 use crate::keyfiles::Keys;
 
 /// Requests may come for so long after SIGTERM.
@@ -62,7 +63,8 @@
 /// From the word to stop until the process may end. Clients may rest on their connections until they are told of the end,
 /// or ask on and on: each connection goes once nothing is owed to it, and none holds up the end beyond its time.
 pub async fn wait(
-    clock: Clock, longest: Span, owing: &Cell<usize>, connections: &Connections, module: Sender<Event>,
+    clock: Clock, longest: Span, owing: &Cell<usize>, connections: &Connections, intake: &Intake,
+    module: Sender<Event>,
 ) {
     let told = clock.now();
     let by = told + longest.min(LONGEST) + STILL_COMING.less(LAST_WORDS);
@@ -71,7 +73,7 @@
     clock.until(told + STILL_COMING + LAST_WORDS).await;
     connections.end();
     let all_gone = async {
-        while owing.get() > 0 || !connections.is_empty() {
+        while owing.get() > 0 || !connections.is_empty() || !intake.is_empty() {
             pass(LOOK).await;
         }
     };
