A request that was taken is answered whatever its client sends behind it

Change: behind such an end nothing is read further, and the open answers are awaited and written before the connection goes, as long as the client is there. A number that is not new still ends it at once, as its answers can't be told apart; so does a close. It may hold a descriptor until those answers.

--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -144,6 +144,9 @@
         let end = reader.read(&link).await.err().unwrap_or(End::Left);
         let event = if matches!(end, End::TooSlow(_)) { "client_too_slow" } else { "client_ended" };
         log::debug!(event, client, why:? = end; "client {client}: {end}");
+        if end.leaves_answers_owed() {
+            reader.answered(&link).await;
+        }
         drop(leave);
         reader.outbox.close();
         future::pending().await
@@ -194,6 +197,15 @@
     Idle,
 }
 
+impl End {
+    /// Whether the client may still read answers to what it asked before, and tell them apart. Threat: a request that was taken
+    /// and is not answered, as what came behind it made no sense, or never came whole. It may hold a descriptor until
+    /// these are answered.
+    fn leaves_answers_owed(&self) -> bool {
+        matches!(self, Self::Malformed | Self::TooLong | Self::TooSlow(_) | Self::NoRoom)
+    }
+}
+
 impl From<Malformed> for End {
     fn from(_: Malformed) -> Self {
         Self::Malformed
@@ -284,6 +296,13 @@
 }
 
 impl Reader {
+    /// Waits until all that was asked for is answered, or the client is gone.
+    async fn answered(&self, link: &Link) {
+        while self.peer.open.get() > 0 && !link.is_left() {
+            pass(GLANCE).await;
+        }
+    }
+
     async fn read(&self, link: &Link) -> Result<(), End> {
         let (mut buffer, mut filled) = (vec![0; READ_BYTES], 0);
         let mut room: Option<Held> = None;
