--- a/crates/router/src/discovery/calls.rs
+++ b/crates/router/src/discovery/calls.rs
@@ -36,11 +36,11 @@
     }
 
     /// When one more call is due, where any is out. Threat: a connection that went silent under a notice to drain, or that does
-    /// not come up; so one more is due a span after the youngest. Where several were asked and none was answered, it is
-    /// discovery that is crowded, and each further call would crowd it more: the span doubles with each.
-    pub fn due(&self, span: Span) -> Option<Moment> {
+    /// not come up; so one more is due a span after the youngest. Where more than `at_pace` were asked and none was
+    /// answered, it is discovery that is crowded, and each further call would crowd it more: the span doubles with each.
+    pub fn due(&self, span: Span, at_pace: usize) -> Option<Moment> {
         let asked = self.out.iter().filter(|out| out.asked.get()).count();
-        let spans = f64::from(1 << asked.saturating_sub(1));
+        let spans = f64::from(1 << asked.saturating_sub(at_pace));
         self.out.last().map(|youngest| youngest.began + span.times(spans))
     }
 
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -27,6 +27,8 @@
 const PATIENCE_PART: f64 = 0.25;
 /// A call is overdue after so many times the patience that it asks for, and another one goes out.
 const OVERDUE: f64 = 1.5;
+/// Calls that go out at that pace, though none is answered: two in a row may have met a discovery that stood.
+const CALLS_AT_PACE: usize = 3;
 /// Part of the patience between a call that failed and the next.
 const PAUSE_PART: f64 = 0.25;
 /// No call lives longer, connect and all.
@@ -131,7 +133,9 @@
 
     /// When the next call goes out.
     fn due(&self) -> Moment {
-        let overdue = self.calls.due(self.patience.times(OVERDUE));
+        // A router that knows of no engine yet can break no rule there, and each answer to it is the whole list.
+        let at_pace = if self.last == 0 { 1 } else { CALLS_AT_PACE };
+        let overdue = self.calls.due(self.patience.times(OVERDUE), at_pace);
         match (self.retry, overdue) {
             (Some(retry), Some(overdue)) => retry.min(overdue),
             (retry, overdue) => retry.or(overdue).unwrap_or_default(),
--- a/crates/standins/src/bulletin.rs
+++ b/crates/standins/src/bulletin.rs
@@ -53,8 +53,9 @@
 
 /// A number that a call asks with.
 pub fn asked(call: &Call, name: &str) -> u64 {
-    let (_, rest) = call.line.split_once(&format!("{name}=")).unwrap();
-    rest.split(['&', ' ']).next().unwrap().parse().unwrap()
+    let asked = call.line.split_once(&format!("{name}=")).map(|(_, rest)| rest.split(['&', ' ']).next());
+    let number = asked.flatten().and_then(|number| number.parse().ok());
+    number.unwrap_or_else(|| panic!("no {name} in a call to discovery: {call:?}"))
 }
 
 pub fn member(id: &str, at: SocketAddr, phase: &str) -> Value {
--- a/crates/standins/src/fleet/overlap.rs
+++ b/crates/standins/src/fleet/overlap.rs
@@ -1,6 +1,6 @@
 //! Lets the troubles of a plan happen, any number of them at once.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -36,34 +36,37 @@
         }
         edges.sort_by_key(|(at, ..)| *at);
         let (start, mut left_out) = (Instant::now(), BTreeSet::new());
-        // Troubles that go on, with the router that is down or about to be, as only one of these goes on at a router.
-        let (mut going_on, mut busy) = (BTreeSet::new(), BTreeSet::new());
+        // Troubles that go on, each with the routers whose processes it has: no other one stops, kills or ends these.
+        let (mut going_on, mut busy): (BTreeMap<usize, Vec<usize>>, BTreeSet<usize>) = Default::default();
         for (at, edge, place) in edges {
             let due = start + Duration::from_millis(at);
             thread::sleep(due.saturating_duration_since(Instant::now()));
             let trouble = &plan.troubles[place].trouble;
-            let taken = process_of(trouble);
             match edge {
                 Edge::Begins => {
-                    if taken.is_some_and(|router| busy.contains(&router)) || !self.begin(trouble) {
+                    let wanted = processes_of(trouble);
+                    let free: Vec<usize> =
+                        wanted.iter().copied().filter(|router| !busy.contains(router)).collect();
+                    if free.is_empty() != wanted.is_empty() || !self.begin(trouble, &free) {
                         left_out.insert(trouble.kind());
                         continue;
                     }
-                    going_on.insert(place);
-                    busy.extend(taken);
+                    busy.extend(&free);
+                    going_on.insert(place, free);
                 }
-                Edge::Ends if going_on.remove(&place) => {
-                    self.end(trouble);
-                    taken.iter().for_each(|router| _ = busy.remove(router));
+                Edge::Ends => {
+                    if let Some(free) = going_on.remove(&place) {
+                        self.end(trouble, &free);
+                        free.iter().for_each(|router| _ = busy.remove(router));
+                    }
                 }
-                Edge::Ends => {}
             }
         }
         left_out
     }
 
     /// Whether it could begin.
-    fn begin(&mut self, trouble: &Trouble) -> bool {
+    fn begin(&mut self, trouble: &Trouble, processes: &[usize]) -> bool {
         match trouble {
             Trouble::Stand { router, .. } => {
                 self.seen.lock().unwrap().stood.push(*router);
@@ -94,6 +97,14 @@
                 let Some(preload) = self.preloads.get(router) else { return false };
                 preload.step_clock(Duration::from_millis(step.unsigned_abs()), *step < 0);
             }
+            Trouble::Herd { step, .. } => {
+                for router in processes {
+                    if let Some(preload) = self.preloads.get(router) {
+                        preload.step_clock(Duration::from_millis(step.unsigned_abs()), *step < 0);
+                    }
+                    self.down(*router);
+                }
+            }
             Trouble::Cut { router, engine, .. } => {
                 self.seen.lock().unwrap().ways_cut = true;
                 let (one, other) = (Side::party(&format!("n{router}")), Side::party(&format!("s-{engine}")));
@@ -116,10 +127,14 @@
         true
     }
 
-    fn end(&mut self, trouble: &Trouble) {
+    fn end(&mut self, trouble: &Trouble, processes: &[usize]) {
         match trouble {
             Trouble::Stand { router, .. } => self.routers[*router].signal(Signal::CONT),
             Trouble::Kill { router, .. } => self.start_anew(*router),
+            Trouble::Herd { .. } => {
+                processes.iter().for_each(|router| self.again(*router));
+                thread::sleep(LOADED);
+            }
             Trouble::Restart { router } => {
                 let status = self.routers[*router].ends();
                 assert!(status.success(), "{} ended with {status}", self.routers[*router].name);
@@ -156,12 +171,13 @@
     }
 }
 
-/// The router whose process is stopped, killed or ended by it, or is signalled.
-fn process_of(trouble: &Trouble) -> Option<usize> {
+/// The routers whose processes are stopped, killed or ended by it.
+fn processes_of(trouble: &Trouble) -> Vec<usize> {
     match trouble {
         Trouble::Stand { router, .. } | Trouble::Kill { router, .. } | Trouble::Restart { router } => {
-            Some(*router)
+            vec![*router]
         }
-        _ => None,
+        Trouble::Herd { routers, .. } => routers.clone(),
+        _ => Vec::new(),
     }
 }
--- a/crates/standins/src/troubles.rs
+++ b/crates/standins/src/troubles.rs
@@ -11,6 +11,8 @@
 const STEPS: [i64; 4] = [3_600_000, -3_600_000, 1_300, -1_300];
 /// Groups of troubles begin so far apart, in milliseconds.
 const GROUPS_APART: u64 = 1_600;
+/// Discovery answers so late at the most, in milliseconds: half of the grace of the rig's fleets.
+const MOST_LATE: u64 = 1_900;
 /// Troubles of a group begin within this, in milliseconds.
 const WITHIN_GROUP: u64 = 300;
 
@@ -112,6 +114,12 @@
         step: i64,
         span: u64,
     },
+    /// Routers are killed at once, and started again by a wall clock that shows another time.
+    Herd {
+        routers: Vec<usize>,
+        step: i64,
+        span: u64,
+    },
     /// Nothing goes between a router and an engine.
     Cut {
         router: usize,
@@ -140,6 +148,7 @@
             | Self::Calls { span, .. }
             | Self::Short { span, .. }
             | Self::Clock { span, .. }
+            | Self::Herd { span, .. }
             | Self::Cut { span, .. } => *span,
             Self::Restart { .. } => RESTART,
             _ => 0,
@@ -183,7 +192,13 @@
             for _ in 0..chance.random_range(2..=3) {
                 let at = start + chance.random_range(0..WITHIN_GROUP);
                 let router = at_hand[chance.random_range(0..at_hand.len())];
-                troubles.push(Timed { at, trouble: draw_one(&mut chance, router, engines) });
+                let trouble = draw_one(&mut chance, router, routers, engines);
+                // What hides or misjudges a change of the list meets one.
+                if matches!(trouble, Trouble::Discovery { .. } | Trouble::Herd { .. }) {
+                    let replace = Trouble::Replace { engines: vec![chance.random_range(0..engines)] };
+                    troubles.push(Timed { at: at + chance.random_range(0..WITHIN_GROUP), trouble: replace });
+                }
+                troubles.push(Timed { at, trouble });
             }
             start += GROUPS_APART;
         }
@@ -205,18 +220,20 @@
     }
 }
 
-fn draw_one(chance: &mut Pcg32, router: usize, engines: usize) -> Trouble {
+fn draw_one(chance: &mut Pcg32, router: usize, routers: usize, engines: usize) -> Trouble {
     let (engine, span) = (chance.random_range(0..engines), chance.random_range(300..1_500));
-    match chance.random_range(0..15) {
+    match chance.random_range(0..16) {
         0 => Trouble::Stand { router, span },
         1 => Trouble::Kill { router, span: span / 4 },
         2 => Trouble::Restart { router },
         3 => Trouble::Reload { router, times: chance.random_range(2..12) },
         4 => Trouble::Move,
         5 => {
-            let late = DiscoveryMode::Late(chance.random_range(100..1_200));
+            let late = DiscoveryMode::Late(chance.random_range(100..MOST_LATE));
             let modes = [late, DiscoveryMode::Silent, DiscoveryMode::Cuts];
-            Trouble::Discovery { mode: modes[chance.random_range(0..modes.len())], span }
+            let mode = modes[chance.random_range(0..modes.len())];
+            let span = if mode == late { span * 6 } else { span };
+            Trouble::Discovery { mode, span }
         }
         6 | 7 => {
             let modes = [EngineMode::Fails, EngineMode::Hangs, EngineMode::Cuts, EngineMode::Garbles];
@@ -235,6 +252,12 @@
         }
         11 => Trouble::Short { router, most: chance.random_range(1..40), span },
         12 => Trouble::Clock { router, step: STEPS[chance.random_range(0..STEPS.len())], span: span * 4 },
+        14 => {
+            let mut routers: Vec<usize> = (0..routers).collect();
+            routers.shuffle(chance);
+            routers.truncate(routers.len() * 3 / 4);
+            Trouble::Herd { routers, step: STEPS[chance.random_range(0..STEPS.len())], span: span / 4 }
+        }
         13 if chance.random() => Trouble::Cut { router, engine, span },
         13 => Trouble::Reset { router },
         _ => {
