--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! two types for points and spans of time. A host tells a [`Router`] what happens and then pulls decisions
 //! until there is none; the crate itself opens no socket and reads no clock.
 
+mod estimates;
 pub mod interface;
 pub mod logic;
 mod records;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,15 +20,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
+use crate::estimates::{Estimates, MEMORY};
 use crate::interface::*;
-use crate::records::{Bounds, Dispatch, Engine, Job, Mean, Report, Sent, Turns, first_work, sla_of, t_run};
+use crate::records::{Bounds, Dispatch, Engine, Job, Mean, Report, Sent, Turns, sla_of, t_run};
 use crate::slow_start::SlowStart;
 use crate::time::{Moment, Span};
 
-/// Samples that a mean remembers.
-const MEMORY: f64 = 128.0;
-/// By how much a sample moves a running median.
-const MEDIAN_STEP: f64 = 1.03;
 /// Part of the SLA time that a good dispatch may take; the rest is for waiting here.
 const GOOD_PART: f64 = 0.75;
 /// Good answers that make up for a bad one.
@@ -54,13 +51,8 @@
 const PRIORITY_STEPS: [f64; 3] = [0.25, 0.5, 0.75];
 /// Part of the billed value for which a late answer is worth waiting.
 const WORTH_LATE: f64 = 0.25;
-/// By how much a dispatch short of memory raises the next grants: the first one, and at least.
-const GRANT_STEPS: [f64; 2] = [0.3, 0.04];
-const SHORT_SHARE: f64 = 0.1;
 /// Good answers and errors that the share of errors of a type at an engine remembers.
 const ERRORS_KEPT: f64 = 8.0;
-/// How much more a dispatch that waited for memory lowers the next grants than one that did not.
-const WAIT_WEIGHT: f64 = 3.0;
 /// Added to the part of the SLA time that is left: bounds how far a pressing job gets ahead.
 const PRESSING: f64 = 0.25;
 /// Note periods for which a word on a dispatch holds.
@@ -68,47 +60,6 @@
 /// How often the records of engines are emptied of what is past.
 const SWEEP: Span = Span::from_micros(100_000);
 
-/// What jobs cost, learned from estimates, answers and notes. Its tables hold a line for each type.
-struct Estimates {
-    /// Work of a job in seconds of one thread, by type; it starts from the SLA time on all threads.
-    work: Vec<Mean>,
-    all_work: Mean,
-    /// True work over told work.
-    work_bias: Vec<Mean>,
-    /// Grant over told memory that `SHORT_SHARE` of the dispatches find short, and how often it was learned.
-    memory_bias: Vec<(f64, f64)>,
-    /// Time of a dispatch over its work on its threads: about the median, which stalls don't move far.
-    stretch: Vec<f64>,
-    cold_stretch: Vec<Mean>,
-    warm_ratio: Mean,
-}
-
-impl Estimates {
-    fn new(types: &[ReservationType]) -> Self {
-        let each = |value, samples| vec![Mean::new(value, samples); types.len()];
-        Self {
-            work: types.iter().map(|t| Mean::new(first_work(t), 4.0)).collect(),
-            all_work: Mean::new(0.0, 0.0),
-            work_bias: each(1.0, 4.0),
-            memory_bias: vec![(1.25, 0.0); types.len()],
-            stretch: vec![1.0; types.len()],
-            cold_stretch: each(1.0, 0.0),
-            warm_ratio: Mean::new(0.5, 16.0),
-        }
-    }
-
-    /// Learns from a dispatch that needed so many times its told memory, if short, or else was not short. The
-    /// first steps are large: a router with few jobs would spill for a minute.
-    fn grant_judged(&mut self, kind: TypeId, needed: Option<f64>, waited: bool) {
-        let down = -SHORT_SHARE * if waited { WAIT_WEIGHT } else { 1.0 };
-        let (bias, samples) = &mut self.memory_bias[kind.0];
-        *samples += 1.0;
-        let step = 1.0 + (GRANT_STEPS[0] / *samples).max(GRANT_STEPS[1]);
-        *bias = needed.map_or(*bias * step.powf(down), |n| (*bias * step).min(n.max(*bias)));
-        *bias = bias.clamp(0.25, 8.0);
-    }
-}
-
 /// The decisions of one router.
 pub struct Router {
     chance: Pcg32,
@@ -236,32 +187,14 @@
         let Some(dispatch) = record.dispatches.get_mut(number) else { return };
         dispatch.outcome = Some(outcome);
         record.over |= over;
+        let (record, dispatch) = (&*record, &record.dispatches[number]);
         let t = &self.types[record.kind.0];
         if let (Some(key), true) = (record.key, outcome.may_still_run()) {
             let turns = self.keys.entry(key).or_default();
             turns.rest_until = turns.rest_until.max(now + self.further.turn_gap);
         }
         if outcome == Outcome::Done {
-            let work = told.map_or(record.work, |(work, _)| work.secs());
-            if told.is_some() {
-                if let Some(guess) = record.told.filter(|guess| *guess > Span::ZERO) {
-                    self.estimates.work_bias[record.kind.0].add(work / guess.secs(), MEMORY);
-                }
-                self.estimates.work[record.kind.0].add(work, MEMORY);
-            }
-            if !dispatch.short && dispatch.grant > 0.0 {
-                let needed = told.map(|(_, memory)| memory).filter(|memory| *memory > dispatch.grant);
-                self.estimates.grant_judged(record.kind, needed.map(|m| m / record.memory), dispatch.waited);
-            }
-            let stretch = took.secs() * t.threads / work.max(1e-3);
-            let usual = &mut self.estimates.stretch[record.kind.0];
-            *usual *= if stretch > *usual { MEDIAN_STEP } else { 1.0 / MEDIAN_STEP };
-            let cold = &mut self.estimates.cold_stretch[record.kind.0];
-            if !dispatch.warm {
-                cold.add(stretch, MEMORY);
-            } else if cold.samples() > 8.0 {
-                self.estimates.warm_ratio.add((stretch / cold.value).min(2.0), MEMORY);
-            }
+            self.estimates.served(t, record, dispatch, told, took);
         }
         let good = outcome == Outcome::Done && took <= sla_of(t, record.work).times(GOOD_PART);
         let failed = matches!(outcome, Outcome::Reset | Outcome::NotConnected);
