--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -2,13 +2,16 @@
 
 use std::fs;
 use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
-use woadhook_standins::{Events, told};
+use woadhook_standins::clients::hear;
+use woadhook_standins::{Client, Events, LONG, Standin, pages, told};
 
 fn folder(story: &str) -> PathBuf {
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("program-{story}"));
@@ -290,3 +293,45 @@
     let _ = child.wait();
     assert!(serves, "it ended");
 }
+
+/// Threat: whoever reads the log stands, as a full disk or a stopped collector; the pipe fills. Lines may be lost, requests not.
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_request() {
+    const REQUESTS: u32 = 600;
+    let folder = folder("unread-log");
+    let engine = Standin::start(|call| pages(call, &["a\tb\tc\n"]));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    fs::write(folder.join("config.json"), told(&[engine.address], Events::default().serve().address, 64))
+        .unwrap();
+    let mut command = woadhook(&folder, &[]);
+    command.env("LB_CONFIG", folder.join("config.json")).env("LB_LISTEN", address.to_string());
+    let mut child = command.env("RUST_LOG", "debug").stderr(Stdio::piped()).spawn().unwrap();
+    let answered = asks_one_after_another(address, REQUESTS);
+    let _ = child.kill();
+    let _ = child.wait();
+    assert_eq!(answered, REQUESTS, "answered before the log was full, of {REQUESTS}");
+}
+
+/// How many of so many requests were answered, each within five seconds.
+fn asks_one_after_another(address: SocketAddr, requests: u32) -> u32 {
+    let by = Instant::now() + LONG;
+    let mut stream = loop {
+        match TcpStream::connect(address) {
+            Ok(stream) => break stream,
+            Err(_) => assert!(Instant::now() < by, "it does not serve"),
+        }
+    };
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    for number in 1..=requests {
+        let message =
+            Client::message(number, "look", &format!("{number:016x}"), 4_000, "select 1 from sales_1.x");
+        let answered =
+            std::io::Write::write_all(&mut stream, &message).and_then(|()| hear(&mut stream, number));
+        if answered.is_err() {
+            return number - 1;
+        }
+    }
+    requests
+}
--- a/crates/standins/src/troubles.rs
+++ b/crates/standins/src/troubles.rs
@@ -13,6 +13,8 @@
 const GROUPS_APART: u64 = 1_600;
 /// Discovery answers so late at the most, in milliseconds: half of the grace of the rig's fleets.
 const MOST_LATE: u64 = 1_900;
+/// And for so long, in milliseconds.
+const LONG_LATE: u64 = 9_000;
 /// Troubles of a group begin within this, in milliseconds.
 const WITHIN_GROUP: u64 = 300;
 
@@ -229,11 +231,15 @@
         3 => Trouble::Reload { router, times: chance.random_range(2..12) },
         4 => Trouble::Move,
         5 => {
-            let late = DiscoveryMode::Late(chance.random_range(100..MOST_LATE));
-            let modes = [late, DiscoveryMode::Silent, DiscoveryMode::Cuts];
-            let mode = modes[chance.random_range(0..modes.len())];
-            let span = if mode == late { span * 6 } else { span };
-            Trouble::Discovery { mode, span }
+            // Late for longer than the grace, so that a change can't be heard behind it.
+            match chance.random_range(0..4) {
+                0 => Trouble::Discovery { mode: DiscoveryMode::Silent, span },
+                1 => Trouble::Discovery { mode: DiscoveryMode::Cuts, span },
+                _ => {
+                    let late = chance.random_range(MOST_LATE / 3..MOST_LATE);
+                    Trouble::Discovery { mode: DiscoveryMode::Late(late), span: LONG_LATE }
+                }
+            }
         }
         6 | 7 => {
             let modes = [EngineMode::Fails, EngineMode::Hangs, EngineMode::Cuts, EngineMode::Garbles];
