The rig's check of deadlines knows of all ways that were held up

Cause: only some of the places that lay ways told the judge. Change: the relays tell it. The check stands as it is where nothing was held up.

--- a/crates/standins/src/relays.rs
+++ b/crates/standins/src/relays.rs
@@ -100,6 +100,8 @@
     places: BTreeMap<String, Place>,
     /// The latest that fits counts.
     laid: Vec<(Side, Side, Way)>,
+    /// Whether anything was ever laid.
+    held_up: bool,
     chance: Pcg32,
     passages: Vec<Passage>,
     /// Listener's and own connection's ports; each goes as its connection is taken in, a few a cut stay for good.
@@ -134,6 +136,7 @@
         let inner = Inner {
             places: BTreeMap::new(),
             laid: Vec::new(),
+            held_up: false,
             chance: Pcg32::seed_from_u64(seed),
             passages: Vec::new(),
             spent: BTreeSet::new(),
@@ -227,10 +230,18 @@
 
     /// What goes from one side to the other goes so from now on; all of it begins at once, and the last that fits counts.
     pub fn lay(&self, ways: impl IntoIterator<Item = (Side, Side, Way)>) {
-        self.shared.inner.lock().unwrap().laid.extend(ways);
+        let mut inner = self.shared.inner.lock().unwrap();
+        inner.laid.extend(ways);
+        inner.held_up = true;
+        drop(inner);
         self.shared.block_ways();
     }
 
+    /// Whether anything went otherwise than at the start at any time, so that bytes may have come later than they were sent.
+    pub fn held_anything_up(&self) -> bool {
+        self.shared.inner.lock().unwrap().held_up
+    }
+
     /// All goes as at the start.
     pub fn heal(&self) {
         self.shared.inner.lock().unwrap().laid.clear();
