--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -18,7 +18,7 @@
 
 use std::time::Duration;
 
-pub use bulletin::{Events, member};
+pub use bulletin::{Events, asked, member};
 pub use clients::Client;
 pub use engines::{Call, Gate, Says, Standin, pages, says};
 pub use routers::{Running, told};
