No request waits for the log or for a file: both have threads of their own

Symptom: with a full pipe on standard error, or a configuration that is a FIFO without a writer, no request was answered and SIGTERM was not heard. Cause: the thread that carries requests wrote log lines and read files itself, by calls that wait without bound. Change: lines go to a queue of 64 KiB (16 of them kept for warnings and errors) that a thread writes out; what does not fit is dropped and counted, told by one line and in the counters. Panics go the same way. Signals are heard while the program starts. The end waits 50 ms for the last lines. A crate's writer (tracing-appender) bounds lines by number, not bytes, and keeps no room for errors; standard error made non-blocking would change it for others.

--- a/crates/router/src/commands.rs
+++ b/crates/router/src/commands.rs
@@ -4,12 +4,9 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::thread;
+use std::time::Duration;
 
-use async_channel::Sender;
-use async_signal::{Signal, Signals};
 use clap::{Args, Parser, Subcommand};
-use futures_lite::StreamExt;
 use woadhook::Span;
 use woadhook_door::Instance;
 use woadhook_gossip::keys::{
@@ -17,14 +14,20 @@
 };
 use woadhook_operator::{Sheet, bounds, page};
 use woadhook_router::clock::Clock;
+use woadhook_router::file_reads::FileReads;
 use woadhook_router::gossip::Talk;
 use woadhook_router::keyfiles::Keys;
-use woadhook_router::stop::Order;
+use woadhook_router::signals::Heeded;
 use woadhook_router::tasks::Tasks;
 use woadhook_router::{config, keyfiles, serve};
 
 use crate::logs::{self, Format};
 
+/// How long the end waits for the last lines of the log. SIGKILL comes 0.1 s after the last answers are due.
+const LAST_LINES_WITHIN: Duration = Duration::from_millis(50);
+/// How long one that can't start waits for its log to say why.
+const FAULT_WITHIN: Duration = Duration::from_secs(1);
+
 /// A router for queries on a pool of sql engines. Without a command it runs one, as `LB_CONFIG` tells it.
 #[derive(Parser)]
 #[command(name = "woadhook", version)]
@@ -152,51 +155,55 @@
     Sheet::read(&program, file)
 }
 
+/// Runs a router until it was told to end and has ended.
 fn run(Run { file }: Run, format: Option<Format>) -> bool {
     // Before all that may take time. Threat: an order of the operators that comes sooner ends the process.
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|error| error.to_string());
-    let sheet = read_operator(file.as_deref());
-    let section = sheet.as_ref().ok().and_then(|sheet| sheet.section("log"));
+    let signals = Heeded::new();
+    let operator = file.clone();
+    let read = FileReads::new(move || read_operator(operator.as_deref()));
+    let sheet = signals.and_then(|mut signals| {
+        let sheet = async_io::block_on(signals.first(read))?;
+        Ok(sheet.map(|sheet| (sheet, signals)))
+    });
+    let section = sheet.as_ref().ok().and_then(|sheet| sheet.as_ref()?.0.section("log"));
     let told = section.filter(|section| section.text("format") == "json").map(|_| Format::Json);
     let level = section.map_or("info", |section| section.text("level"));
-    logs::start(format.or(told).unwrap_or(Format::Text), level);
-    let ended = sheet.and_then(|sheet| route(&sheet, file, signals?));
+    let log = logs::start(format.or(told).unwrap_or(Format::Text), level);
+    let ended = sheet.and_then(|sheet| match sheet {
+        Some((sheet, signals)) => route(sheet, file, signals),
+        None => Ok(()),
+    });
     if let Err(fault) = &ended {
         fault.lines().for_each(|line| log::error!("{line}"));
     }
+    let within = if ended.is_ok() { LAST_LINES_WITHIN } else { FAULT_WITHIN };
+    log.flush(within);
     ended.is_ok()
 }
 
-fn route(sheet: &Sheet, file: Option<PathBuf>, signals: Signals) -> Result<(), String> {
-    let (reread, rekeyed) = async_channel::bounded(1);
-    let orders = signals.filter_map(move |signal| match signal.ok()? {
-        Signal::Hup => {
-            // The evaluation waits for a process, which the router's one thread must not.
-            if let Some(file) = file.clone() {
-                let reread = reread.clone();
-                thread::spawn(move || read_again(&file, &reread));
-            }
-            Some(Order::Reload(config::read()))
-        }
-        _ => Some(Order::Stop),
-    });
-    let given = config::read()?;
-    let talk = sheet.section("gossip").zip(sheet.section("accord"));
-    let talk = talk.map(|(talk, accord)| Talk::open(talk, accord, Clock::start().now())).transpose()?;
+/// Starts the router from the files as they are read now. One that is told to end before that has nothing to end.
+fn route(sheet: Sheet, file: Option<PathBuf>, mut signals: Heeded) -> Result<(), String> {
+    let named = sheet.clone();
+    let read = FileReads::new(move || Ok((config::read()?, read_keys(&named)?)));
+    let Some((given, keys)) = async_io::block_on(signals.first(read))? else { return Ok(()) };
+    let sections = sheet.section("gossip").zip(sheet.section("accord")).zip(keys);
+    let talk = sections.map(|((talk, accord), keys)| Talk::open(talk, accord, keys)).transpose()?;
     let listener = TcpListener::bind(given.listen).map_err(|error| format!("{}: {error}", given.listen))?;
+    // Only keys, passes and revocations of the operator file count before the next start.
+    let rekeyed = file.filter(|_| talk.is_some()).map(|file| FileReads::new(move || read_keys_again(&file)));
+    let orders = signals.orders(FileReads::new(config::read), rekeyed);
     let tasks = Tasks::default();
-    let orders = orders.or(rekeyed.map(Order::Rekey));
-    async_io::block_on(tasks.run(serve(tasks, given, listener, orders, talk, sheet)))
+    async_io::block_on(tasks.run(serve(tasks, given, listener, orders, talk, &sheet)))
 }
 
-/// Only keys, passes and revocations count before the next start.
-fn read_again(file: &Path, reread: &Sender<Result<Box<Keys>, String>>) {
-    let keys = read_operator(Some(file)).and_then(|sheet| {
-        sheet.section("gossip").map(|section| Keys::read(section, Clock::start().now())).transpose()
-    });
-    if let Some(keys) = keys.transpose() {
-        let _ = reread.send_blocking(keys.map(Box::new));
-    }
+/// The keys that the operator file names, where it has this instance talk with others.
+fn read_keys(sheet: &Sheet) -> Result<Option<Keys>, String> {
+    sheet.section("gossip").map(|section| Keys::read(section, Clock::start().now())).transpose()
+}
+
+fn read_keys_again(file: &Path) -> Result<Box<Keys>, String> {
+    let keys = read_keys(&read_operator(Some(file))?)?;
+    keys.map(Box::new).ok_or_else(|| format!("{}: no section gossip", file.display()))
 }
 
 fn check(operator: Option<&Path>, config: Option<PathBuf>) -> Result<String, String> {
@@ -235,7 +242,7 @@
     let path = config.or_else(|| env::var_os("LB_CONFIG").map(PathBuf::from));
     if let Some(path) = path {
         let shown = path.display();
-        let text = std::fs::read_to_string(&path).map_err(|error| format!("{shown}: {error}"))?;
+        let text = config::read_file(&path)?;
         let given = config::parse(&text, None).map_err(|fault| format!("{shown}: {fault}"))?;
         Instance::start(now, given.seed, &given.settings)
             .map_err(|fault| format!("{shown}: settings: {fault}"))?;
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -1,12 +1,17 @@
 //! What a router is told at its start: `LB_CONFIG`, with `LB_LISTEN` over it.
 
 use std::env;
-use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use serde_json::Value;
 use woadhook_door::fields::*;
 
+use crate::files;
+
+/// The longest configuration, with the engine list so far.
+const CONFIG_BYTES: u64 = 16 * 1024 * 1024;
+
 pub struct Given {
     pub listen: SocketAddr,
     pub seed: u64,
@@ -19,12 +24,19 @@
     pub settings: Value,
 }
 
+/// Reads the file that `LB_CONFIG` names. It may wait for the file.
 pub fn read() -> Result<Given> {
     let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG names no file".to_owned())?;
-    let words = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
+    let words = read_file(Path::new(&path))?;
     parse(&words, env::var("LB_LISTEN").ok()).map_err(|fault| format!("{path}: {fault}"))
 }
 
+/// The text of a configuration. It may wait for the file.
+pub fn read_file(path: &Path) -> Result<String> {
+    let text = files::read_text(path, CONFIG_BYTES);
+    text.map(|mut text| std::mem::take(&mut *text)).map_err(|fault| format!("{}: {fault}", path.display()))
+}
+
 pub fn parse(words: &str, listen: Option<String>) -> Result<Given> {
     let mut given: Value = serde_json::from_str(words).map_err(|error| error.to_string())?;
     let limits = present(&given, "limits")?;
--- /dev/null
+++ b/crates/router/src/file_reads.rs
@@ -0,0 +1,79 @@
+//! Reads of files on threads beside the one that carries requests. Threat: a file that does not come, as from a FIFO without a writer or a
+//! network folder that stands, under a signal that has it read. Reads that were started later go on beside it, up to a bound on
+//! their number; the latest good one counts.
+
+use std::sync::Arc;
+use std::thread;
+
+use async_channel::{Receiver, Sender};
+use futures_lite::future;
+
+/// Reads under way at most. What is asked for beyond them is read once, as soon as one of them ends.
+pub const MOST_READS: usize = 4;
+const STACK_BYTES: usize = 512 * 1024;
+
+type Outcome<T> = Result<T, String>;
+
+/// Reads of the same files, over and over.
+pub struct FileReads<T> {
+    read: Arc<dyn Fn() -> Outcome<T> + Send + Sync>,
+    ended: Sender<(u64, Outcome<T>)>,
+    ends: Receiver<(u64, Outcome<T>)>,
+    /// The number of the read that was started last.
+    started: u64,
+    /// The number of the latest good one that was taken.
+    taken: u64,
+    under_way: usize,
+    /// Whether one more was asked for than may be under way.
+    is_owed: bool,
+}
+
+impl<T: Send + 'static> FileReads<T> {
+    pub fn new(read: impl Fn() -> Outcome<T> + Send + Sync + 'static) -> Self {
+        // Room for all that can be under way, so that no thread waits to tell of its end.
+        let (ended, ends) = async_channel::bounded(MOST_READS);
+        Self { read: Arc::new(read), ended, ends, started: 0, taken: 0, under_way: 0, is_owed: false }
+    }
+
+    /// Starts one read more, now or once another has ended.
+    pub fn start(&mut self) {
+        if self.under_way == MOST_READS {
+            log::warn!(event = "file_read_waits", under_way = self.under_way; "{MOST_READS} reads are under way and don't come: the next waits for one to end");
+            self.is_owed = true;
+            return;
+        }
+        self.started += 1;
+        self.under_way += 1;
+        let (number, read, ended) = (self.started, self.read.clone(), self.ended.clone());
+        let run = move || {
+            let outcome = read();
+            let _ = ended.try_send((number, outcome));
+        };
+        let thread = thread::Builder::new().name("file-read".to_owned()).stack_size(STACK_BYTES).spawn(run);
+        if let Err(error) = thread {
+            let _ = self.ended.try_send((number, Err(format!("no thread to read on: {error}"))));
+        }
+    }
+
+    pub fn is_under_way(&self) -> bool {
+        self.under_way > 0
+    }
+
+    /// The next outcome. A good one that a later good one has overtaken is passed over; none comes where nothing is under way.
+    pub async fn next(&mut self) -> Outcome<T> {
+        loop {
+            let Ok((number, outcome)) = self.ends.recv().await else { return future::pending().await };
+            self.under_way -= 1;
+            if std::mem::take(&mut self.is_owed) {
+                self.start();
+            }
+            if outcome.is_err() {
+                return outcome;
+            }
+            if number > self.taken {
+                self.taken = number;
+                return outcome;
+            }
+        }
+    }
+}
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -37,10 +37,9 @@
 }
 
 impl Talk {
-    /// Opens the socket and reads the keys that the section names; `accord` is that of the agreement.
-    pub fn open(section: Section<'_>, accord: Section<'_>, now: Moment) -> Result<Self> {
+    /// Opens the socket; `accord` is the section of the agreement.
+    pub fn open(section: Section<'_>, accord: Section<'_>, keys: Keys) -> Result<Self> {
         let listen = section.address("listen").ok_or("gossip.listen: no address")?;
-        let keys = Keys::read(section, now)?;
         let socket = UdpSocket::bind(listen).map_err(|error| format!("gossip.listen: {listen}: {error}"))?;
         let bound = socket.local_addr().map_err(|error| format!("gossip.listen: {error}"))?;
         Ok(Self {
--- a/crates/router/src/guards.rs
+++ b/crates/router/src/guards.rs
@@ -8,6 +8,8 @@
 
 use woadhook::Moment;
 
+use crate::log_queue::lines_dropped;
+
 /// A step that passes a guard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Step {
@@ -139,6 +141,7 @@
         let lines: Vec<String> =
             refused.iter().map(|((step, why), count)| format!("{step:?}/{why:?}={count}")).collect();
         let (refused, violations) = (lines.join(" "), self.0.violations.get());
-        log::info!(event = "counters", violations, refused = refused.as_str(); "violations {violations}, refused: {refused}");
+        let log_lines_dropped = lines_dropped();
+        log::info!(event = "counters", violations, refused = refused.as_str(), log_lines_dropped; "violations {violations}, refused: {refused}, log lines dropped {log_lines_dropped}");
     }
 }
--- a/crates/router/src/keyfiles.rs
+++ b/crates/router/src/keyfiles.rs
@@ -1,7 +1,7 @@
 //! Key files on disk: secrets only from files that their owner alone can read, wiped from memory after use.
 
-use std::fs::{File, OpenOptions};
-use std::io::{Read, Write};
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
 use std::path::Path;
 
@@ -10,13 +10,15 @@
 use woadhook_operator::Section;
 use zeroize::Zeroizing;
 
+use crate::files::{COMES_WITHIN, InputFile};
+
 /// No key file holds more; a list of revocations holds up to `LIST_BYTES`.
 const FILE_BYTES: u64 = 4 * 1024;
 const LIST_BYTES: u64 = 512 * 1024;
 
 fn text(path: &Path, most: u64, private: bool) -> Result<Zeroizing<String>, String> {
     let shown = path.display();
-    let file = File::open(path).map_err(|error| format!("{shown}: {error}"))?;
+    let file = InputFile::open(path).map_err(|error| format!("{shown}: {error}"))?;
     let about = file.metadata().map_err(|error| format!("{shown}: {error}"))?;
     let mode = about.permissions().mode() & 0o777;
     if private && mode & 0o077 != 0 {
@@ -27,9 +29,7 @@
     if about.len() > most {
         return Err(format!("{shown}: {} bytes, allowed are {most}", about.len()));
     }
-    let mut text = Zeroizing::new(String::with_capacity(about.len() as usize + 1));
-    file.take(most).read_to_string(&mut text).map_err(|error| format!("{shown}: {error}"))?;
-    Ok(text)
+    file.text(most, COMES_WITHIN).map_err(|error| format!("{shown}: {error}"))
 }
 
 pub fn secret(path: &Path) -> Result<Secret, String> {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,7 +3,8 @@
 //! The files follow a request: `frontends` accept clients, read and check what they ask, and write the one answer; `statement`
 //! finds the table group, `decide` lets the module decide, `backends` carry dispatches out over `http` connections of `pool`.
 //! `discovery` follows the engines, `gossip` talks with other routers where the operator file says so, `sockets` and `memory` own
-//! what is scarce, `stop` heeds what the operators order. What these say to each other stands in `exchange`, below them all.
+//! what is scarce, `signals` hears what the operators order and `stop` heeds it. Calls that may wait stand on threads of their own:
+//! `log_queue` for the lines of the log, `file_reads` for files. What these say to each other stands in `exchange`, below them all.
 
 mod arrivals;
 mod backends;
@@ -14,13 +15,17 @@
 mod discovery;
 mod exchange;
 mod faults;
+pub mod file_reads;
+pub mod files;
 mod frontends;
 pub mod gossip;
 mod guards;
 mod http;
 pub mod keyfiles;
+pub mod log_queue;
 pub mod memory;
 mod pool;
+pub mod signals;
 pub mod sockets;
 mod starts;
 pub mod statement;
--- /dev/null
+++ b/crates/router/src/log_queue.rs
@@ -0,0 +1,176 @@
+//! The queue between threads that log and the one thread that writes the lines. Threat: whoever reads the log stands, and a write
+//! to a full pipe or a suspended terminal waits for it; the thread that carries requests must not. A line that does not fit is dropped and
+//! counted. It may hurt in a burst of lines: what comes beyond the queue is missing from the log.
+
+use std::fs::File;
+use std::io::{self, Write};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use log::Level;
+use rustix::event::{PollFd, PollFlags, poll};
+
+/// Bytes of lines that wait at most. As many may be on their way out beside them.
+pub const QUEUE_BYTES: usize = 64 * 1024;
+/// Of these, kept for warnings and errors: a burst of other lines leaves room for them.
+pub const RESERVED_BYTES: usize = 16 * 1024;
+const STACK_BYTES: usize = 128 * 1024;
+
+/// Lines that this process dropped since its start.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// How many log lines this process dropped since its start.
+pub fn lines_dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Renders the line that tells of so many dropped ones.
+pub type DropNotice = Box<dyn Fn(u64) -> Vec<u8> + Send>;
+
+/// The queue of one log. Clones share it.
+#[derive(Clone, Default)]
+pub struct LogQueue(Arc<Shared>);
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    /// Notified when there is something to write.
+    filled: Condvar,
+    /// Notified when all is written.
+    emptied: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    /// Whole lines, in order.
+    lines: Vec<u8>,
+    /// Lines dropped and not told of yet.
+    dropped: u64,
+    /// Whether the writer is at work on lines that it took.
+    is_writing: bool,
+}
+
+impl LogQueue {
+    /// Starts the thread that writes to `out`. Where none can be started, the queue fills and lines are dropped.
+    pub fn start(out: File, notice: DropNotice) -> io::Result<Self> {
+        let queue = Self::default();
+        let writer = Writer { queue: queue.clone(), out, notice, at_line_start: true };
+        thread::Builder::new()
+            .name("log-writer".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(|| writer.run())?;
+        Ok(queue)
+    }
+
+    /// Queues one line, with its line feed, or drops and counts it. It never waits for the reader of the log: the lock is held for
+    /// a copy of memory only.
+    pub fn push(&self, line: &[u8], level: Level) {
+        let most = if level <= Level::Warn { QUEUE_BYTES } else { QUEUE_BYTES - RESERVED_BYTES };
+        let mut state = self.lock();
+        if state.lines.len() + line.len() <= most {
+            state.lines.extend_from_slice(line);
+        } else {
+            state.dropped += 1;
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        drop(state);
+        self.0.filled.notify_one();
+    }
+
+    /// Waits until all lines are written, for so long at most; whether they are.
+    pub fn flush(&self, within: Duration) -> bool {
+        let by = Instant::now() + within;
+        let mut state = self.lock();
+        while state.is_writing || !state.lines.is_empty() || state.dropped > 0 {
+            let left = by.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let waited = self.0.emptied.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes all that waits, in exchange for an empty buffer; waits for something to write. Behind the lines it adds the notice of those
+    /// that were dropped while they stood there.
+    fn take(&self, batch: &mut Vec<u8>, notice: &DropNotice) {
+        let mut state = self.lock();
+        while state.lines.is_empty() && state.dropped == 0 {
+            state.is_writing = false;
+            self.0.emptied.notify_all();
+            state = self.0.filled.wait(state).unwrap_or_else(PoisonError::into_inner);
+        }
+        state.is_writing = true;
+        std::mem::swap(&mut state.lines, batch);
+        let dropped = std::mem::take(&mut state.dropped);
+        if dropped > 0 {
+            batch.extend(notice(dropped));
+        }
+    }
+}
+
+/// Writes what is queued, for as long as the process runs.
+struct Writer {
+    queue: LogQueue,
+    out: File,
+    notice: DropNotice,
+    /// Whether the last byte written ended a line.
+    at_line_start: bool,
+}
+
+impl Writer {
+    fn run(mut self) {
+        let mut batch = Vec::new();
+        loop {
+            self.queue.take(&mut batch, &self.notice);
+            self.write(&batch);
+            batch.clear();
+        }
+    }
+
+    /// Writes whole lines. What can't be written, as on a full disk or with a reader that is gone, is dropped and counted.
+    fn write(&mut self, lines: &[u8]) {
+        if !self.at_line_start && self.write_all(b"\n").is_err() {
+            return self.drop_lines(lines);
+        }
+        if let Err(rest) = self.write_all(lines) {
+            self.drop_lines(rest);
+        }
+    }
+
+    fn drop_lines(&self, lines: &[u8]) {
+        let count = lines.split_inclusive(|byte| *byte == b'\n').count() as u64;
+        DROPPED.fetch_add(count, Ordering::Relaxed);
+    }
+
+    /// What is left where a write fails.
+    fn write_all<'a>(&mut self, mut bytes: &'a [u8]) -> Result<(), &'a [u8]> {
+        while let Some(last) = bytes.len().checked_sub(1) {
+            match self.out.write(bytes) {
+                Ok(0) => return Err(bytes),
+                Ok(count) => {
+                    self.at_line_start = bytes[(count - 1).min(last)] == b'\n';
+                    bytes = &bytes[count..];
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // Whoever shares the descriptor may have made it so; its flags are not ours to change.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => wait_for_room(self.out.as_fd()),
+                Err(_) => return Err(bytes),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn wait_for_room(out: BorrowedFd<'_>) {
+    let mut looked = [PollFd::from_borrowed_fd(out, PollFlags::OUT)];
+    let _ = poll(&mut looked, None);
+}
--- a/crates/router/src/logs.rs
+++ b/crates/router/src/logs.rs
@@ -1,11 +1,18 @@
 //! Log lines, for people or as JSON: one line each, with the same fields under the same names.
 
-use std::io::Write;
+use std::cell::Cell;
+use std::env;
+use std::fs::File;
+use std::io::{self, IsTerminal, Write};
+use std::os::fd::AsFd;
+use std::panic;
+use std::sync::{Arc, Mutex, PoisonError};
 
-use env_logger::{Builder, Env, fmt::Formatter};
-use log::Record;
+use env_logger::{Builder, Env, Logger, Target, WriteStyle, fmt::Formatter};
 use log::kv::{Error, Key, Value, VisitSource};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use serde_json::{Map, Value as Json};
+use woadhook_router::log_queue::{DropNotice, LogQueue};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum Format {
@@ -13,13 +20,108 @@
     Json,
 }
 
-/// From now on, lines of at least such a level go to standard error; `RUST_LOG` goes before the level.
-pub fn start(format: Format, level: &str) {
+/// From now on, lines of at least such a level go to standard error, panics among them; `RUST_LOG` goes before the level. They are written
+/// by a thread of the queue that is returned.
+pub fn start(format: Format, level: &str) -> LogQueue {
+    let out = io::stderr().as_fd().try_clone_to_owned().map(File::from);
+    let queue = out.and_then(|out| LogQueue::start(out, drop_notice(format))).unwrap_or_default();
     let mut builder = Builder::from_env(Env::default().default_filter_or(level));
+    let logger = written(&mut builder, format, Target::Pipe(Box::new(Queued(queue.clone())))).build();
+    log::set_max_level(logger.filter());
+    // It fails only where a logger was set before.
+    let _ = log::set_boxed_logger(Box::new(Leveled(logger)));
+    // Threat: the panic of a task writes to standard error on the thread that carries requests.
+    panic::set_hook(Box::new(|panic| {
+        let place = panic.location().map(ToString::to_string).unwrap_or_default();
+        let what = panic.payload_as_str().unwrap_or("no message");
+        log::error!(event = "panic", place = place.as_str(); "panicked at {place}: {what}");
+    }));
+    queue
+}
+
+fn written(builder: &mut Builder, format: Format, target: Target) -> &mut Builder {
     if format == Format::Json {
         builder.format(as_json);
     }
-    builder.init();
+    if io::stderr().is_terminal() && env::var_os(env_logger::DEFAULT_WRITE_STYLE_ENV).is_none() {
+        builder.write_style(WriteStyle::Always);
+    }
+    builder.target(target)
+}
+
+/// Renders the line that tells of dropped ones in the form of all others, whatever levels are written.
+fn drop_notice(format: Format) -> DropNotice {
+    let line = Line::default();
+    let mut builder = Builder::new();
+    builder.filter_level(LevelFilter::Trace);
+    let logger = written(&mut builder, format, Target::Pipe(Box::new(line.clone()))).build();
+    Box::new(move |count| {
+        let fields = [("event", Value::from("log_lines_dropped")), ("count", Value::from(count))];
+        let mut record = Record::builder();
+        record.level(Level::Warn).target(module_path!()).key_values(&fields);
+        logger.log(
+            &record
+                .args(format_args!("{count} log lines were dropped, as they were not read in time"))
+                .build(),
+        );
+        line.take()
+    })
+}
+
+/// Takes one rendered line.
+#[derive(Clone, Default)]
+struct Line(Arc<Mutex<Vec<u8>>>);
+
+impl Line {
+    fn take(&self) -> Vec<u8> {
+        std::mem::take(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+impl Write for Line {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+thread_local! {
+    /// The level of the line that this thread is writing.
+    static LEVEL: Cell<Level> = const { Cell::new(Level::Error) };
+}
+
+/// Notes each line's level for the queue, which keeps room for the grave ones.
+struct Leveled(Logger);
+
+impl Log for Leveled {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.0.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        LEVEL.set(record.level());
+        self.0.log(record);
+    }
+
+    fn flush(&self) {}
+}
+
+/// The way of a rendered line into the queue.
+struct Queued(LogQueue);
+
+impl Write for Queued {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        self.0.push(line, LEVEL.get());
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 struct Fields(Map<String, Json>);
--- /dev/null
+++ b/crates/router/src/signals.rs
@@ -0,0 +1,131 @@
+//! What the process's signals order, from its first step on: also while the files that it starts from are awaited.
+
+use async_signal::{Signal, Signals};
+use futures_lite::{FutureExt, Stream, StreamExt, future, stream};
+use woadhook::Span;
+
+use crate::clock::pass;
+use crate::config::Given;
+use crate::file_reads::FileReads;
+use crate::keyfiles::Keys;
+use crate::stop::Order;
+
+/// After so long a configuration that was ordered to be read and did not come is told of.
+const TELL_AFTER: Span = Span::from_micros(2_000_000);
+
+/// What one signal asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asked {
+    Reload,
+    Stop,
+}
+
+/// The signals that the program heeds.
+pub struct Heeded(Signals);
+
+impl Heeded {
+    /// From now on they are caught.
+    pub fn new() -> Result<Self, String> {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
+        signals.map(Self).map_err(|error| error.to_string())
+    }
+
+    async fn next(&mut self) -> Asked {
+        loop {
+            match self.0.next().await {
+                Some(Ok(Signal::Hup)) => return Asked::Reload,
+                Some(Ok(_)) => return Asked::Stop,
+                Some(Err(_)) => {}
+                None => return future::pending().await,
+            }
+        }
+    }
+
+    /// What the program starts from: the first good read, or the fault of the last one under way. An order to read again begins one
+    /// more beside those; one to stop ends the wait with nothing.
+    pub async fn first<T: Send + 'static>(&mut self, mut reads: FileReads<T>) -> Result<Option<T>, String> {
+        reads.start();
+        loop {
+            let read = async { Ok(reads.next().await) };
+            let asked = async { Err(self.next().await) };
+            match read.or(asked).await {
+                Ok(Err(_)) if reads.is_under_way() => {}
+                Ok(read) => return read.map(Some),
+                Err(Asked::Reload) => reads.start(),
+                Err(Asked::Stop) => return Ok(None),
+            }
+        }
+    }
+
+    /// What the signals order from now on. `keys` are read again with the configuration.
+    pub fn orders(
+        self, config: FileReads<Given>, keys: Option<FileReads<Box<Keys>>>,
+    ) -> impl Stream<Item = Order> + 'static {
+        let reloads = Reloads { signals: self, config, keys, is_untold: false };
+        stream::unfold(reloads, |mut reloads| async { Some((reloads.next().await, reloads)) })
+    }
+}
+
+/// Reads that signals ordered.
+struct Reloads {
+    signals: Heeded,
+    config: FileReads<Given>,
+    keys: Option<FileReads<Box<Keys>>>,
+    /// Whether a read was started that is not told to be late yet.
+    is_untold: bool,
+}
+
+enum Heard {
+    Asked(Asked),
+    Read(Order),
+    Late,
+}
+
+impl Reloads {
+    async fn next(&mut self) -> Order {
+        loop {
+            match self.hear().await {
+                Heard::Asked(Asked::Stop) => return Order::Stop,
+                Heard::Asked(Asked::Reload) => self.start(),
+                Heard::Read(order) => return order,
+                Heard::Late => self.tell_late(),
+            }
+        }
+    }
+
+    async fn hear(&mut self) -> Heard {
+        let (is_untold, keys) = (self.is_untold, &mut self.keys);
+        let asked = async { Heard::Asked(self.signals.next().await) };
+        let config = async { Heard::Read(Order::Reload(self.config.next().await)) };
+        let keys = async {
+            match keys {
+                Some(keys) => Heard::Read(Order::Rekey(keys.next().await)),
+                None => future::pending().await,
+            }
+        };
+        let late = async {
+            if !is_untold {
+                return future::pending().await;
+            }
+            pass(TELL_AFTER).await;
+            Heard::Late
+        };
+        asked.or(config).or(keys).or(late).await
+    }
+
+    fn start(&mut self) {
+        self.config.start();
+        self.keys.iter_mut().for_each(FileReads::start);
+        self.is_untold = true;
+    }
+
+    /// Told once for reads in a row, however many.
+    fn tell_late(&mut self) {
+        self.is_untold = false;
+        let keys_under_way = self.keys.as_ref().is_some_and(FileReads::is_under_way);
+        if self.config.is_under_way() || keys_under_way {
+            let seconds = TELL_AFTER.secs();
+            log::warn!(event = "reload_waits"; "a file does not come within {seconds} s: the old configuration stays meanwhile");
+        }
+    }
+}
