--- a/crates/router/src/file_reads.rs
+++ b/crates/router/src/file_reads.rs
@@ -67,12 +67,10 @@
             if std::mem::take(&mut self.is_owed) {
                 self.start();
             }
-            if outcome.is_err() {
-                return outcome;
-            }
+            let good = outcome?;
             if number > self.taken {
                 self.taken = number;
-                return outcome;
+                return Ok(good);
             }
         }
     }
