--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -578,6 +578,40 @@
     assert!(deleted.at() < next.at(), "the first is given up before the next one goes out");
 }
 
+/// Held, reset, refused: the query's own connection is reset at an engine that drains, takes no new connection and works on. Nothing can
+/// give the first one up there, so the next of its key waits for as long as the first one's client would have, whether that client waits
+/// on or has gone. By the protocol the engine ends a query that nobody asked for in 2 s, so that it runs no more by then.
+#[test]
+fn the_order_of_a_key_waits_where_a_query_was_reset_at_an_engine_that_refuses() {
+    for client_goes in [false, true] {
+        let (began, next) = (FirstCall::default(), FirstCall::default());
+        let (noted, noted_next) = (began.clone(), next.clone());
+        let drains = Standin::start(move |call| {
+            noted.note(post(call));
+            let still_running = says(202, &[], "");
+            match call.line.split(' ').next() {
+                Some("POST") => Says::ClosesPort(Box::new(still_running)),
+                _ => Says::Late(Duration::from_millis(150), Box::new(Says::Cut)),
+            }
+        });
+        let well = Standin::start(move |call| {
+            noted_next.note(post(call));
+            pages(call, &[ROWS])
+        });
+        let wait = Duration::from_secs(5);
+        let mut client = two_loads_told_of([&drains, &well], Duration::from_millis(50), nobody(), wait);
+        drains.awaits("GET");
+        if client_goes {
+            client.aborts(1);
+        } else {
+            assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+        }
+        assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+        let waited = next.at() - began.at();
+        assert!(waited >= wait, "client goes: {client_goes}; {waited:?}");
+    }
+}
+
 /// The key goes on some time after the list told that the engine is gone; not at once, as its process ends later.
 #[test]
 fn the_order_of_a_key_goes_on_behind_the_word_that_its_engine_is_gone() {
