A query's task that panics leaves its key in doubt until the query is given up

Symptom: behind a panic in a query's task, the next of its key was sent while the engine ran the first one. Cause: what tells the module of the end as the task is dropped (Verdict) told a reset with no doubt, and nothing settled the key. Change: one guard (Ending) holds both duties, the end and the settling; dropped with one left, it takes them up in a task of its own, with all in doubt.

--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -6,7 +6,7 @@
 
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
-use woadhook::{JobId, Moment, Outcome, Progress, Span};
+use woadhook::{Moment, Outcome, Progress, Span};
 use woadhook_pace::rate::Least;
 
 use crate::backends::sql::engine::Engine;
@@ -17,7 +17,6 @@
 use crate::http::head;
 use crate::pool::Lease;
 use crate::sockets::within;
-use crate::tasks::Tasks;
 
 /// A result holds at most so many bytes, in pages of at most so many each.
 const RESULT_BYTES: usize = 48_000;
@@ -42,27 +41,55 @@
 /// So many answers in a row that make no sense leave no hope for a good one.
 const DOUBTS: usize = 8;
 
-/// Tells the module how a dispatch ended: once, and whatever becomes of its task.
-struct Verdict {
-    job: JobId,
-    number: usize,
-    tasks: Tasks,
-    module: Option<Sender<Event>>,
+/// What a dispatch owes the module: how it ended, once, and behind a doubt of its key that this is settled; whatever becomes of its
+/// task. Threat: a task that panics would leave its job without an end, or let the next of its key run beside it. It may hurt
+/// where the fault repeats: the dispatch is given up anew each `SETTLE`.
+struct Ending {
+    out: Rc<Out>,
+    is_told: bool,
+    is_settled: bool,
 }
 
-impl Verdict {
-    async fn tell(mut self, took: Span, (outcome, told, rows): End, in_doubt: bool) {
-        let Some(module) = self.module.take() else { return };
-        let (job, number) = (self.job, self.number);
-        let _ = module.send(Event::Ended { job, number, outcome, took, told, rows, in_doubt }).await;
+impl Ending {
+    fn of(out: Rc<Out>) -> Self {
+        Self { out, is_told: false, is_settled: false }
+    }
+
+    async fn tell(&mut self, (outcome, told, rows): End, in_doubt: bool) {
+        let Dispatch { job, number, decided, .. } = self.out.dispatch;
+        let took = self.out.now().since(decided);
+        self.is_told = true;
+        let ended = Event::Ended { job, number, outcome, took, told, rows, in_doubt };
+        let _ = self.out.module.send(ended).await;
+    }
+
+    /// The order of its key waits until it surely runs no more; nothing else does.
+    async fn settle(mut self, in_doubt: bool) {
+        if let Some(key) = self.out.dispatch.key.filter(|_| in_doubt) {
+            self.out.settle().await;
+            let _ = self.out.module.send(Event::Settled { key }).await;
+        }
+        self.is_settled = true;
+    }
+
+    /// Behind a panic nothing is known but that it may run on.
+    async fn resume(mut self) {
+        if !self.is_told {
+            self.tell((Outcome::Reset, None, None), true).await;
+        }
+        pass(SETTLE).await;
+        self.settle(true).await;
     }
 }
 
-impl Drop for Verdict {
+impl Drop for Ending {
     fn drop(&mut self) {
-        let Some(module) = self.module.take() else { return };
-        let verdict = Verdict { module: Some(module), ..*self };
-        self.tasks.start(verdict.tell(Span::ZERO, (Outcome::Reset, None, None), false));
+        if self.is_settled {
+            return;
+        }
+        self.out.doubt_all();
+        let left = Ending { out: self.out.clone(), is_told: self.is_told, is_settled: false };
+        self.out.engine.ground.tasks.start(left.resume());
     }
 }
 
@@ -106,11 +133,8 @@
 
 /// `orders` brings new priorities; the query is given up once it closes.
 pub async fn run(engine: Rc<Engine>, dispatch: Dispatch, orders: Receiver<u8>, module: Sender<Event>) {
-    let (job, number, decided) = (dispatch.job, dispatch.number, dispatch.decided);
-    let (clock, tasks) = (engine.ground.clock, engine.ground.tasks);
-    let verdict = Verdict { job, number, tasks, module: Some(module.clone()) };
-    let (asked, heard) = (Cell::new(decided), Cell::new(decided));
-    let out = Out {
+    let (asked, heard) = (Cell::new(dispatch.decided), Cell::new(dispatch.decided));
+    let out = Rc::new(Out {
         engine,
         dispatch,
         module,
@@ -123,11 +147,12 @@
         stops: Cell::new(false),
         refused: Cell::new(false),
         broke: Cell::new(false),
-    };
+    });
+    let mut ending = Ending::of(out.clone());
     let mut work = std::pin::pin!(out.work());
     let end = async { Ok(work.as_mut().await) }.or(async { Err(out.stopped().await) }).await;
     if !out.began.get() && !out.dispatch.statement.wanted.still() {
-        let _ = out.module.send(Event::Unwanted { job }).await;
+        let _ = out.module.send(Event::Unwanted { job: out.dispatch.job }).await;
     }
     // What may run is deleted before the module hears, so that no other dispatch of the job meets it.
     let end = match end {
@@ -140,12 +165,8 @@
         }
     };
     let in_doubt = out.may_run_on(end.0);
-    verdict.tell(clock.now().since(decided), end, in_doubt).await;
-    // The order of its key waits until it surely runs no more; nothing else does.
-    if let Some(key) = out.dispatch.key.filter(|_| in_doubt) {
-        out.settle().await;
-        let _ = out.module.send(Event::Settled { key }).await;
-    }
+    ending.tell(end, in_doubt).await;
+    ending.settle(in_doubt).await;
 }
 
 impl Out {
@@ -513,6 +534,12 @@
         self.broke.set(self.broke.get() || fault.is_break());
     }
 
+    /// Nothing is known of it any more, but that it may run.
+    fn doubt_all(&self) {
+        self.in_doubt.set(true);
+        self.broke.set(true);
+    }
+
     /// Whether it may run on behind such an end, for all that the engine told.
     fn may_run_on(&self, outcome: Outcome) -> bool {
         let unproven = self.in_doubt.get() || self.broke.get();
