Calls to discovery go out closer together where its answers take most of the grace

Symptom: queries went to a drained and to a gone engine up to 0.34 of the grace too late, where discovery's answers are late. Cause: a call is overdue after 0.375 of the grace whatever answers take, and a change right behind discovery's look is heard with the next call's answer only. Change: the pace follows how long answered calls took: close enough that the next answer is in time, as far as six calls at once allow (0.79 of the grace).

--- a/crates/router/src/discovery/calls.rs
+++ b/crates/router/src/discovery/calls.rs
@@ -13,6 +13,9 @@
 /// Calls that may be out at once, each on a connection of its own.
 pub const MOST_CALLS: usize = 6;
 
+/// What is left of the time that an earlier call took, by each answer.
+const FADES: f64 = 0.75;
+
 /// A call under way; dropping it closes its connection.
 pub type Call<T, E> = Pin<Box<dyn Future<Output = Result<T, E>>>>;
 
@@ -25,6 +28,12 @@
     call: Call<T, E>,
 }
 
+/// A call that ended, and when it began.
+pub struct Ended<T, E> {
+    pub began: Moment,
+    pub outcome: Result<T, E>,
+}
+
 /// Calls by their age, the oldest first.
 pub struct Calls<T, E> {
     out: Vec<Out<T, E>>,
@@ -60,14 +69,15 @@
         }
     }
 
-    /// The end of the first call that ends; none ends where none is out. An answer ends the calls that are older, too.
-    pub async fn next(&mut self) -> Result<T, E> {
+    /// The first call that ends; none ends where none is out. An answer ends the calls that are older, too.
+    pub async fn next(&mut self) -> Ended<T, E> {
         poll_fn(|context| {
             for place in 0..self.out.len() {
-                if let Poll::Ready(end) = self.out[place].call.as_mut().poll(context) {
-                    let ended = if end.is_ok() { 0..place + 1 } else { place..place + 1 };
+                if let Poll::Ready(outcome) = self.out[place].call.as_mut().poll(context) {
+                    let began = self.out[place].began;
+                    let ended = if outcome.is_ok() { 0..place + 1 } else { place..place + 1 };
                     self.out.drain(ended);
-                    return Poll::Ready(end);
+                    return Poll::Ready(Ended { began, outcome });
                 }
             }
             Poll::Pending
@@ -80,3 +90,41 @@
         self.out.clear();
     }
 }
+
+/// How far apart calls go out.
+pub struct Pace {
+    /// A change is to be heard within this.
+    pub heard_within: Span,
+    /// How far apart they go out where answers come soon.
+    pub usual: Span,
+    /// Calls that go out at that pace, though none is answered.
+    pub unanswered: usize,
+    /// How long answered calls took of late.
+    took: Span,
+}
+
+impl Pace {
+    pub fn new(heard_within: Span, usual: Span, unanswered: usize) -> Self {
+        Self { heard_within, usual, unanswered, took: Span::ZERO }
+    }
+
+    /// Notes how long an answered call took; what earlier ones took fades.
+    pub fn answered_after(&mut self, took: Span) {
+        self.took = took.max(self.took.times(FADES));
+    }
+
+    /// How far apart calls go out. Threat: a discovery whose answers are late and tell what was known as the call came: a change is heard
+    /// with the answer to the next call only, that span and an answer's time later. It may hurt where discovery is late because it
+    /// is crowded: up to so many calls as may be out at once. Where even these could not keep the time, the pace is the usual one.
+    pub fn span(&self) -> Span {
+        let in_time = self.heard_within.less(self.took);
+        let least = self.took.times(1.0 / (MOST_CALLS - 1) as f64);
+        if in_time < least { self.usual } else { in_time.min(self.usual) }
+    }
+
+    /// Calls that may be out before the pace slows down: those that are if answers go on taking their time.
+    pub fn at_pace(&self) -> usize {
+        let out = (self.took.secs() / self.span().secs()).ceil() as usize;
+        self.unanswered.max(out + 1).min(MOST_CALLS)
+    }
+}
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -12,7 +12,7 @@
 use woadhook_door::fields::*;
 
 use crate::clock::Clock;
-use crate::discovery::calls::{Asked, Calls, MOST_CALLS};
+use crate::discovery::calls::{Asked, Calls, Ended, MOST_CALLS, Pace};
 use crate::exchange::Event;
 use crate::faults::CallFault;
 use crate::http::{Connection, head};
@@ -29,6 +29,8 @@
 const OVERDUE: f64 = 1.5;
 /// Calls that go out at that pace, though none is answered: two in a row may have met a discovery that stood.
 const CALLS_AT_PACE: usize = 3;
+/// Part of the grace within which a change is to be heard; the rest is for taking it in.
+const HEARD_PART: f64 = 0.95;
 /// Part of the patience between a call that failed and the next.
 const PAUSE_PART: f64 = 0.25;
 /// No call lives longer, connect and all.
@@ -49,7 +51,7 @@
 
 enum Heard {
     Due,
-    Ended(std::result::Result<Answer, DiscoveryFault>),
+    Ended(Ended<Answer, DiscoveryFault>),
     Moved(Move),
 }
 
@@ -66,6 +68,7 @@
         module,
         descriptors: Arc::new(Semaphore::new(MOST_CALLS + 1)),
         calls: Calls::new(),
+        pace: Pace::new(grace.times(HEARD_PART), patience.times(OVERDUE), CALLS_AT_PACE),
         kept: None,
         retry: None,
         fault: String::new(),
@@ -85,6 +88,7 @@
     /// For its connections.
     descriptors: Arc<Semaphore>,
     calls: Calls<Answer, DiscoveryFault>,
+    pace: Pace,
     /// The connection of the last answer.
     kept: Option<Connection>,
     /// When to call again behind a failed call.
@@ -105,8 +109,11 @@
                     self.call();
                     continue;
                 }
-                Heard::Ended(Ok((told, connection))) => self.answered(told, connection).await,
-                Heard::Ended(Err(fault)) => Err(fault.to_string()),
+                Heard::Ended(Ended { began, outcome: Ok((told, connection)) }) => {
+                    self.pace.answered_after(self.clock.now().since(began));
+                    self.answered(told, connection).await
+                }
+                Heard::Ended(Ended { outcome: Err(fault), .. }) => Err(fault.to_string()),
                 Heard::Moved(moved) => self.moved(moved).await,
             };
             if let Err(fault) = passed {
@@ -134,8 +141,9 @@
     /// When the next call goes out.
     fn due(&self) -> Moment {
         // A router that knows of no engine yet can break no rule there, and each answer to it is the whole list.
-        let at_pace = if self.last == 0 { 1 } else { CALLS_AT_PACE };
-        let overdue = self.calls.due(self.patience.times(OVERDUE), at_pace);
+        let (span, at_pace) =
+            if self.last == 0 { (self.pace.usual, 1) } else { (self.pace.span(), self.pace.at_pace()) };
+        let overdue = self.calls.due(span, at_pace);
         match (self.retry, overdue) {
             (Some(retry), Some(overdue)) => retry.min(overdue),
             (retry, overdue) => retry.or(overdue).unwrap_or_default(),
