Processes of tests and evaluations end with those who started them

Symptom: routers of a killed test went on probing; a stand-in of discovery that such a probe reached panicked under its lock and answered nobody any more. Cause: no guard runs in a test that is killed, and the stand-in took every call for its own. The same in the product: the process that evaluates an operator file stood for good in opening a FIFO, also once its router had ended (seen: ten left by one failed test). Change: test processes are killed with the thread that started them (setpriv); the stand-in answers 404 to what is not asked of discovery, and is as strict as before with what is; an evaluation ends by itself after its 10 s.

--- a/crates/operator/src/bounds.rs
+++ b/crates/operator/src/bounds.rs
@@ -2,7 +2,7 @@
 
 use std::io::Read;
 use std::path::Path;
-use std::process::{Command, Stdio};
+use std::process::{self, Command, Stdio};
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -17,6 +17,7 @@
 pub const MEMORY: u64 = 24 * 1024 * 1024;
 pub const CPU_SECONDS: u64 = 2;
 pub const WALL: Duration = Duration::from_secs(10);
+const TIMER_STACK_BYTES: usize = 64 * 1024;
 /// The largest result, in bytes.
 pub const RESULT_BYTES: u64 = 1024 * 1024;
 
@@ -73,6 +74,13 @@
 
 /// What the hidden command does: limits its own process, evaluates, and writes the result with a line feed behind it.
 pub fn serve(template: &Path) -> Result<String, String> {
+    // Threat: a template that does not come, as from a FIFO without a writer, and a router that ends meanwhile: nobody else ends it.
+    let ends = || {
+        thread::sleep(WALL);
+        process::exit(1);
+    };
+    let timer = thread::Builder::new().stack_size(TIMER_STACK_BYTES).spawn(ends);
+    timer.map_err(|error| format!("{}: {error}", template.display()))?;
     for (resource, most) in
         [(Resource::DATA, MEMORY), (Resource::AS, 4 * MEMORY), (Resource::CPU, CPU_SECONDS)]
     {
--- a/crates/router/tests/waiting_calls.rs
+++ b/crates/router/tests/waiting_calls.rs
@@ -21,6 +21,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use woadhook_standins::clients::hear;
+use woadhook_standins::processes::ends_with_this_thread;
 use woadhook_standins::{Call, Client, Events, LONG, Says, Standin, asked, pages, told};
 
 const ROWS: &str = "a\tb\tc\n";
@@ -57,7 +58,7 @@
 
     fn inside(folder: PathBuf, log: Stdio, level: Option<&str>, arguments: &[&str]) -> Self {
         let address = free_address();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_woadhook"));
+        let mut command = ends_with_this_thread(Path::new(env!("CARGO_BIN_EXE_woadhook")));
         command.current_dir(&folder).args(["--log-format", "json"]).args(arguments);
         command.env("LB_CONFIG", "config.json").env("LB_LISTEN", address.to_string()).env_remove("RUST_LOG");
         command.envs(level.map(|level| ("RUST_LOG", level)));
@@ -392,6 +393,40 @@
     router.stops_in_order();
 }
 
+/// The process that evaluates an operator file, where that does not come, ends also where its router is gone by then.
+#[test]
+fn an_evaluation_that_does_not_come_ends_behind_its_router() {
+    let engine = engine();
+    let folder = folder("fifo-evaluation");
+    fs::write(folder.join("config.json"), config(&engine)).unwrap();
+    fifo(&folder.join("site.jsonnet"));
+    let mut router = Router::inside(folder, Stdio::null(), None, &["run", "--operator", "site.jsonnet"]);
+    let (by, id) = (Instant::now() + LONG, router.child.id());
+    let evaluation = loop {
+        if let Some(child) = children(id).pop() {
+            break PathBuf::from(format!("/proc/{child}"));
+        }
+        assert!(Instant::now() < by, "nothing is evaluated");
+        thread::sleep(Duration::from_millis(5));
+    };
+    router.awaits_handlers();
+    router.stops_in_order();
+    let by = Instant::now() + LONG;
+    while evaluation.exists() {
+        assert!(Instant::now() < by, "the evaluation goes on");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// The processes that threads of such a process started.
+fn children(of: u32) -> Vec<u32> {
+    let threads = fs::read_dir(format!("/proc/{of}/task")).into_iter().flatten().flatten();
+    let lists = threads.filter_map(|thread| fs::read_to_string(thread.path().join("children")).ok());
+    lists
+        .flat_map(|list| list.split_whitespace().filter_map(|id| id.parse().ok()).collect::<Vec<_>>())
+        .collect()
+}
+
 impl Router {
     /// Waits until it catches SIGTERM.
     fn awaits_handlers(&self) {
--- a/crates/standins/src/bulletin.rs
+++ b/crates/standins/src/bulletin.rs
@@ -33,11 +33,17 @@
 
     /// All after a number, at once.
     pub fn answer_at_once(&self, call: &Call) -> Says {
+        if !is_for_discovery(call) {
+            return says(404, &[], "");
+        }
         Self::later(&self.0.0.lock().unwrap(), asked(call, "after"))
     }
 
     /// All after a number; waits for the first of them as long as the call says.
     pub fn answer(&self, call: &Call) -> Says {
+        if !is_for_discovery(call) {
+            return says(404, &[], "");
+        }
         let (after, patience) = (asked(call, "after"), Duration::from_millis(asked(call, "patience")));
         let none = |events: &mut Vec<Value>| events.iter().all(|event| event["no"].as_u64() <= Some(after));
         let events = self.0.1.wait_timeout_while(self.0.0.lock().unwrap(), patience, none).unwrap().0;
@@ -51,6 +57,11 @@
     }
 }
 
+/// Whether a call is meant for discovery: one that probes an engine may come where an earlier engine had the same port.
+fn is_for_discovery(call: &Call) -> bool {
+    call.line.starts_with("GET /bulletins")
+}
+
 /// A number that a call asks with.
 pub fn asked(call: &Call, name: &str) -> u64 {
     let asked = call.line.split_once(&format!("{name}=")).map(|(_, rest)| rest.split(['&', ' ']).next());
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -16,6 +16,8 @@
 use crate::clients::Client;
 use crate::preload::Preload;
 
+/// Sets what a process is sent as its parent ends, and becomes the program that it is told (util-linux).
+const SETPRIV: &str = "setpriv";
 /// What the processes of stories log.
 const STORY_LEVEL: &str = "info,woadhook_router=debug";
 
@@ -80,7 +82,7 @@
     pub fn again(&mut self) {
         assert!(self.child.is_none(), "{} runs", self.name);
         let log = File::options().create(true).append(true).open(&self.log).expect("a log");
-        let mut command = Command::new(&self.program);
+        let mut command = ends_with_this_thread(&self.program);
         command.env("LB_CONFIG", &self.config).env_remove("LB_LISTEN").env_remove("RUST_LOG");
         command.env("RUST_LOG", &self.level).args(["--log-format", "json"]);
         command.args(&self.arguments).envs(self.environment.iter().map(|(name, value)| (name, value)));
@@ -175,6 +177,18 @@
     }
 }
 
+/// A command that is killed as the thread that starts it ends, also where a test is killed and no guard runs. Where the machine has no
+/// `setpriv`, it is not.
+pub fn ends_with_this_thread(program: &Path) -> Command {
+    let found = Command::new(SETPRIV).arg("--version").stdout(Stdio::null()).stderr(Stdio::null()).status();
+    if !found.is_ok_and(|status| status.success()) {
+        return Command::new(program);
+    }
+    let mut command = Command::new(SETPRIV);
+    command.args(["--pdeathsig", "KILL", "--"]).arg(program);
+    command
+}
+
 /// A free port at an address of this process's own: one at 127.0.0.1 might be taken, between this look and the program's
 /// start, by any of the connections that stories make there.
 fn free_address() -> SocketAddr {
