Soak: clients until the earliest kill, signals in series, crowds, logs unread, drains that refuse

Need: the soak did not see what part of the list's entries tell: it used no open connection behind an order to end, sent one signal, filled no descriptors, read every log, and relays took connections in for engines that refuse.

--- a/crates/standins/src/engines.rs
+++ b/crates/standins/src/engines.rs
@@ -71,6 +71,7 @@
 pub struct Standin {
     pub address: SocketAddr,
     calls: Receiver<Call>,
+    open: Arc<Open>,
 }
 
 impl Standin {
@@ -83,6 +84,7 @@
         let address = listener.local_addr().unwrap();
         let (answer, (passed, calls)) = (Arc::new(Mutex::new(answer)), mpsc::channel());
         let open = Arc::new(Open { listener, streams: Mutex::default() });
+        let kept = open.clone();
         thread::spawn(move || {
             for (connection, stream) in open.listener.incoming().enumerate() {
                 let Ok(stream) = stream else { break };
@@ -110,7 +112,17 @@
                 });
             }
         });
-        Self { address, calls }
+        Self { address, calls, open: kept }
+    }
+
+    /// Takes no new connection from now on, as one that drains; all that are up go on.
+    pub fn refuses(&self) {
+        self.open.refuse();
+    }
+
+    /// Its process ends: first its port is closed, then every connection.
+    pub fn dies(&self) {
+        self.open.close();
     }
 
     /// The next call whose first line starts so; what comes before it is passed over.
@@ -143,7 +155,8 @@
 
 impl Open {
     fn refuse(&self) {
-        SockRef::from(&self.listener).shutdown(Shutdown::Both).unwrap();
+        // It fails where the port is closed already.
+        let _ = SockRef::from(&self.listener).shutdown(Shutdown::Both);
     }
 
     /// The port refuses before any connection ends.
--- a/crates/standins/src/fleet/overlap.rs
+++ b/crates/standins/src/fleet/overlap.rs
@@ -2,18 +2,26 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Barrier};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use rustix::process::Signal;
+use rustix::process::{Pid, Signal, kill_process};
 
 use super::{Fleet, parties};
+use crate::log_reader::Reading;
 use crate::relays::{Side, Way};
-use crate::troubles::{DiscoveryMode, EngineMode, Plan, Trouble};
+use crate::troubles::{DiscoveryMode, EngineMode, Order, Plan, TimedOrder, Trouble};
 
 /// Tells the requests of clients that misbehave apart.
 static RUDE: AtomicU64 = AtomicU64::new(1);
 
+/// Tells clients that stay apart.
+static STAYERS: AtomicU64 = AtomicU64::new(1);
+/// Clients that use open connections until a router that was told to end has ended.
+const STAYING: usize = 12;
+/// Between an engine's port that closes and the reset of what is up there.
+const BEFORE_RESET: Duration = Duration::from_millis(60);
 /// A program that was started is loaded after this.
 const LOADED: Duration = Duration::from_millis(30);
 
@@ -122,6 +130,18 @@
                     thread::spawn(move || parties::misbehave(client, at, number, &seen));
                 }
             }
+            Trouble::Stop { router, orders, .. } => return self.stop_in_series(*router, orders),
+            Trouble::Crowd { router, count, span } => {
+                let (at, count, span) = (self.routers[*router].address, *count, *span);
+                thread::spawn(move || parties::crowd(at, count, Duration::from_millis(span)));
+            }
+            Trouble::Log { router, reading, .. } => return self.routers[*router].read_log(*reading),
+            Trouble::Config { router, .. } if self.routers[*router].id().is_none() => return false,
+            Trouble::Config { router, what, .. } => {
+                self.routers[*router].hide_config(*what);
+                self.routers[*router].signal(Signal::HUP);
+            }
+            Trouble::Drain { engine, .. } => return self.drain(*engine),
         }
         true
     }
@@ -149,10 +169,78 @@
             Trouble::Short { router, .. } => self.preloads[router].shorten(0),
             Trouble::Clock { router, .. } => self.preloads[router].step_clock(Duration::ZERO, false),
             Trouble::Cut { .. } => self.relays.heal(),
+            Trouble::Stop { router, .. } => self.kill_at_the_earliest(*router),
+            Trouble::Log { router, .. } => _ = self.routers[*router].read_log(Reading::AtOnce),
+            Trouble::Config { router, .. } => {
+                self.routers[*router].show_config();
+                if self.routers[*router].lives() {
+                    self.routers[*router].signal(Signal::HUP);
+                }
+            }
+            Trouble::Drain { engine, .. } => self.dies(*engine),
             _ => {}
         }
     }
 
+    /// Clients begin to use open connections; then the signals come, the process's own end or not.
+    fn stop_in_series(&mut self, router: usize, orders: &[TimedOrder]) -> bool {
+        let Some(id) = self.routers[router].id() else { return false };
+        let at = self.routers[router].address;
+        let up = Arc::new(Barrier::new(STAYING + 1));
+        for _ in 0..STAYING {
+            let number = STAYERS.fetch_add(1, Ordering::Relaxed);
+            let (seen, up) = (self.seen.clone(), up.clone());
+            thread::spawn(move || parties::stay(router, at, number, &seen, &up));
+        }
+        up.wait();
+        let (seen, orders) = (self.seen.clone(), orders.to_vec());
+        thread::spawn(move || {
+            let mut is_told = false;
+            for (gap, order) in orders {
+                thread::sleep(Duration::from_millis(gap));
+                let signal = match order {
+                    Order::Reload => Signal::HUP,
+                    Order::Terminate => Signal::TERM,
+                    Order::Interrupt => Signal::INT,
+                };
+                if signal != Signal::HUP && !is_told {
+                    is_told = true;
+                    seen.lock().unwrap().ended.push((router, Instant::now()));
+                }
+                // It is not waited for before the trouble's end, so its id stays its own.
+                let _ = kill_process(Pid::from_raw(id as i32).expect("a process"), signal);
+            }
+        });
+        true
+    }
+
+    /// The page's earliest kill; what is owed by then is lost. Most have ended by themselves.
+    fn kill_at_the_earliest(&mut self, router: usize) {
+        self.routers[router].kill();
+        self.start_anew(router);
+    }
+
+    /// The engine is told to drain, takes no new connection and works on; connections that are up are reset.
+    fn drain(&mut self, engine: usize) -> bool {
+        if self.seen.lock().unwrap().drained.contains_key(&engine) {
+            return false;
+        }
+        self.add_cold(1);
+        self.tell(&[engine], "DRAINING", 0);
+        self.seen.lock().unwrap().drained.insert(engine, Instant::now());
+        self.relays.refuse(&format!("s-{engine}"));
+        thread::sleep(BEFORE_RESET);
+        self.relays.reset(&Side::All, &Side::party(&format!("s-{engine}")));
+        true
+    }
+
+    /// A drained engine is told gone, and its process ends.
+    fn dies(&mut self, engine: usize) {
+        self.tell(&[engine], "DELETED", 0);
+        self.engines[engine].engine.dies();
+        self.seen.lock().unwrap().died.insert(engine, Instant::now());
+    }
+
     /// Starts a process again. A signal that comes before the program's own first step ends any process: none is sent then.
     fn start_anew(&mut self, router: usize) {
         self.again(router);
@@ -173,9 +261,10 @@
 /// The routers whose processes are stopped, killed or ended by it.
 fn processes_of(trouble: &Trouble) -> Vec<usize> {
     match trouble {
-        Trouble::Stand { router, .. } | Trouble::Kill { router, .. } | Trouble::Restart { router } => {
-            vec![*router]
-        }
+        Trouble::Stand { router, .. }
+        | Trouble::Kill { router, .. }
+        | Trouble::Restart { router }
+        | Trouble::Stop { router, .. } => vec![*router],
         Trouble::Herd { routers, .. } => routers.clone(),
         _ => Vec::new(),
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod hollow;
+pub mod log_reader;
 pub mod net;
 pub mod preload;
 pub mod processes;
--- /dev/null
+++ b/crates/standins/src/log_reader.rs
@@ -0,0 +1,71 @@
+//! Who reads a process's log: a thread that copies a pipe into a file, and stands or reads slowly as it is told.
+
+use std::fs::File;
+use std::io::{self, PipeReader, Read, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// How the log is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    AtOnce,
+    /// A kilobyte now and then.
+    Slowly,
+    NotAtAll,
+}
+
+const SLOW_BYTES: usize = 1_024;
+const SLOW_PAUSE: Duration = Duration::from_millis(100);
+/// Between looks whether it is to read again.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// The reader of one process's log, over its restarts.
+#[derive(Default)]
+pub struct LogReader {
+    reading: Arc<AtomicU8>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl LogReader {
+    /// Reads the log of a process that was started anew.
+    pub fn start(&mut self, from: PipeReader, to: File) {
+        let reading = self.reading.clone();
+        self.thread = Some(thread::spawn(move || copy(from, to, &reading)));
+    }
+
+    pub fn set(&self, reading: Reading) {
+        self.reading.store(reading as u8, Ordering::SeqCst);
+    }
+
+    /// Reads what is left of a process that has ended.
+    pub fn finish(&mut self) {
+        if let Some(thread) = self.thread.take() {
+            self.set(Reading::AtOnce);
+            let _ = thread.join();
+        }
+    }
+}
+
+fn copy(mut from: PipeReader, mut to: File, reading: &AtomicU8) {
+    let mut bytes = vec![0; 64 * 1_024];
+    loop {
+        let reading = reading.load(Ordering::SeqCst);
+        if reading == Reading::NotAtAll as u8 {
+            thread::sleep(LOOK);
+            continue;
+        }
+        let is_slow = reading == Reading::Slowly as u8;
+        let most = if is_slow { SLOW_BYTES } else { bytes.len() };
+        match from.read(&mut bytes[..most]) {
+            Ok(0) => return,
+            Ok(count) => to.write_all(&bytes[..count]).expect("a log"),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return,
+        }
+        if is_slow {
+            thread::sleep(SLOW_PAUSE);
+        }
+    }
+}
