A process that stood hears the list anew before it sends to engines

Symptom: a process that stood over the grace (SIGSTOP, 1.9 s) sent what waited in its socket to an engine that was drained meanwhile. Cause: nothing told the thread that it had stood; its open call to discovery had ended with nothing, so the notice came with the next one only. Change: where the thread did not come round for a quarter of the grace, queries wait for an answer of discovery that was asked for since, for a quarter of the grace at most; that call asks for an answer at once.

--- a/crates/router/src/arrivals.rs
+++ b/crates/router/src/arrivals.rs
@@ -18,12 +18,22 @@
 
 /// Moments at which this thread came round. Between two of them it was told of all its sockets at least once, so a reader that
 /// waits, and reads after the third, reads what came behind the first.
-#[derive(Clone, Default)]
-pub struct Rounds(Rc<[Cell<Moment>; 3]>);
+#[derive(Clone)]
+pub struct Rounds(Rc<Noted>);
+
+struct Noted {
+    last_three: [Cell<Moment>; 3],
+    /// The longest span between two of them, since it was asked for last.
+    gap: Cell<Span>,
+    /// Up to when a stand was found out already.
+    counted: Cell<Moment>,
+}
 
 impl Rounds {
     pub fn start(clock: Clock, tasks: Tasks) -> Self {
-        let rounds = Self::default();
+        let last_three = [0; 3].map(|_| Cell::new(clock.now()));
+        let (gap, counted) = (Cell::new(Span::ZERO), Cell::new(clock.now()));
+        let rounds = Self(Rc::new(Noted { last_three, gap, counted }));
         let noted = rounds.clone();
         tasks.start(async move {
             loop {
@@ -35,13 +45,25 @@
     }
 
     fn note(&self, now: Moment) {
-        let [first, second, third] = &*self.0;
+        let Noted { last_three: [first, second, third], gap, counted } = &*self.0;
+        gap.set(gap.get().max(now.since(third.get().max(counted.get()))));
         first.set(second.replace(third.replace(now)));
     }
 
+    /// Whether this thread did not come round for longer than such a span, at any time since this was asked last. Each stand is told once.
+    pub fn stood(&self, now: Moment, longer_than: Span) -> bool {
+        let Noted { last_three: [.., last], gap, counted } = &*self.0;
+        let up_to_now = now.since(last.get().max(counted.get()));
+        let stood = gap.replace(Span::ZERO).max(up_to_now) > longer_than;
+        if stood {
+            counted.set(now);
+        }
+        stood
+    }
+
     /// What a waiting reader reads now came behind this.
     fn first(&self) -> Moment {
-        self.0[0].get()
+        self.0.last_three[0].get()
     }
 }
 
--- a/crates/router/src/backends/sql/engine.rs
+++ b/crates/router/src/backends/sql/engine.rs
@@ -11,6 +11,7 @@
 use crate::clock::Clock;
 use crate::exchange::Event;
 use crate::faults::CallFault;
+use crate::freshness::Freshness;
 use crate::guards::Guards;
 use crate::http::head;
 use crate::memory::Room;
@@ -37,6 +38,7 @@
     /// Ends of probes go ahead of what else the module is told.
     pub urgent: Sender<Event>,
     pub guards: Guards,
+    pub freshness: Freshness,
 }
 
 /// What the queries at one engine share.
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -228,6 +228,11 @@
                 Err(CallFault::Local(_)) => return Err(Outcome::NotIssued),
                 Err(_) => return Err(Outcome::NotConnected),
             };
+            if self.engine.ground.freshness.is_stale() {
+                drop(lease);
+                self.engine.ground.freshness.comes().await;
+                continue;
+            }
             if let Err(why) = self.may_begin() {
                 self.engine.ground.guards.refused(Step::Send, why, &self.dispatch.statement.id);
                 return Err(Outcome::NotIssued);
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -15,6 +15,7 @@
 use crate::discovery::calls::{Asked, Calls, Ended, MOST_CALLS, Pace};
 use crate::exchange::Event;
 use crate::faults::CallFault;
+use crate::freshness::Freshness;
 use crate::http::{Connection, head};
 use crate::sockets::{Link, within};
 use crate::starts::Happened;
@@ -58,6 +59,7 @@
 /// Follows discovery from `last`, the number of the last event known, which goes on at a new address.
 pub async fn follow(
     clock: Clock, address: SocketAddr, grace: Span, last: u64, moves: Receiver<Move>, module: Sender<Event>,
+    freshness: Freshness,
 ) {
     let patience = grace.times(PATIENCE_PART).min(LONGEST);
     let follower = Follower {
@@ -66,6 +68,7 @@
         patience,
         last,
         module,
+        freshness,
         descriptors: Arc::new(Semaphore::new(MOST_CALLS + 1)),
         calls: Calls::new(),
         pace: Pace::new(grace.times(HEARD_PART), patience.times(OVERDUE), CALLS_AT_PACE),
@@ -85,6 +88,7 @@
     patience: Span,
     last: u64,
     module: Sender<Event>,
+    freshness: Freshness,
     /// For its connections.
     descriptors: Arc<Semaphore>,
     calls: Calls<Answer, DiscoveryFault>,
@@ -111,7 +115,11 @@
                 }
                 Heard::Ended(Ended { began, outcome: Ok((told, connection)) }) => {
                     self.pace.answered_after(self.clock.now().since(began));
-                    self.answered(told, connection).await
+                    let passed = self.answered(told, connection).await;
+                    if passed.is_ok() {
+                        self.freshness.heard(began);
+                    }
+                    passed
                 }
                 Heard::Ended(Ended { outcome: Err(fault), .. }) => Err(fault.to_string()),
                 Heard::Moved(moved) => self.moved(moved).await,
@@ -156,8 +164,10 @@
             return;
         }
         self.retry = None;
+        // Behind a stand each query waits for the answer, so it is to come at once.
+        let patience = if self.freshness.is_stale() { Span::ZERO } else { self.patience };
         let now = self.clock.now();
-        let path = format!("/bulletins?after={}&patience={}", self.last, self.patience.micros() / 1000);
+        let path = format!("/bulletins?after={}&patience={}", self.last, patience.micros() / 1000);
         let kept = self.kept.take().filter(Connection::is_ready);
         let asked = Asked::default();
         let call = ask(self.clock, kept, self.descriptors.clone(), self.address, path, asked.clone());
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 mod faults;
 pub mod file_reads;
 pub mod files;
+mod freshness;
 mod frontends;
 pub mod gossip;
 mod guards;
@@ -50,6 +51,7 @@
 use crate::clock::Clock;
 use crate::decide::Desk;
 use crate::discovery::poll;
+use crate::freshness::Freshness;
 use crate::frontends::rpc::connections::Connections;
 use crate::frontends::rpc::front::Hall;
 use crate::frontends::rpc::listen::{self, Intake};
@@ -100,6 +102,8 @@
     let (module, mailbox) = async_channel::bounded(decide::MAILBOX);
     let (urgent, pressing) = async_channel::bounded(decide::MAILBOX);
     let guards = Guards::default();
+    let rounds = Rounds::start(clock, tasks);
+    let freshness = Freshness::new(clock, rounds.clone(), grace);
     let ground = Rc::new(Ground {
         clock,
         tasks,
@@ -112,6 +116,7 @@
         least: Rc::new(Cell::new(least("engine_bytes_per_s", "engine_grace_ms"))),
         urgent: urgent.clone(),
         guards: guards.clone(),
+        freshness: freshness.clone(),
     });
     let notes = talk.map(|talk| gossip::start(talk, clock, given.seed, tasks, module.clone())).transpose()?;
     let desk = Desk::new(clock, given.seed, settings, ground, module.clone(), notes.clone(), share)?;
@@ -122,7 +127,7 @@
         log::warn!("known: {fault}");
     }
     let (moves, moved) = async_channel::bounded(1);
-    tasks.start(poll::follow(clock, given.bulletin, grace, last, moved, urgent.clone()));
+    tasks.start(poll::follow(clock, given.bulletin, grace, last, moved, urgent.clone(), freshness));
     let (stop, told_to_stop) = async_channel::bounded(1);
     tasks.start(stop::heed(orders, moves, stop, notes, guards.clone()));
 
@@ -140,7 +145,7 @@
         sends: least("client_sends_bytes_per_s", "client_grace_ms"),
         takes: least("client_takes_bytes_per_s", "client_grace_ms"),
         turn: pace.whole("turn_bytes") as usize,
-        rounds: Rounds::start(clock, tasks),
+        rounds,
         guards: guards.clone(),
     };
     let connections = Connections::default();
