Standard names for the engine's handle, its context and calls, the dispatcher and the agreement

Change: Ground, Errand, Peer, Desk, Hall, Stay and council are EngineContext, EngineCall, EngineHandle, Dispatcher, FrontendContext, Registration and agreement; the pool of errands is that of control calls. No behaviour changes.

--- a/crates/router/src/council.rs
+++ b/crates/router/src/agreement.rs
@@ -29,7 +29,7 @@
     Ok(Pace { period: millis("period_ms"), lease, tolerance, content: CONTENT })
 }
 
-pub struct Council {
+pub struct Agreement {
     node: Node,
     follower: Follower,
     pace: Pace,
@@ -39,7 +39,7 @@
     acts_on: Option<Number>,
 }
 
-impl Council {
+impl Agreement {
     /// Another life at each start: the time in the high bits, `drawn` by chance in the low ones.
     pub fn start(now: Moment, seed: u64, drawn: u8, own: MemberId, pace: Pace) -> Self {
         let started = now.since(Moment::default()).micros();
--- a/crates/router/src/backends/sql.rs
+++ b/crates/router/src/backends/sql.rs
@@ -1,5 +1,5 @@
 //! Sql engines over HTTP/1.1.
 
 pub mod engine;
-pub mod peer;
+pub mod handle;
 pub mod query;
--- a/crates/router/src/backends/sql/engine.rs
+++ b/crates/router/src/backends/sql/engine.rs
@@ -19,14 +19,14 @@
 use crate::sockets::within;
 use crate::tasks::Tasks;
 
-/// No answer to an errand holds more.
+/// No answer to a control call holds more.
 const BODY_BYTES: usize = 4 * 1024;
 /// What all engines are given alike: there is one of it, which they share.
-pub struct Ground {
+pub struct EngineContext {
     pub clock: Clock,
     pub tasks: Tasks,
     pub queries: Rc<Pool>,
-    pub errands: Rc<Pool>,
+    pub control_calls: Rc<Pool>,
     pub probes: Rc<Pool>,
     pub connect_timeout: Span,
     /// Whether probes ask for a load report.
@@ -43,7 +43,7 @@
 
 /// What the queries at one engine share.
 pub struct Engine {
-    pub ground: Rc<Ground>,
+    pub context: Rc<EngineContext>,
     /// Tells its connections from those of an earlier one.
     pub serial: u64,
     pub address: SocketAddr,
@@ -55,12 +55,12 @@
 
 impl Engine {
     pub async fn lease(&self, pool: &Rc<Pool>) -> Result<Lease, CallFault> {
-        pool.lease(self.serial, self.address, self.ground.connect_timeout).await
+        pool.lease(self.serial, self.address, self.context.connect_timeout).await
     }
 
     /// A short call beside the queries' own: giving up or a new priority.
-    pub async fn errand(&self, method: &str, path: &str, body: &str) -> Result<u16, CallFault> {
-        self.short_call(&self.ground.errands, method, path, body, |_, _| ()).await
+    pub async fn control_call(&self, method: &str, path: &str, body: &str) -> Result<u16, CallFault> {
+        self.short_call(&self.context.control_calls, method, path, body, |_, _| ()).await
     }
 
     pub async fn short_call(
@@ -69,7 +69,7 @@
         let mut connection = self.lease(pool).await?;
         let head = head(method, path, self.address, &[], body.len());
         let call = connection.call(&head, body.as_bytes(), BODY_BYTES, |_| (), field);
-        let answer = within(self.ground.connect_timeout, call).await;
+        let answer = within(self.context.connect_timeout, call).await;
         let (status, _) = answer.unwrap_or(Err(CallFault::NoAnswerInTime))?;
         Ok(status)
     }
--- a/crates/router/src/backends/sql/peer.rs
+++ b/crates/router/src/backends/sql/handle.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use woadhook::{EngineId, Outcome};
 
-use crate::backends::sql::engine::{Engine, Ground};
+use crate::backends::sql::engine::{Engine, EngineContext};
 use crate::backends::sql::query;
 use crate::exchange::{Dispatch, Event};
 use crate::faults::CallFault;
@@ -16,22 +16,24 @@
 /// connection.
 const PROBES: usize = 3;
 
-pub enum Errand {
+pub enum EngineCall {
     Run(Dispatch, Receiver<u8>),
     Probe(EngineId),
 }
 
 /// The module's hold on an engine. It takes no memory for work that may come: with thousands of engines listed, nearly
 /// all have none.
-pub struct Peer {
+pub struct EngineHandle {
     pub engine: Rc<Engine>,
     module: Sender<Event>,
 }
 
-impl Peer {
-    pub fn start(ground: &Rc<Ground>, serial: u64, address: SocketAddr, module: Sender<Event>) -> Self {
+impl EngineHandle {
+    pub fn start(
+        context: &Rc<EngineContext>, serial: u64, address: SocketAddr, module: Sender<Event>,
+    ) -> Self {
         let engine = Rc::new(Engine {
-            ground: ground.clone(),
+            context: context.clone(),
             serial,
             address,
             open: Cell::new(true),
@@ -42,27 +44,27 @@
 
     /// Starts it as a task of its own. What bounds these tasks is the module: its limit on the threads in flight bounds the
     /// queries that are out, it has one probe out at each engine, and its host carries out so many decisions a turn.
-    pub fn send(&self, errand: Errand) {
-        let (engine, tasks) = (self.engine.clone(), self.engine.ground.tasks);
+    pub fn send(&self, errand: EngineCall) {
+        let (engine, tasks) = (self.engine.clone(), self.engine.context.tasks);
         match errand {
-            Errand::Run(dispatch, orders) => {
+            EngineCall::Run(dispatch, orders) => {
                 tasks.start(query::run(engine, dispatch, orders, self.module.clone()));
             }
-            Errand::Probe(id) => {
-                let urgent = engine.ground.urgent.clone();
+            EngineCall::Probe(id) => {
+                let urgent = engine.context.urgent.clone();
                 tasks.start(probe(engine, id, urgent));
             }
         }
     }
 }
 
-impl Drop for Peer {
+impl Drop for EngineHandle {
     /// Closes what is idle; what is in use by then goes by its age.
     fn drop(&mut self) {
-        let Engine { ground, serial, .. } = &*self.engine;
-        ground.queries.close_all(*serial);
-        ground.errands.close_all(*serial);
-        ground.probes.close_all(*serial);
+        let Engine { context, serial, .. } = &*self.engine;
+        context.queries.close_all(*serial);
+        context.control_calls.close_all(*serial);
+        context.probes.close_all(*serial);
     }
 }
 
@@ -86,13 +88,13 @@
 
 async fn probe_once(engine: &Engine) -> (Outcome, Option<String>) {
     let mut stats = None;
-    let path = if engine.ground.reports { "/load" } else { "/-/ok" };
+    let path = if engine.context.reports { "/load" } else { "/-/ok" };
     let hear = |name: &str, value: &str| {
         if name.eq_ignore_ascii_case("X-Stats") {
             stats = Some(value.to_owned());
         }
     };
-    let outcome = match engine.short_call(&engine.ground.probes, "GET", path, "", hear).await {
+    let outcome = match engine.short_call(&engine.context.probes, "GET", path, "", hear).await {
         Ok(200) => Outcome::Done,
         Ok(503) => Outcome::TurnedAway,
         Ok(_) => Outcome::Error,
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -89,7 +89,7 @@
         }
         self.out.doubt_all();
         let left = Ending { out: self.out.clone(), is_told: self.is_told, is_settled: false };
-        self.out.engine.ground.tasks.start(left.resume());
+        self.out.engine.context.tasks.start(left.resume());
     }
 }
 
@@ -171,7 +171,7 @@
 
 impl Out {
     fn now(&self) -> Moment {
-        self.engine.ground.clock.now()
+        self.engine.context.clock.now()
     }
 
     async fn work(&self) -> End {
@@ -210,13 +210,13 @@
     /// for, as it may run. A connection that breaks before a byte was written proves nothing of the engine
     /// and is replaced.
     async fn begin(&self) -> Result<(Answer, Lease), Outcome> {
-        let connect_timeout = self.engine.ground.connect_timeout;
+        let connect_timeout = self.engine.context.connect_timeout;
         let statement = &self.dispatch.statement;
         let (began, priority) = (self.now(), self.dispatch.priority.to_string());
         let mut pause = LEAST_PAUSE;
         loop {
             let in_time = self.now().since(began) < connect_timeout;
-            let mut lease = match self.engine.lease(&self.engine.ground.queries).await {
+            let mut lease = match self.engine.lease(&self.engine.context.queries).await {
                 Ok(lease) => lease,
                 Err(CallFault::NoDescriptor) => return Err(Outcome::NotIssued),
                 Err(CallFault::Local(_) | CallFault::Unreachable(_) | CallFault::Broken(_)) if in_time => {
@@ -228,13 +228,13 @@
                 Err(CallFault::Local(_)) => return Err(Outcome::NotIssued),
                 Err(_) => return Err(Outcome::NotConnected),
             };
-            if self.engine.ground.freshness.is_stale() {
+            if self.engine.context.freshness.is_stale() {
                 drop(lease);
-                self.engine.ground.freshness.comes().await;
+                self.engine.context.freshness.comes().await;
                 continue;
             }
             if let Err(why) = self.may_begin() {
-                self.engine.ground.guards.refused(Step::Send, why, &self.dispatch.statement.id);
+                self.engine.context.guards.refused(Step::Send, why, &self.dispatch.statement.id);
                 return Err(Outcome::NotIssued);
             }
             self.heard.set(self.now());
@@ -286,7 +286,7 @@
     /// A byte of the POST was written. There is no wait between the guard and the first one, so what held there holds.
     fn note_first_byte(&self) {
         if let (false, Err(why)) = (self.began.replace(true), self.sending().check()) {
-            self.engine.ground.guards.violated(Step::Send, why, &self.dispatch.statement.id);
+            self.engine.context.guards.violated(Step::Send, why, &self.dispatch.statement.id);
         }
     }
 
@@ -300,12 +300,12 @@
             let kept = lease.take().filter(|lease| lease.is_ready());
             let opened = match kept {
                 Some(lease) => Ok(lease),
-                None => self.engine.lease(&self.engine.ground.queries).await,
+                None => self.engine.lease(&self.engine.context.queries).await,
             };
             match opened {
                 Ok(mut lease) => {
                     // An engine that answers at a crawl answers: what has come of a page counts as heard.
-                    let least = self.engine.ground.least.get();
+                    let least = self.engine.context.least.get();
                     lease.least = if crawls < CRAWLS { least } else { Least { rate: 1.0, ..least } };
                     match self.flowing(&mut lease, &path, page).await {
                         Ok(answer) => return Ok((answer, lease)),
@@ -347,7 +347,7 @@
 
     /// One call that is given up where no byte of its answer comes in time, or the rest of it too slowly.
     async fn flowing(&self, lease: &mut Lease, path: &str, page: usize) -> Result<Answer, CallFault> {
-        let clock = self.engine.ground.clock;
+        let clock = self.engine.context.clock;
         let began = self.now();
         let flow = lease.flow.clone();
         let slow = async {
@@ -439,7 +439,7 @@
     /// Every page of the result, each whole and in its place.
     async fn collect(&self, first: Answer, mut lease: Lease) -> Result<Rows, Outcome> {
         let most = if first.pages > 1 { RESULT_BYTES } else { first.body.len() };
-        let held = self.engine.ground.room.take(self.dispatch.statement.holder, most).await;
+        let held = self.engine.context.room.take(self.dispatch.statement.holder, most).await;
         let (count, mut bytes, mut pages) = (first.pages, first.body.len(), vec![first.body]);
         while pages.len() < count {
             let (answer, same) = self.ask(pages.len(), Some(lease)).await?;
@@ -456,7 +456,7 @@
     /// Passes on new priorities until the query's time is up or it is given up.
     async fn stopped(&self) -> Outcome {
         let late = async {
-            self.engine.ground.clock.until(self.dispatch.until).await;
+            self.engine.context.clock.until(self.dispatch.until).await;
             Outcome::TimedOut
         };
         let told = async {
@@ -467,7 +467,7 @@
                             continue;
                         }
                         let (path, body) = (self.path(), priority.to_string());
-                        let _ = self.engine.errand("PUT", &path, &body).await;
+                        let _ = self.engine.control_call("PUT", &path, &body).await;
                     }
                     _ => return Outcome::Cancelled,
                 }
@@ -511,7 +511,7 @@
 
     /// One call that gives it up; done where it came whole.
     async fn delete(&self) -> Result<(), CallFault> {
-        let answer = self.engine.errand("DELETE", &self.path(), "").await;
+        let answer = self.engine.control_call("DELETE", &self.path(), "").await;
         self.deleted(answer.map(|_| ()))
     }
 
@@ -519,7 +519,7 @@
     async fn delete_over(&self, lease: &mut Lease) {
         let head = head("DELETE", &self.path(), self.engine.address, &[], 0);
         let call = lease.call(&head, &[], PAGE_BYTES, |_| (), |_, _| ());
-        let answer = within(self.engine.ground.connect_timeout, call).await;
+        let answer = within(self.engine.context.connect_timeout, call).await;
         if let Err(fault) = self.deleted(answer.unwrap_or(Err(CallFault::NoAnswerInTime)).map(|_| ())) {
             self.unheard("deleted over its connection", &fault);
         }
@@ -579,7 +579,7 @@
             }
         }
         if self.in_doubt.get() || self.broke.get() {
-            self.engine.ground.clock.until(self.expires()).await;
+            self.engine.context.clock.until(self.expires()).await;
         }
     }
 }
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -17,8 +17,8 @@
 use woadhook_pace::crawl::Standing;
 use woadhook_pace::rate::Least;
 
-use crate::backends::sql::engine::Ground;
-use crate::backends::sql::peer::{Errand, Peer};
+use crate::backends::sql::engine::EngineContext;
+use crate::backends::sql::handle::{EngineCall, EngineHandle};
 use crate::clock::Clock;
 use crate::config::address;
 use crate::exchange::{Answer, Dispatch, Event, MALFORMED, Note, Notes, Reply, Statement, measure};
@@ -63,7 +63,7 @@
 
 /// An engine: the hold on it, and its line for a module that begins again.
 struct Known {
-    peer: Peer,
+    handle: EngineHandle,
     line: Line,
     /// The latest moment at which it may have started, where it told of a start.
     started: Option<Moment>,
@@ -73,17 +73,17 @@
     fn list(&mut self, line: Line, started: Option<Moment>) {
         self.line = line;
         self.started = started;
-        self.peer.engine.gone.set(line.listed == Listed::Gone);
-        self.peer.engine.open.set(line.listed == Listed::Live);
+        self.handle.engine.gone.set(line.listed == Listed::Gone);
+        self.handle.engine.open.set(line.listed == Listed::Live);
     }
 }
 
-pub struct Desk {
+pub struct Dispatcher {
     clock: Clock,
     settings: Value,
     seed: u64,
     instance: Instance,
-    ground: Rc<Ground>,
+    context: Rc<EngineContext>,
     /// For actors that tell the module things.
     module: Sender<Event>,
     /// The jobs that await an answer, by connection and message; emptied by the answers.
@@ -109,12 +109,12 @@
     share: f64,
 }
 
-impl Desk {
+impl Dispatcher {
     pub fn new(
-        clock: Clock, seed: u64, settings: Value, ground: Rc<Ground>, module: Sender<Event>,
+        clock: Clock, seed: u64, settings: Value, context: Rc<EngineContext>, module: Sender<Event>,
         notes: Option<Notes>, share: f64,
     ) -> Result<Self> {
-        let (least, most_least) = (ground.least.clone(), ground.least.get());
+        let (least, most_least) = (context.least.clone(), context.least.get());
         Ok(Self {
             standing: Standing::default(),
             least,
@@ -124,7 +124,7 @@
             instance: Instance::start(clock.now(), seed, &settings)?,
             settings,
             seed,
-            ground,
+            context,
             module,
             asked: HashMap::new(),
             jobs: HashMap::new(),
@@ -206,7 +206,7 @@
             Event::Ping { reply } => {
                 let serves = self.serves();
                 if let Err(why) = serves {
-                    self.ground.guards.refused(Step::Start, why, "");
+                    self.context.guards.refused(Step::Start, why, "");
                 }
                 reply.send(Answer::Pong(serves.is_ok()));
             }
@@ -420,12 +420,12 @@
             return known.list(line, started);
         }
         self.serial += 1;
-        let peer = Peer::start(&self.ground, self.serial, line.at, self.module.clone());
-        let mut new = Known { peer, line, started };
+        let handle = EngineHandle::start(&self.context, self.serial, line.at, self.module.clone());
+        let mut new = Known { handle, line, started };
         new.list(line, started);
         if let Some(old) = self.engines.insert(engine, new) {
-            old.peer.engine.open.set(false);
-            old.peer.engine.gone.set(true);
+            old.handle.engine.open.set(false);
+            old.handle.engine.gone.set(true);
         }
     }
 
@@ -453,7 +453,7 @@
                 let answer = match self.check_rejection(job) {
                     Ok(()) => Answer::Overloaded(come_back),
                     Err(why) => {
-                        self.ground.guards.violated(Step::Repeat, why, self.instance.jobs.name(job.0));
+                        self.context.guards.violated(Step::Repeat, why, self.instance.jobs.name(job.0));
                         Answer::Failed("Internal")
                     }
                 };
@@ -465,7 +465,7 @@
             }
             Decision::Probe { engine } => {
                 if let Some(known) = self.engines.get(&engine) {
-                    known.peer.send(Errand::Probe(engine));
+                    known.handle.send(EngineCall::Probe(engine));
                 } else {
                     self.instance.router.probe_ended(now, engine, Outcome::NotIssued);
                 }
@@ -523,7 +523,7 @@
             Dispatch { job, number, engine, statement, decided: now, until, before, key, priority };
         let (orders, taken) = async_channel::bounded(ORDERS);
         open.out.insert(number, (engine, orders));
-        known.peer.send(Errand::Run(dispatch, taken));
+        known.handle.send(EngineCall::Run(dispatch, taken));
     }
 
     /// What this host itself saw of a job's dispatches.
@@ -547,7 +547,7 @@
 
     /// A dispatch that must not be, whatever the module decided: it is told that it was not issued.
     fn refuse_dispatch(&mut self, now: Moment, job: JobId, why: Refusal) {
-        self.ground.guards.violated(Step::Repeat, why, self.instance.jobs.name(job.0));
+        self.context.guards.violated(Step::Repeat, why, self.instance.jobs.name(job.0));
         let Some(open) = self.jobs.get_mut(&job) else { return };
         let number = open.dispatches;
         open.dispatches += 1;
--- a/crates/router/src/frontends/rpc/connections.rs
+++ b/crates/router/src/frontends/rpc/connections.rs
@@ -60,13 +60,13 @@
 }
 
 /// A peer's place in the list.
-pub struct Stay {
+pub struct Registration {
     pub peer: Rc<Client>,
     connections: Connections,
     client: u64,
 }
 
-impl Stay {
+impl Registration {
     /// Comes when it is to go and may; to be polled behind the reading.
     pub async fn over(&self, clock: Clock) {
         loop {
@@ -83,14 +83,14 @@
     }
 }
 
-impl Drop for Stay {
+impl Drop for Registration {
     fn drop(&mut self) {
         self.connections.0.all.borrow_mut().remove(&self.client);
     }
 }
 
 impl Connections {
-    pub fn enter(&self, client: u64, link: &Rc<Link>, now: Moment) -> Stay {
+    pub fn enter(&self, client: u64, link: &Rc<Link>, now: Moment) -> Registration {
         let peer = Rc::new(Client {
             link: Rc::downgrade(link),
             came: now,
@@ -102,7 +102,7 @@
             leave: Event::new(),
         });
         self.0.all.borrow_mut().insert(client, peer.clone());
-        Stay { peer, connections: self.clone(), client }
+        Registration { peer, connections: self.clone(), client }
     }
 
     pub fn is_empty(&self) -> bool {
--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -19,7 +19,7 @@
 use crate::clock::{Clock, pass};
 use crate::exchange::{Answer, Event, MALFORMED, Reply, Statement, Wanted};
 use crate::frontends::rpc::codec::{self, Malformed, Scan};
-use crate::frontends::rpc::connections::{Client, Stay};
+use crate::frontends::rpc::connections::{Client, Registration};
 use crate::frontends::rpc::request::Range;
 use crate::guards::{Guards, Refusal, Step};
 use crate::memory::{Held, Holder, Room};
@@ -52,7 +52,7 @@
 
 /// What all connections of clients are given alike.
 #[derive(Clone)]
-pub struct Hall {
+pub struct FrontendContext {
     pub clock: Clock,
     pub tasks: Tasks,
     pub module: Sender<Event>,
@@ -114,16 +114,18 @@
 
 /// Serves one connection, which came after such a moment, until either side ends it or its place is needed, then withdraws its
 /// jobs.
-pub async fn serve(link: Rc<Link>, client: u64, stay: Stay, came: Moment, hall: Hall) {
+pub async fn serve(
+    link: Rc<Link>, client: u64, registration: Registration, came: Moment, context: FrontendContext,
+) {
     let gone = Rc::new(Cell::new(false));
-    let leave = Leave { client, gone: gone.clone(), module: hall.module.clone(), tasks: hall.tasks };
+    let leave = Leave { client, gone: gone.clone(), module: context.module.clone(), tasks: context.tasks };
     let (outbox, answers) = async_channel::bounded(OPEN + ASIDE);
     let (places, aside) = (Arc::new(Semaphore::new(OPEN)), Arc::new(Semaphore::new(ASIDE)));
-    let (peer, clock, guards) = (stay.peer.clone(), hall.clock, hall.guards.clone());
+    let (peer, clock, guards) = (registration.peer.clone(), context.clock, context.guards.clone());
     let address =
         link.stream.get_ref().peer_addr().map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.ip());
     let holder = Holder { connection: client, address };
-    let (takes, turn) = (hall.takes, Turn::new(hall.turn));
+    let (takes, turn) = (context.takes, Turn::new(context.turn));
     let (own, asked) = (peer.clone(), Asked::default());
     let reader = Reader {
         client,
@@ -133,11 +135,11 @@
         outbox,
         peer: own,
         last: Cell::new(0),
-        arrivals: Arrivals::since(came, clock, hall.rounds.clone()),
+        arrivals: Arrivals::since(came, clock, context.rounds.clone()),
         credit: Cell::new((BURST, clock.now())),
         asked,
         gone,
-        hall,
+        context,
     };
     // What was answered before the reading ended is still written, but whoever ended it waits for nothing more.
     let read = async {
@@ -163,7 +165,7 @@
         }
     };
     let sent_off = async {
-        stay.over(clock).await;
+        registration.over(clock).await;
         if peer.open.get() > 0 {
             guards.violated(Step::Close, Refusal::AnswerOwed, &format!("of client {client}"));
         }
@@ -292,7 +294,7 @@
     credit: Cell<(f64, Moment)>,
     asked: Asked,
     gone: Rc<Cell<bool>>,
-    hall: Hall,
+    context: FrontendContext,
 }
 
 impl Reader {
@@ -308,8 +310,8 @@
         let mut room: Option<Held> = None;
         let (mut scan, mut scanned) = (Scan::default(), 0);
         // Until when the message under way is to be whole; the first is under way from the start.
-        let mut due = Some(self.hall.clock.now() + MESSAGE_WITHIN);
-        let (mut watch, mut turn) = (None, Turn::new(self.hall.turn));
+        let mut due = Some(self.context.clock.now() + MESSAGE_WITHIN);
+        let (mut watch, mut turn) = (None, Turn::new(self.context.turn));
         loop {
             let (mut start, mut turned_away) = (0, 0);
             while let Some(length) = codec::whole(&buffer[start..filled], &mut scan, &mut scanned)? {
@@ -326,15 +328,15 @@
             if filled == buffer.len() {
                 // Threat: many clients with long messages. Those that find no room are closed when theirs is
                 // due.
-                let more = within(MESSAGE_WITHIN, self.hall.messages.take(self.holder, filled * 2)).await;
+                let more = within(MESSAGE_WITHIN, self.context.messages.take(self.holder, filled * 2)).await;
                 room = Some(more.ok_or(End::NoRoom)?);
                 buffer.resize(filled * 2, 0);
             } else if filled == 0 && room.take().is_some() {
                 buffer = vec![0; READ_BYTES];
             }
             if filled > 0 && due.is_none() {
-                due = Some(self.hall.clock.now() + MESSAGE_WITHIN);
-                watch = Some(Watch::start(self.hall.clock.now(), self.hall.sends));
+                due = Some(self.context.clock.now() + MESSAGE_WITHIN);
+                watch = Some(Watch::start(self.context.clock.now(), self.context.sends));
             }
             self.peer.midway.set(filled > 0);
             self.peer.settled();
@@ -350,23 +352,23 @@
             self.peer.midway.set(true);
             filled += count;
             if let Some(watch) = &mut watch {
-                watch.moved(self.hall.clock.now(), count);
+                watch.moved(self.context.clock.now(), count);
             }
             rest(&mut turn, count).await;
-            self.peer.quiet_since.set(self.hall.clock.now());
+            self.peer.quiet_since.set(self.context.clock.now());
         }
     }
 
     /// Waits as a client is to that has had so many more answers of the door; whether it is still there.
     async fn pace(&self, link: &Link, turned_away: usize) -> bool {
         let (left, since) = self.credit.get();
-        let now = self.hall.clock.now();
+        let now = self.context.clock.now();
         let earned = now.since(since).secs() / PACE.secs();
         let left = (left + earned).min(BURST) - turned_away as f64;
         self.credit.set((left, now));
         let until = now + PACE.times(-left);
-        while turned_away > 0 && self.hall.clock.now() < until {
-            pass(until.since(self.hall.clock.now()).min(GLANCE)).await;
+        while turned_away > 0 && self.context.clock.now() < until {
+            pass(until.since(self.context.clock.now()).min(GLANCE)).await;
             if link.is_left() {
                 return false;
             }
@@ -376,7 +378,7 @@
 
     /// The fault of a client that was at a message, with the figures of its slowness.
     fn too_slow(&self, watch: Option<Watch>) -> End {
-        let (bytes, rate) = watch.map_or((0, 0.0), |watch| watch.figures(self.hall.clock.now()));
+        let (bytes, rate) = watch.map_or((0, 0.0), |watch| watch.figures(self.context.clock.now()));
         End::TooSlow(format!("{bytes} bytes at {rate:.0} a second"))
     }
 
@@ -386,7 +388,7 @@
     async fn read_some(
         &self, link: &Link, buffer: &mut [u8], due: Option<Moment>,
     ) -> Result<Option<io::Result<usize>>, End> {
-        let clock = self.hall.clock;
+        let clock = self.context.clock;
         loop {
             let until = due.unwrap_or_else(|| self.peer.quiet_since.get() + IDLE);
             let left = until.since(clock.now());
@@ -422,7 +424,7 @@
                 let number = codec::number(message)?;
                 let method = codec::text(message);
                 if let Ok("ping") = method {
-                    let _ = self.hall.module.send(Event::Ping { reply: self.aside(number).await }).await;
+                    let _ = self.context.module.send(Event::Ping { reply: self.aside(number).await }).await;
                     return Ok(1);
                 }
                 if number <= self.last.replace(number) {
@@ -442,7 +444,7 @@
                     if let Some(statement) = self.asked.borrow().get(&number) {
                         statement.wanted.take_back();
                     }
-                    let _ = self.hall.module.send(Event::Withdrawn { client: self.client, number }).await;
+                    let _ = self.context.module.send(Event::Withdrawn { client: self.client, number }).await;
                 }
                 Ok(0)
             }
@@ -458,7 +460,7 @@
     }
 
     fn reply(&self, number: u32, place: SemaphoreGuardArc, awaited: Option<Awaited>) -> Reply {
-        let (peer, owing) = (self.peer.clone(), self.hall.owing.clone());
+        let (peer, owing) = (self.peer.clone(), self.context.owing.clone());
         owing.set(owing.get() + 1);
         peer.open.set(peer.open.get() + 1);
         let (owed, outbox) = (Owed { _place: place, owing, peer }, self.outbox.clone());
@@ -474,10 +476,10 @@
         &self, arrived: Moment, number: u32, method: &str, message: &mut &[u8],
     ) -> Result<(), Answer> {
         let malformed = |_: Malformed| Answer::Failed(MALFORMED);
-        let asked = self.hall.range.request(method, message).map_err(malformed)?;
-        let full = || Answer::Overloaded(self.hall.come_back);
+        let asked = self.context.range.request(method, message).map_err(malformed)?;
+        let full = || Answer::Overloaded(self.context.come_back);
         let place = self.places.try_acquire_arc().ok_or_else(full)?;
-        let held = self.hall.room.try_take(self.holder, asked.text.len() + JOB_BYTES).ok_or_else(full)?;
+        let held = self.context.room.try_take(self.holder, asked.text.len() + JOB_BYTES).ok_or_else(full)?;
         // The connection itself belongs to its actor alone.
         let (link, gone) = (self.peer.link.clone(), self.gone.clone());
         let connected = move || !gone.get() && link.upgrade().is_some_and(|link| !link.is_left());
@@ -505,7 +507,7 @@
             deadline: arrived + asked.wait,
             reply: self.reply(number, place, Some(awaited)),
         };
-        let _ = self.hall.module.send(arrival).await;
+        let _ = self.context.module.send(arrival).await;
         Ok(())
     }
 }
--- a/crates/router/src/frontends/rpc/listen.rs
+++ b/crates/router/src/frontends/rpc/listen.rs
@@ -14,7 +14,7 @@
 use crate::arrivals::Arrivals;
 use crate::clock::{Clock, pass};
 use crate::frontends::rpc::connections::Connections;
-use crate::frontends::rpc::front::{self, Hall};
+use crate::frontends::rpc::front::{self, FrontendContext};
 use crate::sockets::{Link, is_readable, within};
 
 /// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
@@ -40,10 +40,10 @@
 }
 
 pub async fn accept(
-    intake: Intake, part: Arc<Semaphore>, clock: Clock, connections: Connections, hall: Hall,
+    intake: Intake, part: Arc<Semaphore>, clock: Clock, connections: Connections, context: FrontendContext,
 ) {
     let listener = &intake.listener;
-    let arrivals = Arrivals::since(clock.now(), clock, hall.rounds.clone());
+    let arrivals = Arrivals::since(clock.now(), clock, context.rounds.clone());
     for client in 0.. {
         let stream = match arrivals.taking(listener.accept()).await {
             Ok((stream, _)) => stream,
@@ -64,9 +64,9 @@
             }
         };
         let link = Rc::new(Link::accepted(stream, permit));
-        let stay = connections.enter(client, &link, clock.now());
+        let registration = connections.enter(client, &link, clock.now());
         intake.holds_one.set(false);
-        hall.tasks.start(front::serve(link, client, stay, arrivals.came(), hall.clone()));
+        context.tasks.start(front::serve(link, client, registration, arrivals.came(), context.clone()));
         // Those taken in before are heard first.
         yield_now().await;
     }
--- a/crates/router/src/gossip.rs
+++ b/crates/router/src/gossip.rs
@@ -12,8 +12,8 @@
 use woadhook_gossip::{Do, Gossip, Pace, Seen};
 use woadhook_operator::Section;
 
+use crate::agreement::{self, Agreement};
 use crate::clock::{Clock, pass};
-use crate::council::{self, Council};
 use crate::exchange::{Event, List, Note, Notes};
 use crate::keyfiles::Keys;
 use crate::tasks::Tasks;
@@ -69,7 +69,7 @@
 
 /// How often and how long in the agreement of voters, or what is wrong with the section.
 pub fn agreement(section: Section<'_>) -> Result<woadhook_accord::Pace> {
-    council::pace(section)
+    agreement::pace(section)
 }
 
 /// Starts the actor; what it hears reaches the module.
@@ -78,13 +78,14 @@
     let socket = Async::new(socket).map_err(|error| format!("gossip: {error}"))?;
     log::info!(event = "gossip_started", member = identity.name(), address:% = address; "talking with other instances");
     // Apart from the module's own draws.
-    let council = Council::start(clock.now(), seed.rotate_left(31), rand::random(), identity.id(), accord);
+    let agreement =
+        Agreement::start(clock.now(), seed.rotate_left(31), rand::random(), identity.id(), accord);
     let mut core = Gossip::new(clock.now(), seed.rotate_left(17), identity, ring, address, seeds, pace);
     if let Some(order) = order {
         core.order(order);
     }
     let (notes, taken, listed) = Notes::new();
-    tasks.start(run(core, council, socket, clock, taken, listed, module));
+    tasks.start(run(core, agreement, socket, clock, taken, listed, module));
     Ok(notes)
 }
 
@@ -97,19 +98,19 @@
 }
 
 async fn run(
-    mut core: Gossip, mut council: Council, socket: Async<UdpSocket>, clock: Clock, notes: Receiver<Note>,
-    lists: Receiver<List>, module: Sender<Event>,
+    mut core: Gossip, mut agreement: Agreement, socket: Async<UdpSocket>, clock: Clock,
+    notes: Receiver<Note>, lists: Receiver<List>, module: Sender<Event>,
 ) {
     // One byte more than allowed, so that what is too long shows.
     let mut buffer = [0; DATAGRAM + 1];
     loop {
         loop {
             let now = clock.now();
-            council.pull(now, &mut core);
+            agreement.pull(now, &mut core);
             let Some(to_do) = core.next(now) else { break };
-            carry_out(to_do, now, &mut council, &socket, &module);
+            carry_out(to_do, now, &mut agreement, &socket, &module);
         }
-        let due = [core.due(), council.due()].into_iter().flatten().min();
+        let due = [core.due(), agreement.due()].into_iter().flatten().min();
         let datagram = async { Heard::Datagram(socket.recv_from(&mut buffer).await) };
         let note = async { notes.recv().await.map_or(Heard::Ended, Heard::Note) };
         let list = async { lists.recv().await.map_or(Heard::Ended, Heard::List) };
@@ -159,12 +160,12 @@
 }
 
 fn carry_out(
-    to_do: Do, now: Moment, council: &mut Council, socket: &Async<UdpSocket>, module: &Sender<Event>,
+    to_do: Do, now: Moment, agreement: &mut Agreement, socket: &Async<UdpSocket>, module: &Sender<Event>,
 ) {
     match to_do {
-        Do::Ordered { epoch, voters } => council.ordered(now, epoch, &voters),
-        Do::Direct { from, bytes } => council.heard(now, from, &bytes),
-        Do::Notice { from, subject, says } => council.noticed(now, from, subject, &says),
+        Do::Ordered { epoch, voters } => agreement.ordered(now, epoch, &voters),
+        Do::Direct { from, bytes } => agreement.heard(now, from, &bytes),
+        Do::Notice { from, subject, says } => agreement.noticed(now, from, subject, &says),
         // What the socket does not take now is lost, as on any network.
         Do::Send { to, bytes } => {
             let _ = socket.get_ref().send_to(&bytes, to);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,11 +6,11 @@
 //! what is scarce, `signals` hears what the operators order and `stop` heeds it. Calls that may wait stand on threads of their own:
 //! `log_queue` for the lines of the log, `file_reads` for files. What these say to each other stands in `exchange`, below them all.
 
+pub mod agreement;
 mod arrivals;
 mod backends;
 pub mod clock;
 pub mod config;
-pub mod council;
 mod decide;
 mod discovery;
 mod exchange;
@@ -47,13 +47,13 @@
 pub use crate::frontends::rpc::codec;
 
 use crate::arrivals::Rounds;
-use crate::backends::sql::engine::Ground;
+use crate::backends::sql::engine::EngineContext;
 use crate::clock::Clock;
-use crate::decide::Desk;
+use crate::decide::Dispatcher;
 use crate::discovery::poll;
 use crate::freshness::Freshness;
 use crate::frontends::rpc::connections::Connections;
-use crate::frontends::rpc::front::Hall;
+use crate::frontends::rpc::front::FrontendContext;
 use crate::frontends::rpc::listen::{self, Intake};
 use crate::frontends::rpc::request::Range;
 use crate::gossip::Talk;
@@ -104,11 +104,11 @@
     let guards = Guards::default();
     let rounds = Rounds::start(clock, tasks);
     let freshness = Freshness::new(clock, rounds.clone(), grace);
-    let ground = Rc::new(Ground {
+    let context = Rc::new(EngineContext {
         clock,
         tasks,
         queries: Pool::new(clock, descriptors.queries, idle_close),
-        errands: Pool::new(clock, descriptors.errands, idle_close),
+        control_calls: Pool::new(clock, descriptors.control_calls, idle_close),
         probes: Pool::new(clock, descriptors.probes, idle_close),
         connect_timeout,
         reports,
@@ -119,8 +119,9 @@
         freshness: freshness.clone(),
     });
     let notes = talk.map(|talk| gossip::start(talk, clock, given.seed, tasks, module.clone())).transpose()?;
-    let desk = Desk::new(clock, given.seed, settings, ground, module.clone(), notes.clone(), share)?;
-    tasks.start(desk.run(pressing, mailbox));
+    let dispatcher =
+        Dispatcher::new(clock, given.seed, settings, context, module.clone(), notes.clone(), share)?;
+    tasks.start(dispatcher.run(pressing, mailbox));
     let mut last = 0;
     // A list that can't be read is no reason not to start: the bulletin tells it anew.
     if let Err(fault) = poll::pass_on_known(&given.known, &mut last, &urgent).await {
@@ -133,7 +134,7 @@
 
     let intake = Intake::new(listener).map_err(|error| error.to_string())?;
     let owing = Rc::new(Cell::new(0));
-    let hall = Hall {
+    let hall = FrontendContext {
         clock,
         tasks,
         module: module.clone(),
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -31,7 +31,7 @@
     /// Starting queries, their news and pages.
     pub queries: Arc<Semaphore>,
     /// Giving queries up and priorities.
-    pub errands: Arc<Semaphore>,
+    pub control_calls: Arc<Semaphore>,
     pub probes: Arc<Semaphore>,
 }
 
@@ -39,14 +39,14 @@
     pub fn share(limit: usize) -> Self {
         let clients = limit / 3;
         let rest = limit.saturating_sub(clients + OWN).max(2);
-        let (errands, probes) = ((rest / 5).max(1), (rest / 20).max(1));
-        let queries = rest.saturating_sub(errands + probes).max(1);
+        let (control_calls, probes) = ((rest / 5).max(1), (rest / 20).max(1));
+        let queries = rest.saturating_sub(control_calls + probes).max(1);
         let part = |count| Arc::new(Semaphore::new(count));
         Self {
             clients: part(clients.max(1)),
             most_clients: clients.max(1),
             queries: part(queries),
-            errands: part(errands),
+            control_calls: part(control_calls),
             probes: part(probes),
         }
     }
--- a/crates/router/tests/stories/main.rs
+++ b/crates/router/tests/stories/main.rs
@@ -777,7 +777,7 @@
     let count = |part: &Arc<async_lock::Semaphore>| {
         std::iter::from_fn(|| part.try_acquire_arc()).take(2000).collect::<Vec<_>>().len()
     };
-    let counts = [&parts.clients, &parts.queries, &parts.errands, &parts.probes].map(count);
+    let counts = [&parts.clients, &parts.queries, &parts.control_calls, &parts.probes].map(count);
     assert!(
         counts[0] <= 1024 / 3
             && counts[2..].iter().all(|count| *count > 0)
--- a/crates/standins/src/cluster.rs
+++ b/crates/standins/src/cluster.rs
@@ -6,7 +6,7 @@
 use woadhook::{Moment, Span};
 use woadhook_gossip::keys::{Cluster as Tag, Identity, MemberId, Order, Pass, Revocation, Ring, Secret};
 use woadhook_gossip::{Do, Gossip, Pace, Seen, What};
-use woadhook_router::council::Council;
+use woadhook_router::agreement::Agreement;
 
 use crate::net::{Network, Weather};
 
@@ -116,7 +116,7 @@
     pub orders: Vec<(usize, u64)>,
     pub notices: Vec<(usize, MemberId, Vec<u8>)>,
     /// What a few of them agree on and all follow, once there is an order.
-    pub councils: BTreeMap<usize, Council>,
+    pub agreements: BTreeMap<usize, Agreement>,
     due: BTreeSet<(Moment, usize)>,
     dues: Vec<Option<Moment>>,
     places: HashMap<SocketAddr, usize>,
@@ -128,7 +128,7 @@
         let net = Network::new(seed, weather);
         let (nodes, told, heard, places) = (Vec::new(), Vec::new(), VecDeque::new(), HashMap::new());
         let (due, dues) = (BTreeSet::new(), Vec::new());
-        let (councils, orders, notices) = (BTreeMap::new(), Vec::new(), Vec::new());
+        let (agreements, orders, notices) = (BTreeMap::new(), Vec::new(), Vec::new());
         let mut new = Self {
             now: START + secs(60.0),
             net,
@@ -137,7 +137,7 @@
             heard,
             pace,
             seed,
-            councils,
+            agreements,
             orders,
             notices,
             due,
@@ -206,12 +206,14 @@
         done
     }
 
-    /// The operator orders that some vote, and tells one instance; all hold councils from now on.
+    /// The operator orders that some vote, and tells one instance; all hold agreements from now on.
     pub fn order(&mut self, epoch: u64, voters: &[usize], accord: woadhook_accord::Pace) {
         for node in 0..self.nodes.len() {
             let (now, own) = (self.nodes[node].now(self.now), self.core(node).id());
             let seed = self.seed ^ node as u64;
-            self.councils.entry(node).or_insert_with(|| Council::start(now, seed, node as u8, own, accord));
+            self.agreements
+                .entry(node)
+                .or_insert_with(|| Agreement::start(now, seed, node as u8, own, accord));
         }
         let keys: Vec<[u8; 32]> = voters.iter().map(|voter| secret(*voter as u64).public()).collect();
         let order = Order::issue(&operator(), tag(), epoch, &keys).expect("an order");
@@ -220,10 +222,10 @@
 
     /// How many instances act on what is agreed now.
     pub fn acting(&self) -> usize {
-        let acts = |(node, council): &(&usize, &Council)| {
-            council.in_force(self.nodes[**node].now(self.now)).is_some()
+        let acts = |(node, agreement): &(&usize, &Agreement)| {
+            agreement.in_force(self.nodes[**node].now(self.now)).is_some()
         };
-        self.councils.iter().filter(acts).count()
+        self.agreements.iter().filter(acts).count()
     }
 
     /// The same engines at all instances.
@@ -304,8 +306,8 @@
         let (now, true_now) = (self.nodes[node].now(self.now), self.now);
         let from = self.nodes[node].address;
         while let Some(core) = self.nodes[node].core.as_mut() {
-            if let Some(council) = self.councils.get_mut(&node) {
-                council.pull(now, core);
+            if let Some(agreement) = self.agreements.get_mut(&node) {
+                agreement.pull(now, core);
             }
             let Some(to_do) = core.next(now) else { break };
             match to_do {
@@ -316,19 +318,19 @@
                 }
                 Do::Ordered { epoch, voters } => {
                     self.orders.push((node, epoch));
-                    if let Some(council) = self.councils.get_mut(&node) {
-                        council.ordered(now, epoch, &voters);
+                    if let Some(agreement) = self.agreements.get_mut(&node) {
+                        agreement.ordered(now, epoch, &voters);
                     }
                 }
                 Do::Direct { from, bytes } => {
-                    if let Some(council) = self.councils.get_mut(&node) {
-                        council.heard(now, from, &bytes);
+                    if let Some(agreement) = self.agreements.get_mut(&node) {
+                        agreement.heard(now, from, &bytes);
                     }
                 }
                 Do::Notice { from, subject, says } => {
                     self.notices.push((node, from, says.clone()));
-                    if let Some(council) = self.councils.get_mut(&node) {
-                        council.noticed(now, from, subject, &says);
+                    if let Some(agreement) = self.agreements.get_mut(&node) {
+                        agreement.noticed(now, from, subject, &says);
                     }
                 }
                 Do::Event { what, member, engine, seen } => {
@@ -344,8 +346,8 @@
             self.due.remove(&(old, node));
         }
         let Some(core) = self.nodes[node].core.as_ref() else { return };
-        let council = self.councils.get(&node).and_then(Council::due);
-        let Some(due) = [core.due(), council].into_iter().flatten().min() else { return };
+        let agreement = self.agreements.get(&node).and_then(Agreement::due);
+        let Some(due) = [core.due(), agreement].into_iter().flatten().min() else { return };
         let own_now = self.nodes[node].now(self.now);
         // Never at once again: a core that is due now was just asked.
         let at = self.now + due.since(own_now).max(Span::from_micros(1));
