--- a/crates/router/src/backends/sql/handle.rs
+++ b/crates/router/src/backends/sql/handle.rs
@@ -11,6 +11,7 @@
 use crate::backends::sql::query;
 use crate::exchange::{Dispatch, Event};
 use crate::faults::CallFault;
+use crate::tasks::Tasks;
 
 /// A probe that breaks, makes no sense or hears nothing is made again so often, as that may be noise on the
 /// connection.
@@ -44,9 +45,9 @@
 
     /// Starts it as a task of its own. What bounds these tasks is the module: its limit on the threads in flight bounds the
     /// queries that are out, it has one probe out at each engine, and its host carries out so many decisions a turn.
-    pub fn send(&self, errand: EngineCall) {
+    pub fn send(&self, call: EngineCall) {
         let (engine, tasks) = (self.engine.clone(), self.engine.context.tasks);
-        match errand {
+        match call {
             EngineCall::Run(dispatch, orders) => {
                 tasks.start(query::run(engine, dispatch, orders, self.module.clone()));
             }
@@ -68,7 +69,31 @@
     }
 }
 
+/// Tells the module how a probe ended: once, and whatever becomes of its task. Threat: behind a panic the module would wait for that end for
+/// good and never probe the engine again.
+struct ProbeEnd {
+    engine: EngineId,
+    tasks: Tasks,
+    module: Option<Sender<Event>>,
+}
+
+impl ProbeEnd {
+    async fn tell(mut self, outcome: Outcome) {
+        let Some(module) = self.module.take() else { return };
+        let _ = module.send(Event::ProbeEnded { engine: self.engine, outcome }).await;
+    }
+}
+
+impl Drop for ProbeEnd {
+    fn drop(&mut self) {
+        let Some(module) = self.module.take() else { return };
+        let left = ProbeEnd { module: Some(module), ..*self };
+        self.tasks.start(left.tell(Outcome::NotIssued));
+    }
+}
+
 async fn probe(engine: Rc<Engine>, id: EngineId, module: Sender<Event>) {
+    let end = ProbeEnd { engine: id, tasks: engine.context.tasks, module: Some(module.clone()) };
     let mut outcome = Outcome::NotConnected;
     for _ in 0..PROBES {
         let (ended, stats) = probe_once(&engine).await;
@@ -83,7 +108,7 @@
             break;
         }
     }
-    let _ = module.send(Event::ProbeEnded { engine: id, outcome }).await;
+    end.tell(outcome).await;
 }
 
 async fn probe_once(engine: &Engine) -> (Outcome, Option<String>) {
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use rustix::fs::{CWD, Mode, mkfifoat};
+use rustix::pipe::fcntl_setpipe_size;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
@@ -21,6 +22,8 @@
 
 /// Sets what a process is sent as its parent ends, and becomes the program that it is told (util-linux).
 const SETPRIV: &str = "setpriv";
+/// What a log's pipe holds: the least that the system allows, so that it is full at once where nobody reads.
+const PIPE_BYTES: usize = 4_096;
 /// What the processes of stories log.
 const STORY_LEVEL: &str = "info,woadhook_router=debug";
 
@@ -136,6 +139,7 @@
         let log = match &mut self.reader {
             Some(reader) => {
                 let (from, to) = std::io::pipe().expect("a pipe");
+                fcntl_setpipe_size(&to, PIPE_BYTES).expect("a small pipe");
                 reader.finish();
                 reader.start(from, log);
                 Stdio::from(to)
