--- a/crates/standins/src/troubles.rs
+++ b/crates/standins/src/troubles.rs
@@ -17,6 +17,8 @@
 const MOST_LATE: u64 = 1_900;
 /// And for so long, in milliseconds.
 const LONG_LATE: u64 = 9_000;
+/// Nobody reads a log for so long, in milliseconds.
+const LONG_UNREAD: u64 = 9_000;
 /// Troubles of a group begin within this, in milliseconds.
 const WITHIN_GROUP: u64 = 300;
 
@@ -322,8 +324,12 @@
         15 | 16 => draw_stop(chance, router),
         17 => Trouble::Crowd { router, count: chance.random_range(CROWD), span: span * 2 },
         18 => {
-            let reading = if chance.random() { Reading::NotAtAll } else { Reading::Slowly };
-            Trouble::Log { router, reading, span: span * 4 }
+            // Unread for longer than callers wait, as nothing shows before.
+            if chance.random() {
+                Trouble::Log { router, reading: Reading::NotAtAll, span: LONG_UNREAD }
+            } else {
+                Trouble::Log { router, reading: Reading::Slowly, span: span * 4 }
+            }
         }
         19 => {
             let what = if chance.random() { Unreadable::Fifo } else { Unreadable::Garbage };
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,6 +13,11 @@
 //! 4. the order of held jobs, and throttling at once of what can't be done in time (`give_up`),
 //! 5. time-outs and further dispatches (`lost`, `cancel_lost`),
 //! 6. memory grants and priorities from learned estimate bias (`send`, `Estimates`).
+//!
+//! What the rules allow of a job is in `rules`, what it costs at an engine and which goes first in `placement`.
+
+mod placement;
+mod rules;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -49,12 +54,8 @@
 const OVERDUE_PART: f64 = 0.5;
 /// Billed value per work, over its mean, from which each next priority is given.
 const PRIORITY_STEPS: [f64; 3] = [0.25, 0.5, 0.75];
-/// Part of the billed value for which a late answer is worth waiting.
-const WORTH_LATE: f64 = 0.25;
 /// Good answers and errors that the share of errors of a type at an engine remembers.
 const ERRORS_KEPT: f64 = 8.0;
-/// Added to the part of the SLA time that is left: bounds how far a pressing job gets ahead.
-const PRESSING: f64 = 0.25;
 /// Note periods for which a word on a dispatch holds.
 const OVERDUE_PERIODS: f64 = 1.5;
 /// How often the records of engines are emptied of what is past.
@@ -531,195 +532,6 @@
         Some(if harmless { throttle } else { Decision::CancelForGood { job, why } })
     }
 
-    /// Why a job is to be given up now, if it is.
-    fn hopeless(&self, job: &Job, now: Moment) -> Option<GivenUp> {
-        if job.over {
-            return None;
-        }
-        if now >= job.deadline {
-            return Some(GivenUp::TimeOver);
-        }
-        if job.out() > 0 {
-            return None;
-        }
-        let t = &self.types[job.kind.0];
-        if job.dispatches.len() >= self.further.try_limit {
-            return Some(GivenUp::TriesSpent);
-        }
-        if !self.repeat_safe(job, None, now) {
-            return Some(GivenUp::MayHaveRun);
-        }
-        if now + t_run(t, job.work) > job.sla_due && t.late_share < WORTH_LATE {
-            return Some(GivenUp::TooLateToEarn);
-        }
-        (now + self.fresh_run(job) > job.deadline).then_some(GivenUp::NoTimeLeft)
-    }
-
-    /// Rule 2 for throttling replies.
-    fn may_throttle(&self, job: &Job) -> bool {
-        let effect = self.types[job.kind.0].effect;
-        matches!(effect, Effect::Restartable | Effect::Keyed { scope: Scope::All, .. })
-            || job.maybe_ran().next().is_none()
-    }
-
-    /// Rule 2 for dispatches: to `engine`, or to some engine at all.
-    fn repeat_safe(&self, job: &Job, engine: Option<&Engine>, now: Moment) -> bool {
-        match self.types[job.kind.0].effect {
-            Effect::Restartable => true,
-            Effect::RunOnce => job.maybe_ran().next().is_none(),
-            Effect::Keyed { scope, window } => job.maybe_ran().all(|d| {
-                let same = engine.is_none_or(|e| match scope {
-                    Scope::All => true,
-                    Scope::Zone => e.zone == d.zone,
-                    Scope::Cell => e.cell == d.cell,
-                });
-                same && now.since(d.sent) < window
-            }),
-        }
-    }
-
-    /// Until when a keyed job that may have run can begin again: the way there takes time not known here.
-    fn repeat_before(&self, job: &Job) -> Option<Moment> {
-        match self.types[job.kind.0].effect {
-            Effect::Keyed { window, .. } => job.maybe_ran().map(|d| d.sent + window).min(),
-            _ => None,
-        }
-    }
-
-    /// The one check that every dispatch passes: rules 1 to 7 in this order. In doubt it says no.
-    fn legal(&self, id: JobId, job: &Job, engine: &Engine, now: Moment) -> bool {
-        let t = &self.types[job.kind.0];
-        let turn = job.key.and_then(|key| self.keys.get(&key)).is_none_or(|turns| {
-            let rested = now >= turns.rest_until && turns.in_doubt == 0;
-            turns.jobs.front() == Some(&id) && (rested || !job.dispatches.is_empty())
-        });
-        !job.over
-            && now < job.deadline
-            && self.repeat_safe(job, Some(engine), now)
-            && (self.further.copies || job.out() == 0)
-            && engine.listed == Listed::Live
-            && (!self.is_cold(engine, now) || self.warm_enough(engine, job.kind, now))
-            && turn
-            && t.zones.as_ref().is_none_or(|zones| zones.contains(&engine.zone))
-            && t.kinds.as_ref().is_none_or(|kinds| kinds.contains(&engine.kind))
-            && job.dispatches.len() < self.further.try_limit
-            && (job.dispatches.is_empty() || self.ration_left())
-    }
-
-    /// Rule 7.
-    fn ration_left(&self) -> bool {
-        let left = |r: &Ration| r.free + r.share * self.taken.len() as f64 - self.resent.len() as f64;
-        self.further.ration.as_ref().is_none_or(|ration| left(ration) >= 1.0)
-    }
-
-    /// Rule 4. After its own start, a router lets a window pass: what it sent before is not known.
-    fn warm_enough(&self, engine: &Engine, kind: TypeId, now: Moment) -> bool {
-        let work = self.estimates.work[kind.0].value;
-        let in_turn = || self.slow_start.allows(engine, self.cores(engine.kind), work, now);
-        !self.is_cold(engine, now) || (now.since(self.started) > self.slow_start.window() && in_turn())
-    }
-
-    fn is_cold(&self, engine: &Engine, now: Moment) -> bool {
-        self.slow_start.is_cold(engine, now)
-    }
-
-    /// The cores of an engine, fewer while it is cold.
-    fn able_cores(&self, engine: &Engine, now: Moment) -> f64 {
-        self.cores(engine.kind) * self.slow_start.risen(engine, now)
-    }
-
-    /// Queued work of others, in seconds of one thread, as the last report tells it; none if unheard.
-    /// Where a report has no count of held queries, busy cores beyond own threads stand in.
-    fn foreign_work(&self, engine: &Engine) -> Option<f64> {
-        let report = engine.report?;
-        let own = engine.out.values().filter(|sent| sent.at < report.at);
-        let (count, threads) = own.fold((0.0, 0.0), |(n, t), sent| (n + 1.0, t + sent.threads));
-        let busy = report.cpu * self.cores(engine.kind) - threads;
-        let held = report.active.map_or(busy, |active| active - count).max(0.0);
-        Some((held + report.waiting) * self.estimates.all_work.value)
-    }
-
-    /// How far a report still tells of now: it fades as the jobs that it counted end.
-    fn freshness(&self, engine: &Engine, now: Moment) -> f64 {
-        let age = engine.report.map_or(f64::MAX, |report| now.since(report.at).secs());
-        (-age / self.estimates.all_work.value.max(1e-3)).exp()
-    }
-
-    /// The design's ordinary path: estimated wait plus run of a job at an engine, in seconds.
-    fn wait_and_run(&self, job: &Job, id: EngineId, engine: &Engine, average: f64, now: Moment) -> f64 {
-        let t = &self.types[job.kind.0];
-        let (cores, mean) = (self.able_cores(engine, now), self.estimates.all_work.value);
-        let average = if self.is_cold(engine, now) { 0.0 } else { average };
-        let seen = engine.report.map(|report| report.at);
-        let own = engine.out.values().map(|s| if seen.is_some_and(|at| s.at < at) { mean } else { s.work });
-        let foreign = self.foreign_work(engine).unwrap_or(average) - average;
-        let queued = own.sum::<f64>() + average + foreign * self.freshness(engine, now);
-        let warm = self.bounds.is_warm(engine.groups.get(&job.group), now);
-        let warm = warm && engine.threads_out() <= cores * self.share();
-        let discount = if warm { self.estimates.warm_ratio.value.clamp(0.1, 1.0) } else { 1.0 };
-        let mut total = (queued / cores + job.work / t.threads) * discount + engine.longer.secs();
-        if t.waits_for_loads || t.is_load {
-            total += self.load_hold(engine, job.group, now);
-        }
-        if job.dispatches.iter().any(|d| d.engine == id) {
-            total += t.sla.secs();
-        }
-        // Threat: an engine that fails a type fast looks idle and draws all of it. What may run once heeds
-        // errors of any type. It also catches lost tables. Squared, as bad requests bring few to all engines.
-        let fades = self.bounds.patience.secs();
-        let fade = |(share, at): &(Mean, Moment)| share.value * (-now.since(*at).secs() / fades).exp();
-        let errors = |of| engine.errors.get(&of).filter(|(share, _)| share.value != 0.0).map_or(0.0, fade);
-        let any = if t.effect == Effect::RunOnce { errors(None) } else { 0.0 };
-        total += t.timeout.secs() * errors(Some(job.kind)).max(any).powi(2);
-        total += t.sla.secs() * self.doubt(engine, None, now).max(self.doubt(engine, Some(job.kind), now));
-        if engine.zone != self.fleet.zone {
-            total += self.fleet.crossing_price * t.sla.secs();
-        }
-        total
-    }
-
-    /// Exception to the design: what is left of loads that hold the table group there, own or as it seems.
-    fn load_hold(&self, engine: &Engine, group: GroupId, now: Moment) -> f64 {
-        let run = self.bounds.load_run;
-        let own = self.own_loads(engine, group).map(|s| (s.at + run).max(now + run.times(0.25)));
-        own.chain(engine.holds.get(&group).copied()).max().map_or(0.0, |until| until.since(now).secs())
-    }
-
-    fn own_loads<'a>(&'a self, engine: &'a Engine, group: GroupId) -> impl Iterator<Item = &'a Sent> {
-        engine.out.values().filter(move |s| s.group == group && self.types[s.kind.0].is_load)
-    }
-
-    /// Loads of a table group keep to half of the engines, drawn alike by routers told the same list, with
-    /// one of this router's out at each. Threat: loads that queue for a group everywhere, all else of it
-    /// behind them on idle engines. It also stops bursts of loads; it may hurt where most work is loads.
-    /// Tells of each of the usable engines whether it is among them.
-    fn homes(group: GroupId, usable: &[(EngineId, &Engine)]) -> Vec<bool> {
-        let draw = |e: &Engine| Pcg32::new(group.0 as u64, e.mark).random::<u32>();
-        let mut drawn: Vec<_> = usable.iter().enumerate().map(|(place, (_, e))| (draw(e), place)).collect();
-        let count = drawn.len().div_ceil(2);
-        if count < drawn.len() {
-            drawn.select_nth_unstable(count);
-        }
-        let mut homes = vec![false; drawn.len()];
-        drawn[..count].iter().for_each(|(_, place)| homes[*place] = true);
-        homes
-    }
-
-    /// Billed value per second of work, as far as it can still be earned.
-    fn density(&self, job: &Job, now: Moment) -> f64 {
-        let t = &self.types[job.kind.0];
-        let late = now + t_run(t, job.work) > job.sla_due;
-        job.billed * if late { t.late_share } else { 1.0 } / job.work.max(1e-3)
-    }
-
-    /// The order of held jobs: density, the more pressing the less of the SLA time is left to wait.
-    fn rank(&self, job: &Job, now: Moment) -> f64 {
-        let t = &self.types[job.kind.0];
-        let left = job.sla_due.since(now + t_run(t, job.work));
-        let left = if left > Span::ZERO { left.secs() / sla_of(t, job.work).secs() } else { 1.0 };
-        self.density(job, now) / (left + PRESSING)
-    }
-
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
         let ties: u64 = self.chance.random();
         let scarce = self.jobs.values().any(|job| !job.over && job.dispatches.is_empty());
