--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -36,6 +36,9 @@
     /// Makes the schedule of a failing seed smaller
     #[arg(long)]
     shrink: bool,
+    /// Tells the schedules and plays none
+    #[arg(long)]
+    list: bool,
 }
 
 fn seeds(words: &str) -> Result<Range<u64>, String> {
@@ -57,10 +60,15 @@
     let (mut failed, mut left_out) = (Vec::new(), BTreeMap::<String, usize>::new());
     for seed in line.seeds.clone() {
         let plan = Plan::draw(seed, line.processes as usize, ENGINES, line.seconds * 1_000);
+        if line.list {
+            println!("seed {seed}: {}\n{:#?}", kinds(&plan), plan.troubles);
+            continue;
+        }
         match play(&program, &folder, &line, &plan, &mut left_out) {
             Ok(Tally { asked, done, to_cold }) => {
                 println!(
-                    "seed {seed}: no rule broken; {asked} asked, {done} done, {to_cold} to cold engines"
+                    "seed {seed}: no rule broken; {asked} asked, {done} done, {to_cold} to cold engines; {}",
+                    kinds(&plan)
                 );
             }
             Err(fault) => {
@@ -81,6 +89,15 @@
     if failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// The troubles of a plan by their kinds.
+fn kinds(plan: &Plan) -> String {
+    let mut counts = BTreeMap::<String, usize>::new();
+    for timed in &plan.troubles {
+        *counts.entry(timed.trouble.kind()).or_default() += 1;
+    }
+    counts.iter().map(|(kind, count)| format!("{kind} {count}")).collect::<Vec<_>>().join(", ")
+}
+
 /// Engines of each play.
 const ENGINES: usize = 8;
 
