A move of discovery leaves the calls to the old address to be answered

Change: the three youngest calls to earlier addresses go on beside the new ones; an answer of theirs counts, nothing else does.

--- a/crates/router/src/discovery/calls.rs
+++ b/crates/router/src/discovery/calls.rs
@@ -6,7 +6,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 
 use woadhook::{Moment, Span};
 
@@ -28,20 +28,27 @@
     call: Call<T, E>,
 }
 
+/// Calls to an earlier address that may still be answered.
+pub const MOST_FORMER: usize = 3;
+
 /// A call that ended, and when it began.
 pub struct Ended<T, E> {
     pub began: Moment,
+    /// Whether it was made to an earlier address.
+    pub is_former: bool,
     pub outcome: Result<T, E>,
 }
 
 /// Calls by their age, the oldest first.
 pub struct Calls<T, E> {
     out: Vec<Out<T, E>>,
+    /// Those to earlier addresses: an answer to one counts, and nothing else of them does.
+    former: Vec<Out<T, E>>,
 }
 
 impl<T, E> Calls<T, E> {
     pub fn new() -> Self {
-        Self { out: Vec::new() }
+        Self { out: Vec::new(), former: Vec::new() }
     }
 
     /// When one more call is due, where any is out. Threat: a connection that went silent under a notice to drain, or that does
@@ -77,17 +84,36 @@
                     let began = self.out[place].began;
                     let ended = if outcome.is_ok() { 0..place + 1 } else { place..place + 1 };
                     self.out.drain(ended);
-                    return Poll::Ready(Ended { began, outcome });
+                    return Poll::Ready(Ended { began, is_former: false, outcome });
                 }
             }
-            Poll::Pending
+            self.poll_former(context)
         })
         .await
     }
 
-    /// Drops all that are out.
-    pub fn clear(&mut self) {
-        self.out.clear();
+    /// The answer of a call to an earlier address; one that fails is dropped.
+    fn poll_former(&mut self, context: &mut Context<'_>) -> Poll<Ended<T, E>> {
+        let mut place = 0;
+        while place < self.former.len() {
+            let Poll::Ready(outcome) = self.former[place].call.as_mut().poll(context) else {
+                place += 1;
+                continue;
+            };
+            let began = self.former.remove(place).began;
+            if outcome.is_ok() {
+                return Poll::Ready(Ended { began, is_former: true, outcome });
+            }
+        }
+        Poll::Pending
+    }
+
+    /// Calls go to another address from now on. Threat: moves in a row, each under a late answer that would have told a change. The youngest
+    /// calls to the old address are left to be answered.
+    pub fn moved(&mut self) {
+        self.former.append(&mut self.out);
+        let too_many = self.former.len().saturating_sub(MOST_FORMER);
+        self.former.drain(..too_many);
     }
 }
 
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -12,7 +12,7 @@
 use woadhook_door::fields::*;
 
 use crate::clock::Clock;
-use crate::discovery::calls::{Asked, Calls, Ended, MOST_CALLS, Pace};
+use crate::discovery::calls::{Asked, Calls, Ended, MOST_CALLS, MOST_FORMER, Pace};
 use crate::exchange::Event;
 use crate::faults::CallFault;
 use crate::freshness::Freshness;
@@ -69,7 +69,7 @@
         last,
         module,
         freshness,
-        descriptors: Arc::new(Semaphore::new(MOST_CALLS + 1)),
+        descriptors: Arc::new(Semaphore::new(MOST_CALLS + MOST_FORMER + 1)),
         calls: Calls::new(),
         pace: Pace::new(grace.times(HEARD_PART), patience.times(OVERDUE), CALLS_AT_PACE),
         kept: None,
@@ -113,10 +113,13 @@
                     self.call();
                     continue;
                 }
-                Heard::Ended(Ended { began, outcome: Ok((told, connection)) }) => {
-                    self.pace.answered_after(self.clock.now().since(began));
+                Heard::Ended(Ended { began, is_former, outcome: Ok((told, connection)) }) => {
+                    let connection = connection.filter(|_| !is_former);
+                    if !is_former {
+                        self.pace.answered_after(self.clock.now().since(began));
+                    }
                     let passed = self.answered(told, connection).await;
-                    if passed.is_ok() {
+                    if passed.is_ok() && !is_former {
                         self.freshness.heard(began);
                     }
                     passed
@@ -194,7 +197,7 @@
         log::info!(event = "discovery_moved", to:% = to; "discovery is at {to}");
         self.address = to;
         self.kept = None;
-        self.calls.clear();
+        self.calls.moved();
         self.retry = None;
         if known.is_object() {
             pass_on(&known, Happened::Lately, &mut self.last, false, &self.module).await
