Soak: clients leave loads that run at an engine that drains; files and logs stand for long

Change: clients of all routers leave running loads as an engine drains, with a reset or not; FIFOs and unread logs stand for 9 s.

--- a/crates/standins/src/fleet/overlap.rs
+++ b/crates/standins/src/fleet/overlap.rs
@@ -18,6 +18,12 @@
 
 /// Tells clients that stay apart.
 static STAYERS: AtomicU64 = AtomicU64::new(1);
+/// Tells clients apart that leave their loads.
+static LEAVERS: AtomicU64 = AtomicU64::new(LEAVERS_FROM);
+/// Behind the numbers of all callers, with up to so many at each router.
+const LEAVERS_FROM: u64 = 16;
+/// Loads have begun by so long behind their requests.
+const LOADS_BEGIN: Duration = Duration::from_millis(100);
 /// Clients that use open connections until a router that was told to end has ended.
 const STAYING: usize = 12;
 /// A crowd has left by so long behind its time.
@@ -144,7 +150,7 @@
                 self.routers[*router].hide_config(*what);
                 self.routers[*router].signal(Signal::HUP);
             }
-            Trouble::Drain { engine, .. } => return self.drain(*engine),
+            Trouble::Drain { engine, resets, .. } => return self.drain(*engine, *resets),
         }
         true
     }
@@ -223,17 +229,27 @@
         self.start_anew(router);
     }
 
-    /// The engine is told to drain, takes no new connection and works on; connections that are up are reset.
-    fn drain(&mut self, engine: usize) -> bool {
+    /// The engine is told to drain, takes no new connection and works on. Clients of all routers have begun loads that run for a while, some of
+    /// them there, and leave behind that.
+    fn drain(&mut self, engine: usize, resets: bool) -> bool {
         if self.seen.lock().unwrap().drained.contains_key(&engine) {
             return false;
         }
+        for router in 0..self.routers.len() {
+            let (at, seen) = (self.routers[router].address, self.seen.clone());
+            let turn = LEAVERS.fetch_add(1, Ordering::Relaxed) as usize;
+            let caller = router + self.routers.len() * turn;
+            thread::spawn(move || parties::leave_a_load(at, caller, &seen));
+        }
         self.add_cold(1);
+        thread::sleep(LOADS_BEGIN);
         self.tell(&[engine], "DRAINING", 0);
         self.seen.lock().unwrap().drained.insert(engine, Instant::now());
         self.relays.refuse(&format!("s-{engine}"));
-        thread::sleep(BEFORE_RESET);
-        self.relays.reset(&Side::All, &Side::party(&format!("s-{engine}")));
+        if resets {
+            thread::sleep(BEFORE_RESET);
+            self.relays.reset(&Side::All, &Side::party(&format!("s-{engine}")));
+        }
         true
     }
 
--- a/crates/standins/src/fleet/parties.rs
+++ b/crates/standins/src/fleet/parties.rs
@@ -27,6 +27,9 @@
 /// How long clients wait that stay until the end, in milliseconds, and rest between requests.
 const STAY_WAIT: u32 = 3_000;
 const STAY_PAUSE: Duration = Duration::from_millis(15);
+/// When a client leaves its load, and a number of a job that runs for a while.
+const LEAVES_AFTER: Duration = Duration::from_millis(300);
+const SLOW: u64 = 0xa;
 /// A deadline that hardly leaves time for anything, in milliseconds.
 const TINY: u32 = 15;
 
@@ -262,6 +265,18 @@
     }
 }
 
+/// A client that asks for a load that runs for a while, and leaves in the middle of it.
+pub(super) fn leave_a_load(at: SocketAddr, caller: usize, seen: &Mutex<Seen>) {
+    let Some(mut stream) = connect(at) else { return };
+    let id = format!("f{caller:0width$x}{SLOW:010x}", width = CALLER_DIGITS);
+    let text = "select 1 from sales_3.x";
+    if stream.write_all(&request(1, "load", &id, WAIT, text)).is_ok() {
+        thread::sleep(LEAVES_AFTER);
+        let _ = stream.shutdown(Shutdown::Both);
+        seen.lock().unwrap().left.insert(id, Instant::now());
+    }
+}
+
 /// Connections that say nothing, held for so long.
 pub(super) fn crowd(at: SocketAddr, count: usize, span: Duration) {
     let held: Vec<TcpStream> = (0..count).filter_map(|_| TcpStream::connect(at).ok()).collect();
--- a/crates/standins/src/troubles.rs
+++ b/crates/standins/src/troubles.rs
@@ -17,7 +17,7 @@
 const MOST_LATE: u64 = 1_900;
 /// And for so long, in milliseconds.
 const LONG_LATE: u64 = 9_000;
-/// Nobody reads a log for so long, in milliseconds.
+/// Nobody reads a log, or writes to a FIFO, for so long, in milliseconds.
 const LONG_UNREAD: u64 = 9_000;
 /// Troubles of a group begin within this, in milliseconds.
 const WITHIN_GROUP: u64 = 300;
@@ -177,9 +177,11 @@
         what: Unreadable,
         span: u64,
     },
-    /// The engine drains, refuses connections and works on; what is up there is reset once. In the end it is told gone and dies.
+    /// The engine drains, refuses connections and works on, while clients leave whose loads run there; what is up there may be reset once. In
+    /// the end it is told gone and dies.
     Drain {
         engine: usize,
+        resets: bool,
         span: u64,
     },
 }
@@ -332,10 +334,14 @@
             }
         }
         19 => {
-            let what = if chance.random() { Unreadable::Fifo } else { Unreadable::Garbage };
-            Trouble::Config { router, what, span }
+            // A FIFO for longer than callers wait, as nothing shows before.
+            if chance.random() {
+                Trouble::Config { router, what: Unreadable::Fifo, span: LONG_UNREAD }
+            } else {
+                Trouble::Config { router, what: Unreadable::Garbage, span }
+            }
         }
-        20 | 21 => Trouble::Drain { engine, span: span * 3 },
+        20 | 21 => Trouble::Drain { engine, resets: chance.random(), span: span * 3 },
         22 => draw_failing_connects(chance, router, span),
         13 if chance.random() => Trouble::Cut { router, engine, span },
         13 => Trouble::Reset { router },
