--- a/crates/router/tests/failing_calls.rs
+++ b/crates/router/tests/failing_calls.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 
 use rustix::io::Errno;
+use rustix::process::Signal;
 use woadhook_standins::preload::{Preload, SystemCall};
 use woadhook_standins::processes::Process;
 use woadhook_standins::*;
@@ -65,3 +66,19 @@
         serves_all(&router, &format!("accept fails with {error:?}"));
     }
 }
+
+/// Found by the soak, seed 248: a reload under short writes was not heard, nor was any signal behind it. The handler told the thread of a signal by
+/// four bytes through a socket of its own; three of them came, and each later number was read from the wrong place.
+#[test]
+fn signals_are_heard_while_reads_and_writes_are_short() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let Some((mut router, preload)) = router("signals", &engine) else { return };
+    for most in [1, 3] {
+        preload.shorten(most);
+        router.signal(Signal::HUP);
+        serves_all(&router, "behind a reload");
+    }
+    preload.clear();
+    router.signal(Signal::TERM);
+    assert!(router.ends().success());
+}
--- a/crates/standins/src/fleet/judge.rs
+++ b/crates/standins/src/fleet/judge.rs
@@ -115,6 +115,11 @@
         let forwarded = seen.posts.iter().any(|post| post.id == *id);
         let in_time = told.is_none_or(|told| asked.at <= told + STILL_ON_OPEN);
         let crossed = asked.took <= CROSSING + MACHINE;
+        // As a crowd fills the descriptors, connections that rest are closed for new ones at any time.
+        let crowded = seen.crowded.get(&asked.router).is_some_and(|until| asked.at < *until);
+        if crowded && !forwarded && asked.took <= CROSSING {
+            continue;
+        }
         if forwarded || in_time || !crossed {
             let behind = told.map(|told| asked.at.saturating_duration_since(told));
             let words = format!(
