The preloaded library looks its calls up once, not in handlers of signals

Cause, by a stack of a process that was sent 90,690 SIGHUPs: the rig's library looked the real send up on each call, under the loader's lock, which a handler that interrupts a look-up waits for. The program's own part is not at fault. Change: all calls are looked up as the library is loaded.

--- a/crates/standins/preload/faults.c
+++ b/crates/standins/preload/faults.c
@@ -25,8 +25,17 @@
 static volatile int64_t *slots;
 static int64_t counts[CALLS];
 
+/* The calls of the C library behind those below. They are looked up once: a look-up takes a lock of the loader, and a handler of a signal that
+ * comes to a thread in a look-up would wait for itself. */
+#define REAL_CALLS(EACH) \
+    EACH(recv) EACH(send) EACH(writev) EACH(accept4) EACH(connect) EACH(socket) EACH(poll) EACH(clock_gettime)
+#define POINTER(name) static __typeof__(&name) real_##name;
+REAL_CALLS(POINTER)
+#define LOOK_UP(name) real_##name = (__typeof__(&name))dlsym(RTLD_NEXT, #name);
+
 __attribute__((constructor)) static void attach(void)
 {
+    REAL_CALLS(LOOK_UP)
     const char *path = getenv("WOADHOOK_FAULTS");
     int file = path ? open(path, O_RDWR | O_CLOEXEC) : -1;
     if (file < 0)
@@ -53,7 +62,8 @@
     return most > 0 && (size_t)most < length ? (size_t)most : length;
 }
 
-#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+/* Calls of other constructors may come before the look-up above. */
+#define REAL(name) (real_##name ? real_##name : (__typeof__(&name))dlsym(RTLD_NEXT, #name))
 
 ssize_t recv(int socket, void *buffer, size_t length, int flags)
 {
