No interrupted call is made again in place without bound

Cause: the standard library's accept goes round in place for as long as it is interrupted, and the router's own reads, writes, peeks and polls did the same. The one thread stood in it.

What a request's time counts from is kept over interruptions. The first byte of a query is not written behind a pause; its guard, deadline and client are looked at anew.

--- a/crates/router/src/arrivals.rs
+++ b/crates/router/src/arrivals.rs
@@ -2,6 +2,7 @@
 //! stood in the kernel meanwhile, as this thread was busy, or stopped, or did not read, is off that time.
 
 use std::cell::Cell;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 
@@ -9,6 +10,7 @@
 use woadhook::{Moment, Span};
 
 use crate::clock::{Clock, pass};
+use crate::interrupted_calls::{is_interrupted, retried};
 use crate::tasks::Tasks;
 
 /// How often this thread notes that it hears of its sockets.
@@ -75,16 +77,23 @@
     empty: Cell<Moment>,
     /// The earliest for what was taken last.
     came: Cell<Moment>,
+    /// The earliest for what stands there, as the last call that was to take it was interrupted.
+    standing: Cell<Option<Moment>>,
 }
 
 impl Arrivals {
     /// For a socket with which nothing had come yet at such a moment.
     pub fn since(empty: Moment, clock: Clock, rounds: Rounds) -> Self {
-        Self { clock, rounds, empty: Cell::new(empty), came: Cell::new(empty) }
+        let standing = Cell::new(None);
+        Self { clock, rounds, empty: Cell::new(empty), came: Cell::new(empty), standing }
     }
 
-    /// Takes from the socket: `take` is pending while nothing stands there.
-    pub async fn taking<T>(&self, take: impl Future<Output = T>) -> T {
+    /// Takes from the socket: `take` is pending while nothing stands there. It is called again where a signal interrupts it.
+    pub async fn taking<T>(&self, mut take: impl AsyncFnMut() -> io::Result<T>) -> io::Result<T> {
+        retried(async || self.taking_once(take()).await).await
+    }
+
+    async fn taking_once<T>(&self, take: impl Future<Output = io::Result<T>>) -> io::Result<T> {
         let mut take = std::pin::pin!(take);
         let waited = Cell::new(false);
         let taken = future::poll_fn(|context| {
@@ -97,8 +106,13 @@
             polled
         });
         let taken = taken.await;
-        let empty = self.empty.get();
-        self.came.set(if waited.get() { empty.max(self.rounds.first()) } else { empty });
+        let came = match self.standing.get() {
+            _ if waited.get() => self.empty.get().max(self.rounds.first()),
+            Some(standing) => standing,
+            None => self.empty.get(),
+        };
+        self.came.set(came);
+        self.standing.set(taken.as_ref().is_err_and(is_interrupted).then_some(came));
         taken
     }
 
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -250,6 +250,12 @@
             let post = self.call(&mut lease, "POST", "/v2/q", &fields, statement.text.as_bytes(), 0);
             match within(ASK_AGAIN, post).await.unwrap_or(Err(CallFault::NoAnswerInTime)) {
                 Ok(answer) => return Ok((answer, lease)),
+                Err(CallFault::Local(_)) if !self.began.get() && in_time => {
+                    pass(pause).await;
+                    pause = pause.times(2.0).min(MOST_PAUSE);
+                    continue;
+                }
+                Err(CallFault::Local(_)) if !self.began.get() => return Err(Outcome::NotIssued),
                 Err(_) if !self.began.get() && in_time => continue,
                 Err(_) if !self.began.get() => return Err(Outcome::NotConnected),
                 Err(fault) => self.note_break(&fault),
--- a/crates/router/src/faults.rs
+++ b/crates/router/src/faults.rs
@@ -6,6 +6,8 @@
 
 use rustix::io::Errno;
 
+use crate::interrupted_calls::is_interrupted;
+
 /// The fault of a call.
 #[derive(Debug)]
 pub enum CallFault {
@@ -42,6 +44,11 @@
         }
     }
 
+    /// The fault of a write. One that signals interrupted before its first byte says nothing of the peer.
+    pub fn of_write(error: io::Error) -> Self {
+        if is_interrupted(&error) { Self::Local(error) } else { Self::Broken(error) }
+    }
+
     /// Whether the end of a connection shows that the peer may be another process since.
     pub fn is_break(&self) -> bool {
         matches!(self, Self::Refused | Self::Broken(_))
--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -23,7 +23,7 @@
 use crate::frontends::rpc::request::Range;
 use crate::guards::{Guards, Refusal, Step};
 use crate::memory::{Held, Holder, Room};
-use crate::sockets::{Link, Waiting, WriteFault, read, within, write_at_rate};
+use crate::sockets::{Link, Waiting, WriteFault, read_once, within, write_at_rate};
 use crate::tasks::Tasks;
 
 /// The most open requests of a connection, and some whose withdrawal is on its way.
@@ -399,7 +399,7 @@
                 return Err(End::Idle);
             }
             let left = if left == Span::ZERO { IDLE } else { left };
-            let taken = self.arrivals.taking(read(&link.stream, buffer));
+            let taken = self.arrivals.taking(async || read_once(&link.stream, buffer).await);
             if let Some(count) = within(left, taken).await {
                 return Ok(Some(count));
             }
--- a/crates/router/src/frontends/rpc/listen.rs
+++ b/crates/router/src/frontends/rpc/listen.rs
@@ -2,13 +2,14 @@
 
 use std::cell::Cell;
 use std::io;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use async_io::Async;
 use async_lock::Semaphore;
 use futures_lite::future::yield_now;
+use socket2::SockRef;
 use woadhook::Span;
 
 use crate::arrivals::Arrivals;
@@ -17,7 +18,7 @@
 use crate::frontends::rpc::front::{self, FrontendContext};
 use crate::sockets::{Link, is_readable, within};
 
-/// After a failed accept, as when descriptors run out beyond this process, and between looks for a place.
+/// After an accept that failed for this machine's sake, as when descriptors run out beyond this process, and between looks for a place.
 const PAUSE: Span = Span::from_micros(20_000);
 
 /// What came to be taken in and was not yet.
@@ -33,26 +34,37 @@
         Ok(Self { listener: Rc::new(Async::new(listener)?), holds_one: Rc::default() })
     }
 
+    async fn next(&self, arrivals: &Arrivals) -> Async<TcpStream> {
+        loop {
+            match arrivals.taking(async || self.accept_once().await).await {
+                Ok(stream) => return stream,
+                Err(error) => {
+                    log::warn!("accept: {error}");
+                    pass(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// One call for the next connection, once there is one. The standard library's goes round in place for as long as it is interrupted.
+    async fn accept_once(&self) -> io::Result<Async<TcpStream>> {
+        let (socket, _) = self.listener.read_with(|listener| SockRef::from(listener).accept()).await?;
+        Async::new(socket.into())
+    }
+
     /// Whether nothing waits: a client may have written a request to a connection that was not accepted yet.
     pub fn is_empty(&self) -> bool {
         !self.holds_one.get() && !is_readable(self.listener.get_ref())
     }
 }
 
+/// Takes in connections for as long as the router runs.
 pub async fn accept(
     intake: Intake, part: Arc<Semaphore>, clock: Clock, connections: Connections, context: FrontendContext,
 ) {
-    let listener = &intake.listener;
     let arrivals = Arrivals::since(clock.now(), clock, context.rounds.clone());
     for client in 0.. {
-        let stream = match arrivals.taking(listener.accept()).await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("accept: {error}");
-                pass(PAUSE).await;
-                continue;
-            }
-        };
+        let stream = intake.next(&arrivals).await;
         intake.holds_one.set(true);
         let permit = loop {
             if let Some(permit) = part.try_acquire_arc() {
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 use crate::faults::CallFault;
-use crate::sockets::{Link, Waiting, read, write_gathered};
+use crate::sockets::{FirstByte, Link, Waiting, read, write_gathered};
 
 const HEAD_BYTES: usize = 4 * 1024;
 const HEAD_FIELDS: usize = 48;
@@ -114,8 +114,9 @@
     ) -> Result<(u16, Vec<u8>)> {
         self.reusable = false;
         self.flow.0.set(None);
-        let written = write_gathered(&self.link.stream, &[head.as_bytes(), body], wrote).await;
-        written.map_err(CallFault::Broken)?;
+        let parts = [head.as_bytes(), body];
+        let written = write_gathered(&self.link.stream, &parts, FirstByte::AtOnce, wrote).await;
+        written.map_err(CallFault::of_write)?;
         let mut interim = 0;
         let head = loop {
             match parse(&self.buffer, &mut field)? {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod gossip;
 mod guards;
 mod http;
+mod interrupted_calls;
 pub mod keyfiles;
 pub mod log_queue;
 pub mod memory;
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -10,12 +10,12 @@
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{AsyncReadExt, AsyncWrite, FutureExt, future};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use rustix::io::retry_on_intr;
 use woadhook::Span;
 use woadhook_pace::rate::{Least, Watch};
 
 use crate::clock::{Clock, pass};
 use crate::faults::CallFault;
+use crate::interrupted_calls::{PAUSE, TRIES, is_interrupted, retried, retried_at_once};
 
 /// Descriptors that are no sockets of peers: standard streams, poller, signals, listener, bulletin.
 const OWN: usize = 24;
@@ -84,9 +84,12 @@
     }
 
     pub fn waiting(&self) -> Waiting {
-        match uninterrupted(|| self.stream.get_ref().peek(&mut [0])) {
+        match retried_at_once(|| self.stream.get_ref().peek(&mut [0])) {
             Ok(1..) => Waiting::Bytes,
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Waiting::Nothing,
+            // Whoever asks closes nothing over bytes, and sends nothing behind them.
+            Err(error) if is_interrupted(&error) && is_readable(&self.stream) => Waiting::Bytes,
+            Err(error) if is_interrupted(&error) => Waiting::Nothing,
             _ => Waiting::Close,
         }
     }
@@ -100,7 +103,7 @@
                 let ends = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
                 let mut looked = [PollFd::new(&self.stream, PollFlags::RDHUP)];
                 let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
-                let look = retry_on_intr(|| poll(&mut looked, Some(&at_once)));
+                let look = retried_at_once(|| Ok(poll(&mut looked, Some(&at_once))?));
                 look.is_ok() && looked[0].revents().intersects(ends)
             }
         }
@@ -124,11 +127,11 @@
     }
 }
 
-/// Whether a socket has something to take at once.
+/// Whether a socket has something to take at once, or may have, as the look at it failed.
 pub fn is_readable(socket: impl AsFd) -> bool {
     let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
     let mut looked = [PollFd::new(&socket, PollFlags::IN)];
-    retry_on_intr(|| poll(&mut looked, Some(&at_once))).is_ok_and(|count| count > 0)
+    retried_at_once(|| Ok(poll(&mut looked, Some(&at_once))?)).map_or(true, |count| count > 0)
 }
 
 /// The outcome of `work`, or nothing once the span has passed.
@@ -141,24 +144,14 @@
     done.or(late).await
 }
 
-/// The outcome of a system call, made again where a signal interrupted it.
-pub fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
-    loop {
-        match call() {
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            outcome => return outcome,
-        }
-    }
+/// Reads what has come, or waits for it.
+pub async fn read(stream: &Async<TcpStream>, buffer: &mut [u8]) -> io::Result<usize> {
+    retried(async || read_once(stream, buffer).await).await
 }
 
-/// Reads what has come, or waits for it. Threat: a read that a signal interrupts would pass for the end of the connection.
-pub async fn read(mut stream: &Async<TcpStream>, buffer: &mut [u8]) -> io::Result<usize> {
-    loop {
-        match stream.read(buffer).await {
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            outcome => return outcome,
-        }
-    }
+/// The same, but for a read that a signal interrupted.
+pub async fn read_once(mut stream: &Async<TcpStream>, buffer: &mut [u8]) -> io::Result<usize> {
+    stream.read(buffer).await
 }
 
 /// Why not all was written.
@@ -187,26 +180,49 @@
         let allowed = least.rate;
         Err(WriteFault::TooSlow(format!("{bytes} bytes at {rate:.0} a second, allowed are {allowed:.0}")))
     };
-    let written = async { write_gathered(stream, parts, wrote).await.map_err(WriteFault::Broken) };
+    let written = async {
+        write_gathered(stream, parts, FirstByte::WhenItCan, wrote).await.map_err(WriteFault::Broken)
+    };
     written.or(too_slow).await
 }
 
+/// What becomes of a write whose first byte interruptions hold up.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum FirstByte {
+    /// It fails as interrupted, with nothing written: what was looked at before it, or told in it, may hold no more.
+    AtOnce,
+    /// It is made again.
+    WhenItCan,
+}
+
 /// Writes all the parts in order, as many at once as the system takes. `wrote` hears of each write.
 pub async fn write_gathered(
-    stream: &Async<TcpStream>, parts: &[&[u8]], mut wrote: impl FnMut(usize),
+    stream: &Async<TcpStream>, parts: &[&[u8]], first: FirstByte, mut wrote: impl FnMut(usize),
 ) -> io::Result<()> {
     let mut slices: Vec<IoSlice> = parts.iter().map(|part| IoSlice::new(part)).collect();
     let mut left = slices.as_mut_slice();
     IoSlice::advance_slices(&mut left, 0);
+    let (mut has_begun, mut tries) = (false, 0);
     while !left.is_empty() {
         let mut stream = stream;
         let written =
             future::poll_fn(|context| std::pin::Pin::new(&mut stream).poll_write_vectored(context, left));
         let count = match written.await {
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+            Err(error) if is_interrupted(&error) => {
+                tries += 1;
+                if tries % TRIES != 0 {
+                    continue;
+                }
+                if !has_begun && first == FirstByte::AtOnce {
+                    return Err(error);
+                }
+                pass(PAUSE).await;
+                continue;
+            }
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             written => written?,
         };
+        has_begun = true;
         wrote(count);
         IoSlice::advance_slices(&mut left, count);
     }
--- a/crates/router/tests/failing_calls.rs
+++ b/crates/router/tests/failing_calls.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::net::TcpStream;
 use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use rustix::io::Errno;
 use rustix::process::Signal;
@@ -12,6 +14,10 @@
 
 const ROWS: &str = "a\tb\tc\n";
 const REQUESTS: u32 = 60;
+/// How long a client waits for its answer, in milliseconds.
+const WAIT: u32 = 1_000;
+/// How long a fault lasts that comes with each call.
+const FAULT: Duration = Duration::from_secs(3);
 
 /// A router whose faults can be set; nothing where the machine has no compiler, which is told.
 fn router(story: &str, engine: &Standin) -> Option<(Process, Preload)> {
@@ -36,6 +42,73 @@
     }
 }
 
+fn client(of: &Process) -> Client {
+    let stream = TcpStream::connect(of.address).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    Client(stream)
+}
+
+/// Waits for what is to hold in the end.
+fn awaits(what: &str, mut holds: impl FnMut() -> bool) {
+    let by = Instant::now() + LONG;
+    while !holds() {
+        assert!(Instant::now() < by, "{what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// How often the router heard a reload, or ended.
+fn reports(router: &Process) -> usize {
+    router.said().matches("\"event\":\"counters\"").count()
+}
+
+/// Guards against an accept that goes round in place for as long as it is interrupted: all other connections and signals stood.
+#[test]
+fn an_accept_that_is_interrupted_each_time_holds_up_neither_requests_nor_signals() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let Some((mut router, preload)) = router("interrupted-accept", &engine) else { return };
+    let mut open = client(&router);
+    open.asks(1, "load", WAIT);
+    assert_eq!(open.hears(), (1, Ok(ROWS.to_owned())));
+    preload.fail(SystemCall::Accept, 1, Errno::INTR);
+    let began = Instant::now();
+    let mut late = client(&router);
+    late.asks(1, "load", LONG.as_millis() as u32);
+    awaits("accept is interrupted", || preload.failed(SystemCall::Accept) > 0);
+    for number in 2.. {
+        open.asks(number, "load", WAIT);
+        assert_eq!(open.hears(), (number, Ok(ROWS.to_owned())), "over an open connection");
+        if began.elapsed() > FAULT {
+            break;
+        }
+    }
+    router.signal(Signal::HUP);
+    awaits("a reload is heard", || reports(&router) == 1);
+    router.signal(Signal::TERM);
+    awaits("the end is heard", || router.said().contains("stopping"));
+    preload.clear();
+    assert_eq!(late.hears(), (1, Ok(ROWS.to_owned())), "the client that came meanwhile");
+    assert!(router.ends().success());
+}
+
+/// The same for the other calls of the thread.
+#[test]
+fn a_call_that_is_interrupted_each_time_holds_up_no_signal() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let Some((router, preload)) = router("interrupted-each-time", &engine) else { return };
+    for (place, call) in [SystemCall::Read, SystemCall::Peek, SystemCall::Write].into_iter().enumerate() {
+        let mut client = client(&router);
+        let before = preload.failed(call);
+        preload.fail(call, 1, Errno::INTR);
+        client.asks(1, "look", LONG.as_millis() as u32);
+        awaits(&format!("{call:?} is interrupted"), || preload.failed(call) > before);
+        router.signal(Signal::HUP);
+        awaits(&format!("a reload is heard while {call:?} is interrupted"), || reports(&router) == place + 1);
+        preload.clear();
+        assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())), "once {call:?} is not interrupted");
+    }
+}
+
 #[test]
 fn an_interrupted_call_ends_no_connection() {
     let engine = Standin::start(|call| pages(call, &[ROWS]));
