A connection that was aborted before it was taken in keeps no other waiting

What callers saw: behind 200 aborted connections the next client waited 4 s, longer than most clients do.

Cause: every failed accept cost the listener 20 ms, also where its error speaks of that one connection (ECONNABORTED, EPROTO, EPERM and the network errors that accept(2) lists).

Change: these are tried again at once, with 1 ms for others after each four. Errors of this machine (EMFILE, ENFILE, ENOBUFS, ENOMEM) wait 20 ms as before.

--- a/crates/router/src/frontends/rpc/listen.rs
+++ b/crates/router/src/frontends/rpc/listen.rs
@@ -9,6 +9,7 @@
 use async_io::Async;
 use async_lock::Semaphore;
 use futures_lite::future::yield_now;
+use rustix::io::Errno;
 use socket2::SockRef;
 use woadhook::Span;
 
@@ -16,6 +17,7 @@
 use crate::clock::{Clock, pass};
 use crate::frontends::rpc::connections::Connections;
 use crate::frontends::rpc::front::{self, FrontendContext};
+use crate::interrupted_calls;
 use crate::sockets::{Link, is_readable, within};
 
 /// After an accept that failed for this machine's sake, as when descriptors run out beyond this process, and between looks for a place.
@@ -34,10 +36,19 @@
         Ok(Self { listener: Rc::new(Async::new(listener)?), holds_one: Rc::default() })
     }
 
+    /// The next connection. Threat: many that are aborted before they are taken in, each of which would keep the next client waiting.
     async fn next(&self, arrivals: &Arrivals) -> Async<TcpStream> {
+        let mut aborted = 0;
         loop {
             match arrivals.taking(async || self.accept_once().await).await {
                 Ok(stream) => return stream,
+                Err(error) if is_of_one_connection(&error) => {
+                    log::debug!(event = "connection_aborted"; "accept: {error}");
+                    aborted += 1;
+                    if aborted % interrupted_calls::TRIES == 0 {
+                        pass(interrupted_calls::PAUSE).await;
+                    }
+                }
                 Err(error) => {
                     log::warn!("accept: {error}");
                     pass(PAUSE).await;
@@ -58,6 +69,27 @@
     }
 }
 
+/// Whether the error speaks of the connection that was to be taken in and of no other, so that the next one is taken at once. Source:
+/// accept(2), "Error handling" and EPERM.
+fn is_of_one_connection(error: &io::Error) -> bool {
+    matches!(
+        Errno::from_io_error(error),
+        Some(
+            Errno::CONNABORTED
+                | Errno::PROTO
+                | Errno::PERM
+                | Errno::TIMEDOUT
+                | Errno::NETDOWN
+                | Errno::NOPROTOOPT
+                | Errno::HOSTDOWN
+                | Errno::NONET
+                | Errno::HOSTUNREACH
+                | Errno::OPNOTSUPP
+                | Errno::NETUNREACH
+        )
+    )
+}
+
 /// Takes in connections for as long as the router runs.
 pub async fn accept(
     intake: Intake, part: Arc<Semaphore>, clock: Clock, connections: Connections, context: FrontendContext,
--- a/crates/router/tests/failing_calls.rs
+++ b/crates/router/tests/failing_calls.rs
@@ -18,6 +18,8 @@
 const WAIT: u32 = 1_000;
 /// How long a fault lasts that comes with each call.
 const FAULT: Duration = Duration::from_secs(3);
+/// So many connections are aborted in a row before one is taken in.
+const ABORTED: u64 = 200;
 
 /// A router whose faults can be set; nothing where the machine has no compiler, which is told.
 fn router(story: &str, engine: &Standin) -> Option<(Process, Preload)> {
@@ -109,6 +111,24 @@
     }
 }
 
+/// Guards against a pause of the listener for each connection that ends before it is taken in.
+#[test]
+fn a_client_behind_many_aborted_connections_is_served_in_time() {
+    for error in [Errno::CONNABORTED, Errno::PROTO, Errno::PERM, Errno::NETDOWN] {
+        let engine = Standin::start(|call| pages(call, &[ROWS]));
+        let Some((router, preload)) = router("aborted", &engine) else { return };
+        preload.fail(SystemCall::Accept, 1, error);
+        let mut client = client(&router);
+        let began = Instant::now();
+        client.asks(1, "load", WAIT);
+        awaits("connections are aborted", || preload.failed(SystemCall::Accept) >= ABORTED);
+        preload.clear();
+        assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())), "{error:?}");
+        let took = began.elapsed();
+        assert!(took < Duration::from_millis(WAIT.into()), "{error:?}: {took:?}");
+    }
+}
+
 #[test]
 fn an_interrupted_call_ends_no_connection() {
     let engine = Standin::start(|call| pages(call, &[ROWS]));
