A failed accept behind a quiet time takes nothing off the next request's time

What callers saw: a request that comes behind a quiet time longer than its wait, whose accept fails once (descriptors of the machine), is answered at once that its time is over.

Cause: the time of a request counts from when the listener last saw nothing waiting, unless it waited in that very call. Behind a call that failed it did not, so the whole quiet time was off.

Change: the earliest time for what stands there is kept from the call that failed.

--- a/crates/router/src/arrivals.rs
+++ b/crates/router/src/arrivals.rs
@@ -10,7 +10,7 @@
 use woadhook::{Moment, Span};
 
 use crate::clock::{Clock, pass};
-use crate::interrupted_calls::{is_interrupted, retried};
+use crate::interrupted_calls::retried;
 use crate::tasks::Tasks;
 
 /// How often this thread notes that it hears of its sockets.
@@ -77,7 +77,7 @@
     empty: Cell<Moment>,
     /// The earliest for what was taken last.
     came: Cell<Moment>,
-    /// The earliest for what stands there, as the last call that was to take it was interrupted.
+    /// The earliest for what stands there, as the last call that was to take it failed.
     standing: Cell<Option<Moment>>,
 }
 
@@ -112,7 +112,7 @@
             None => self.empty.get(),
         };
         self.came.set(came);
-        self.standing.set(taken.as_ref().is_err_and(is_interrupted).then_some(came));
+        self.standing.set(taken.is_err().then_some(came));
         taken
     }
 
--- a/crates/router/tests/failing_calls.rs
+++ b/crates/router/tests/failing_calls.rs
@@ -129,6 +129,24 @@
     }
 }
 
+/// Guards against counting a request's time from when the listener last saw nothing waiting, where an accept fails behind a quiet time
+/// longer than the client waits.
+#[test]
+fn a_client_whose_accept_fails_once_behind_a_quiet_time_has_all_of_its_time() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let Some((router, preload)) = router("quiet", &engine) else { return };
+    for error in [Errno::NFILE, Errno::CONNABORTED, Errno::INTR] {
+        thread::sleep(Duration::from_millis(2 * u64::from(WAIT)));
+        let before = preload.failed(SystemCall::Accept);
+        preload.fail(SystemCall::Accept, 1, error);
+        let mut client = client(&router);
+        client.asks(1, "load", WAIT);
+        awaits("accept fails", || preload.failed(SystemCall::Accept) > before);
+        preload.clear();
+        assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())), "{error:?}");
+    }
+}
+
 #[test]
 fn an_interrupted_call_ends_no_connection() {
     let engine = Standin::start(|call| pages(call, &[ROWS]));
