The rig: a party that refuses keeps its port

What was seen: calls to a stand-in engine that drains and refuses can reach another stand-in, of the same play or of one beside it, whose answer counts.

Cause: the system frees a port that it chose itself as its listener is shut down. A trial showed it: another listener got the port, and a connection came up there.

Evidence: a test that fails with ports that the system chose.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hollow;
 pub mod log_reader;
 pub mod net;
+pub mod ports;
 pub mod preload;
 pub mod processes;
 pub mod relays;
--- a/crates/standins/src/relays.rs
+++ b/crates/standins/src/relays.rs
@@ -17,6 +17,8 @@
 use rand_pcg::Pcg32;
 use socket2::{Domain, SockRef, Socket, Type};
 
+use crate::ports;
+
 /// Bytes that are passed on at a time.
 const PIECE: usize = 8 * 1024;
 /// Own connections that fill a listener's queue during a cut.
@@ -162,9 +164,8 @@
 
     /// An address at which `from` reaches `to`, which listens at `target`.
     pub fn passage(&self, from: &str, to: &str, target: SocketAddr) -> SocketAddr {
-        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("an address");
+        let listener = Arc::new(Async::new(ports::listener()).expect("a listener"));
         let address = listener.get_ref().local_addr().expect("an address");
-        let listener = Arc::new(listener);
         let (accepts, refuses) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
         let passage = Passage {
             from: from.into(),
--- a/crates/standins/tests/relays.rs
+++ b/crates/standins/tests/relays.rs
@@ -131,3 +131,14 @@
     stranger.send_to(b"5", known[1]).unwrap();
     assert!(own[1].recv_from(&mut bytes).is_err(), "no party");
 }
+
+/// Guards against calls to a party that refuses which reach another one: the system frees a port that it chose itself as its listener is shut
+/// down.
+#[test]
+fn the_port_of_a_party_that_refuses_is_nobody_elses() {
+    let (relays, at) = echo();
+    relays.refuse("b");
+    let refused = TcpStream::connect(at).map(|_| ()).map_err(|error| error.kind());
+    assert_eq!(refused, Err(ErrorKind::ConnectionRefused));
+    assert!(TcpListener::bind(at).is_err(), "another listener got the port");
+}
