Only a confirmed DELETE settles a key; the log tells why doubts begin and end

Cause: any answer to a DELETE passed for the word that the query was given up: a 500 of an engine that fails, a 404 of another server that has the port of an engine which drains and works on. By the protocol that word is 204.

Change: only 204 settles. Behind another answer the key waits for the query's expiry.

Works as nothing but the engine's word or its expiry lets the next one go.

--- a/crates/router/src/backends/sql.rs
+++ b/crates/router/src/backends/sql.rs
@@ -1,5 +1,7 @@
 //! Sql engines over HTTP/1.1.
 
+mod doubt;
 pub mod engine;
+mod give_up;
 pub mod handle;
 pub mod query;
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -1,7 +1,6 @@
-//! One dispatch: the POST, its news, the pages of its result, and giving it up.
+//! One dispatch: the POST, its news and the pages of its result. `give_up` ends it before its time, `doubt` holds whether it may run on.
 
 use std::cell::Cell;
-use std::pin::Pin;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
@@ -9,7 +8,9 @@
 use woadhook::{Moment, Outcome, Progress, Span};
 use woadhook_pace::rate::Least;
 
+use crate::backends::sql::doubt::{Cause, Doubt};
 use crate::backends::sql::engine::Engine;
+use crate::backends::sql::give_up::SETTLE;
 use crate::clock::pass;
 use crate::exchange::{Dispatch, Event, Rows, measure};
 use crate::faults::CallFault;
@@ -20,22 +21,18 @@
 
 /// A result holds at most so many bytes, in pages of at most so many each.
 const RESULT_BYTES: usize = 48_000;
-const PAGE_BYTES: usize = 6_000;
+pub const PAGE_BYTES: usize = 6_000;
 const PAGES: usize = 48;
 const COLUMNS: usize = 3;
 /// An engine ends a query that was not asked for so long.
 const ASK_WITHIN: Span = Span::from_micros(2_000_000);
-/// How long a query lives at most behind a call for it: news take up to 250 ms, and then that long without a call.
-const EXPIRY: Span = Span::from_micros(2_250_000);
 /// Between calls that fail at once.
-const PAUSE: Span = Span::from_micros(20_000);
+pub const PAUSE: Span = Span::from_micros(20_000);
 /// Between tries to connect that fail at once, which double: thousands of jobs may wait for the same.
 const LEAST_PAUSE: Span = Span::from_micros(5_000);
 const MOST_PAUSE: Span = Span::from_micros(40_000);
-/// Between calls that give up a query that an engine says nothing of.
-const SETTLE: Span = Span::from_micros(100_000);
 /// A call without an answer for so long is made again on another connection.
-const ASK_AGAIN: Span = Span::from_micros(500_000);
+pub const ASK_AGAIN: Span = Span::from_micros(500_000);
 /// So often a page that comes too slowly is asked for again; then it is let come as it comes.
 const CRAWLS: usize = 2;
 /// So many answers in a row that make no sense leave no hope for a good one.
@@ -55,18 +52,22 @@
         Self { out, is_told: false, is_settled: false }
     }
 
-    async fn tell(&mut self, (outcome, told, rows): End, in_doubt: bool) {
+    async fn tell(&mut self, (outcome, told, rows): End, doubt: Option<Cause>) {
         let Dispatch { job, number, decided, .. } = self.out.dispatch;
         let took = self.out.now().since(decided);
         self.is_told = true;
+        let in_doubt = doubt.is_some();
         let ended = Event::Ended { job, number, outcome, took, told, rows, in_doubt };
         let _ = self.out.module.send(ended).await;
     }
 
     /// The order of its key waits until it surely runs no more; nothing else does.
-    async fn settle(mut self, in_doubt: bool) {
-        if let Some(key) = self.out.dispatch.key.filter(|_| in_doubt) {
-            self.out.settle().await;
+    async fn settle(mut self, doubt: Option<Cause>) {
+        if let Some((key, cause)) = self.out.dispatch.key.zip(doubt) {
+            let (job, number) = (&self.out.dispatch.statement.id, self.out.dispatch.number);
+            log::debug!(event = "key_in_doubt", job = job.as_str(), number, cause:? = cause; "its key is in doubt: {cause:?}");
+            let settlement = self.out.settle().await;
+            log::debug!(event = "key_settled", job = job.as_str(), number, settlement:? = settlement; "its key is settled: {settlement:?}");
             let _ = self.out.module.send(Event::Settled { key }).await;
         }
         self.is_settled = true;
@@ -75,10 +76,10 @@
     /// Behind a panic nothing is known but that it may run on.
     async fn resume(mut self) {
         if !self.is_told {
-            self.tell((Outcome::Reset, None, None), true).await;
+            self.tell((Outcome::Reset, None, None), Some(Cause::Panic)).await;
         }
         pass(SETTLE).await;
-        self.settle(true).await;
+        self.settle(Some(Cause::Panic)).await;
     }
 }
 
@@ -87,36 +88,30 @@
         if self.is_settled {
             return;
         }
-        self.out.doubt_all();
+        self.out.doubt.begin_all();
         let left = Ending { out: self.out.clone(), is_told: self.is_told, is_settled: false };
         self.out.engine.context.tasks.start(left.resume());
     }
 }
 
 /// The outcome, the true work and memory where they are told, and the result.
-type End = (Outcome, Option<(Span, f64)>, Option<Rows>);
+pub type End = (Outcome, Option<(Span, f64)>, Option<Rows>);
 
 /// A query that is out, or about to be.
-struct Out {
-    engine: Rc<Engine>,
-    dispatch: Dispatch,
+pub struct Out {
+    pub engine: Rc<Engine>,
+    pub dispatch: Dispatch,
     module: Sender<Event>,
     /// New priorities; closed once the dispatch is called off.
     orders: Receiver<u8>,
     /// Whether a byte of the POST was written.
     began: Cell<bool>,
     /// When a call that asks for it was last written, and when one was last answered.
-    asked: Cell<Moment>,
+    pub asked: Cell<Moment>,
     heard: Cell<Moment>,
-    /// Whether nothing shows yet that it runs no more.
-    in_doubt: Cell<bool>,
-    given_up: Cell<bool>,
+    pub doubt: Doubt,
     /// Whether it is to be given up over its own connection, once the call under way there is answered.
-    stops: Cell<bool>,
-    /// Whether the engine refused a connection once the POST had begun.
-    refused: Cell<bool>,
-    /// Whether a connection broke once the POST had begun, so that what answers since may be another process.
-    broke: Cell<bool>,
+    pub stops: Cell<bool>,
 }
 
 /// What the answer to one call said.
@@ -142,11 +137,8 @@
         began: Cell::new(false),
         asked,
         heard,
-        in_doubt: Cell::new(false),
-        given_up: Cell::new(false),
+        doubt: Doubt::default(),
         stops: Cell::new(false),
-        refused: Cell::new(false),
-        broke: Cell::new(false),
     });
     let mut ending = Ending::of(out.clone());
     let mut work = std::pin::pin!(out.work());
@@ -164,13 +156,13 @@
             (outcome, None, None)
         }
     };
-    let in_doubt = out.may_run_on(end.0);
-    ending.tell(end, in_doubt).await;
-    ending.settle(in_doubt).await;
+    let doubt = out.doubt.cause(end.0).filter(|_| out.began.get());
+    ending.tell(end, doubt).await;
+    ending.settle(doubt).await;
 }
 
 impl Out {
-    fn now(&self) -> Moment {
+    pub fn now(&self) -> Moment {
         self.engine.context.clock.now()
     }
 
@@ -195,8 +187,11 @@
             (answer, lease) = self.ask(0, Some(lease)).await?;
         }
         if self.stops.get() {
-            // An error may mean as well that the engine does not know it.
-            self.in_doubt.set(answer.status == 500);
+            if answer.status == 500 {
+                self.doubt.begin(Cause::EngineError)
+            } else {
+                self.doubt.settle()
+            }
             return Err(Outcome::Cancelled);
         }
         match answer.status {
@@ -258,13 +253,13 @@
                 Err(CallFault::Local(_)) if !self.began.get() => return Err(Outcome::NotIssued),
                 Err(_) if !self.began.get() && in_time => continue,
                 Err(_) if !self.began.get() => return Err(Outcome::NotConnected),
-                Err(fault) => self.note_break(&fault),
+                Err(fault) => self.doubt.note_break(&fault),
             }
             drop(lease);
             let (answer, lease) = self.ask(0, None).await?;
             if answer.status == 500 {
                 // The POST may still be on its way in.
-                self.broke.set(true);
+                self.doubt.note_other_process();
                 self.give_up().await;
             }
             return Ok((answer, lease));
@@ -328,14 +323,14 @@
                             continue;
                         }
                         Err(fault) => {
-                            self.note_break(&fault);
+                            self.doubt.note_break(&fault);
                             self.unheard("asked", &fault);
                         }
                     }
                 }
                 Err(CallFault::Refused) => {
-                    self.in_doubt.set(true);
-                    self.note_break(&CallFault::Refused);
+                    self.doubt.begin(Cause::Refused);
+                    self.doubt.note_break(&CallFault::Refused);
                     return Err(Outcome::Reset);
                 }
                 Err(fault) => self.unheard("no connection to ask over", &fault),
@@ -482,112 +477,14 @@
         late.or(told).await
     }
 
-    fn unheard(&self, what: &str, fault: &CallFault) {
+    pub fn unheard(&self, what: &str, fault: &CallFault) {
         let (job, number) = (&self.dispatch.statement.id, self.dispatch.number);
         log::debug!(event = "unheard", job = job.as_str(), number, what; "{what}: {fault}");
     }
 
-    fn path(&self) -> String {
+    pub fn path(&self) -> String {
         format!("/v2/q/{}", self.dispatch.statement.id)
     }
-
-    /// Deletes the query, until that has come whole, nothing listens there, or nobody asked for it so long
-    /// that the engine has ended it by itself, unless it hangs.
-    async fn give_up(&self) {
-        self.in_doubt.set(true);
-        self.given_up.set(true);
-        while let Err(error) = self.delete().await {
-            self.unheard("deleted", &error);
-            if self.refused.get() || self.now() >= self.expires() {
-                return;
-            }
-            pass(PAUSE).await;
-        }
-    }
-
-    /// Gives up a query at an engine that takes no new connection: over its own, once the call under way there is answered.
-    /// Threat: an engine that drains closes its port and works on, so that no other call reaches it. It costs the dispatch
-    /// that was given up a call's time more.
-    async fn give_up_behind(&self, work: Pin<&mut impl Future<Output = End>>) {
-        if self.refused.get() && self.in_doubt.get() {
-            self.stops.set(true);
-            within(ASK_AGAIN, work).await;
-        }
-    }
-
-    /// One call that gives it up; done where it came whole.
-    async fn delete(&self) -> Result<(), CallFault> {
-        let answer = self.engine.control_call("DELETE", &self.path(), "").await;
-        self.deleted(answer.map(|_| ()))
-    }
-
-    /// The same over a connection that is up.
-    async fn delete_over(&self, lease: &mut Lease) {
-        let head = head("DELETE", &self.path(), self.engine.address, &[], 0);
-        let call = lease.call(&head, &[], PAGE_BYTES, |_| (), |_, _| ());
-        let answer = within(self.engine.context.connect_timeout, call).await;
-        if let Err(fault) = self.deleted(answer.unwrap_or(Err(CallFault::NoAnswerInTime)).map(|_| ())) {
-            self.unheard("deleted over its connection", &fault);
-        }
-    }
-
-    fn deleted(&self, answer: Result<(), CallFault>) -> Result<(), CallFault> {
-        match &answer {
-            Ok(()) => self.in_doubt.set(false),
-            Err(fault) => self.note_break(fault),
-        }
-        answer
-    }
-
-    /// A call that got no answer, once the POST had begun.
-    fn note_break(&self, fault: &CallFault) {
-        self.refused.set(self.refused.get() || matches!(fault, CallFault::Refused));
-        self.broke.set(self.broke.get() || fault.is_break());
-    }
-
-    /// Nothing is known of it any more, but that it may run.
-    fn doubt_all(&self) {
-        self.in_doubt.set(true);
-        self.broke.set(true);
-    }
-
-    /// Whether it may run on behind such an end, for all that the engine told.
-    fn may_run_on(&self, outcome: Outcome) -> bool {
-        let unproven = self.in_doubt.get() || self.broke.get();
-        let untold = self.given_up.get() && outcome == Outcome::Error;
-        self.began.get() && outcome != Outcome::Done && (unproven || untold)
-    }
-
-    /// When the engine has ended it by itself at the latest, as nobody asks for it any more.
-    fn expires(&self) -> Moment {
-        self.asked.get() + EXPIRY
-    }
-
-    /// Waits until it surely runs no more: a DELETE came whole, or the engine refuses every connection and its client's time
-    /// is over, or it was told gone as long ago as a query lives that nobody asks for. Behind a connection that broke it
-    /// always waits for its expiry. Threat: a port that refuses shows that no query begins there, not that one that came
-    /// before has ended, as an engine that drains closes its port and works on until it ends, some time after it is told
-    /// gone; a process that was started anew knows nothing of it. The next of its key would run beside it. It also
-    /// catches engines listed as gone early. Behind a reset it costs the key the rest of the expiry; behind a crash
-    /// all of the first one's time, or until the engine is told gone or answers anew.
-    async fn settle(&self) {
-        let mut gone_since = None;
-        while self.in_doubt.get() {
-            pass(SETTLE).await;
-            let now = self.now();
-            gone_since = self.engine.gone.get().then(|| gone_since.unwrap_or(now));
-            if gone_since.is_some_and(|since| now.since(since) >= EXPIRY) {
-                break;
-            }
-            let refused = self.delete().await.is_err_and(|fault| matches!(fault, CallFault::Refused));
-            if refused && now >= self.dispatch.until {
-                break;
-            }
-        }
-        if self.in_doubt.get() || self.broke.get() {
-            self.engine.context.clock.until(self.expires()).await;
-        }
-    }
 }
 
 impl Answer {
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -528,6 +528,22 @@
     }
 }
 
+/// When a stand-in had its latest call that `picked` takes.
+#[derive(Clone, Default)]
+struct LastCall(Arc<Mutex<Option<Instant>>>);
+
+impl LastCall {
+    fn note(&self, picked: bool) {
+        if picked {
+            *self.0.lock().unwrap() = Some(Instant::now());
+        }
+    }
+
+    fn at(&self) -> Instant {
+        self.0.lock().unwrap().expect("there was one")
+    }
+}
+
 #[test]
 fn the_order_of_a_key_waits_where_its_engine_closed_its_port_over_a_job_that_began() {
     let (began, next) = (FirstCall::default(), FirstCall::default());
@@ -612,6 +628,69 @@
     }
 }
 
+/// By the protocol an engine ends a query that was not asked for in so long.
+const UNASKED: Duration = Duration::from_secs(2);
+
+/// Guards against taking any answer to a DELETE for the word that the query was given up: by the protocol that is 204.
+#[test]
+fn the_order_of_a_key_waits_where_the_answer_to_a_delete_confirms_nothing() {
+    for status in [404, 500] {
+        let (asked, next) = (LastCall::default(), FirstCall::default());
+        let (noted, noted_next) = (asked.clone(), next.clone());
+        let engine = Standin::start(move |call| {
+            let is_first = of_job(call, 1) || call.line.contains("0000000000000001");
+            noted.note(is_first && !call.line.starts_with("DELETE"));
+            noted_next.note(post(call) && !is_first);
+            match call.line.split(' ').next() {
+                Some("DELETE") => says(status, &[], ""),
+                Some("GET") if is_first => {
+                    Says::Late(Duration::from_millis(150), Box::new(says(202, &[], "")))
+                }
+                _ if is_first => says(202, &[], ""),
+                _ => pages(call, &[ROWS]),
+            }
+        });
+        let mut client = two_loads_of_one_key([&engine, &engine], Duration::from_millis(50));
+        engine.awaits("GET");
+        client.aborts(1);
+        assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+        let waited = next.at().saturating_duration_since(asked.at());
+        assert!(waited >= UNASKED, "{status}: {waited:?}");
+    }
+}
+
+/// The same where the port of an engine that drains and works on is another server's by now.
+#[test]
+fn the_order_of_a_key_waits_where_another_server_has_the_port_of_its_engine() {
+    let (asked, next) = (LastCall::default(), FirstCall::default());
+    let (noted, noted_next) = (asked.clone(), next.clone());
+    // The system frees a port that it chose itself once the listener is shut down.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let drains = Standin::on(listener, move |call| {
+        let still_running = || says(202, &[], "");
+        noted.note(!call.line.starts_with("DELETE") && !call.line.starts_with("GET /load"));
+        match call.line.split(' ').next() {
+            Some("POST") => Says::ClosesPort(Box::new(still_running())),
+            _ => Says::Late(Duration::from_millis(150), Box::new(still_running())),
+        }
+    });
+    let well = Standin::start(move |call| {
+        noted_next.note(post(call));
+        pages(call, &[ROWS])
+    });
+    let mut client = two_loads_of_one_key([&drains, &well], Duration::from_millis(50));
+    drains.awaits("GET /v2/q/0000000000000001/0");
+    let listener = TcpListener::bind(drains.address).expect("the port is free");
+    let other = Standin::on(listener, |call| {
+        if post(call) { says(503, &["X-Declined: 1"], "") } else { says(404, &[], "") }
+    });
+    client.aborts(1);
+    other.awaits("DELETE /v2/q/0000000000000001");
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    let waited = next.at().saturating_duration_since(asked.at());
+    assert!(waited >= UNASKED, "{waited:?}");
+}
+
 /// The key goes on some time after the list told that the engine is gone; not at once, as its process ends later.
 #[test]
 fn the_order_of_a_key_goes_on_behind_the_word_that_its_engine_is_gone() {
