A module that begins again knows the keys that are in doubt

Cause: begin_again told the new module of the engines alone, neither of what was out nor of the keys in doubt. Besides, the indices of the jobs that were open were never given back.

Change: the host counts the doubts of each key, takes up what is out as the module begins again, and tells the new module. Indices are given back with the last end.

Works as doubts are the host's, which outlives the module.

--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -93,6 +93,10 @@
     engines: HashMap<EngineId, Known>,
     /// The job of each key that has a dispatch out; emptied by its end.
     keys_out: HashMap<KeyId, JobId>,
+    /// How many queries of each key may run on behind their ends; emptied as these are settled.
+    doubts: HashMap<KeyId, usize>,
+    /// Dispatches that were out as the module began again, each with its key; emptied by their ends.
+    left_over: HashMap<(JobId, usize), Option<KeyId>>,
     /// Whether the whole list was told once.
     listed: bool,
     /// Counts the holds on engines.
@@ -130,6 +134,8 @@
             jobs: HashMap::new(),
             engines: HashMap::new(),
             keys_out: HashMap::new(),
+            doubts: HashMap::new(),
+            left_over: HashMap::new(),
             listed: false,
             serial: 0,
             wake: None,
@@ -201,7 +207,7 @@
                     self.withdraw(job);
                 }
             }
-            Event::Settled { key } => self.instance.router.key_settled(now, key),
+            Event::Settled { key } => self.settle(now, key),
             Event::Unwanted { job } => self.withdraw(job),
             Event::Ping { reply } => {
                 let serves = self.serves();
@@ -211,7 +217,9 @@
                 reply.send(Answer::Pong(serves.is_ok()));
             }
             Event::Ended { job, number, outcome, took, told, rows, in_doubt } => {
-                let Some(open) = self.jobs.get_mut(&job) else { return };
+                let Some(open) = self.jobs.get_mut(&job) else {
+                    return self.end_left_over(now, job, number, in_doubt);
+                };
                 let (at, kind) = (open.out.remove(&number), open.kind);
                 open.may_have_run |= !outcome.never_ran();
                 if let Some(key) = open.key.filter(|_| open.out.is_empty()) {
@@ -228,7 +236,7 @@
                     reply.send(Answer::Served(rows));
                 }
                 if let Some(key) = self.jobs[&job].key.filter(|_| in_doubt) {
-                    self.instance.router.key_in_doubt(key);
+                    self.doubt(key);
                 }
                 let over = self.jobs[&job].reply.is_none();
                 let told = told.filter(|_| self.instance.costs_told);
@@ -554,21 +562,69 @@
         self.instance.router.dispatch_ended(now, job, number, Outcome::NotIssued, Span::ZERO, None, false);
     }
 
-    /// A new module, told the list as it stands; all open jobs have failed. The indices go on, so that what
-    /// is still told of the old module's jobs meets none of the new one's.
+    /// A query of the key may run on behind its end.
+    fn doubt(&mut self, key: KeyId) {
+        *self.doubts.entry(key).or_default() += 1;
+        self.instance.router.key_in_doubt(key);
+    }
+
+    /// One that might run on surely does not.
+    fn settle(&mut self, now: Moment, key: KeyId) {
+        if let Some(count) = self.doubts.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.doubts.remove(&key);
+            }
+            self.instance.router.key_settled(now, key);
+        }
+    }
+
+    /// The end of a dispatch that the module does not know, as it began again behind it.
+    fn end_left_over(&mut self, now: Moment, job: JobId, number: usize, in_doubt: bool) {
+        let Some(key) = self.left_over.remove(&(job, number)) else { return };
+        // One that may run on is settled later.
+        if let Some(key) = key.filter(|_| !in_doubt) {
+            self.settle(now, key);
+        }
+        if !self.left_over.keys().any(|(other, _)| *other == job) {
+            self.instance.jobs.forget(job.0);
+        }
+    }
+
+    /// A new module, told the list as it stands; all open jobs have failed. The indices of jobs with a dispatch out stay taken until its end,
+    /// so that what is still told of the old module's jobs meets none of the new one's. Threat: the new module knows of no query that is out,
+    /// so the next of its key would run beside it: keys that have one, or had one that may run on, are in doubt from the start.
     fn begin_again(&mut self) {
         let now = self.clock.now();
         for job in self.jobs.keys().copied().collect::<Vec<_>>() {
             self.answer(job, Answer::Failed("Internal"));
         }
-        self.jobs.clear();
-        self.keys_out.clear();
         let Ok(new) = Instance::start(now, self.seed, &self.settings) else { return };
         let old = std::mem::replace(&mut self.instance, new);
         (self.instance.jobs, self.instance.keys, self.instance.engines) = (old.jobs, old.keys, old.engines);
+        for (job, open) in std::mem::take(&mut self.jobs) {
+            self.leave_over(job, &open);
+        }
+        self.keys_out.clear();
+        for (key, count) in &self.doubts {
+            (0..*count).for_each(|_| self.instance.router.key_in_doubt(*key));
+        }
         let lines = self.engines.iter().map(|(engine, known)| (*engine, known.line, known.started));
         for (engine, line, started) in lines.collect::<Vec<_>>() {
             self.tell(now, engine, line, started);
         }
     }
+
+    /// Keeps what is out of a job that the module knows no more.
+    fn leave_over(&mut self, job: JobId, open: &Open) {
+        for number in open.out.keys() {
+            self.left_over.insert((job, *number), open.key);
+            if let Some(key) = open.key {
+                *self.doubts.entry(key).or_default() += 1;
+            }
+        }
+        if open.out.is_empty() {
+            self.instance.jobs.forget(job.0);
+        }
+    }
 }
--- a/crates/router/tests/panics.rs
+++ b/crates/router/tests/panics.rs
@@ -5,9 +5,10 @@
 //! panic is forced by a logger of this test that panics at a line of the query's task.
 
 use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use serde_json::{Value, json};
@@ -21,9 +22,12 @@
 struct PanicsAt {
     start: Mutex<Option<&'static str>>,
     has_panicked: AtomicBool,
+    /// How often a key was told to be in doubt.
+    doubts: AtomicUsize,
 }
 
-static LOGGER: PanicsAt = PanicsAt { start: Mutex::new(None), has_panicked: AtomicBool::new(false) };
+static LOGGER: PanicsAt =
+    PanicsAt { start: Mutex::new(None), has_panicked: AtomicBool::new(false), doubts: AtomicUsize::new(0) };
 /// One test at a time, as they share the logger.
 static ALONE: Mutex<()> = Mutex::new(());
 
@@ -34,6 +38,9 @@
 
     fn log(&self, record: &Record<'_>) {
         let line = record.args().to_string();
+        if line.starts_with("its key is in doubt") {
+            self.doubts.fetch_add(1, Ordering::SeqCst);
+        }
         let mut start = self.start.lock().unwrap_or_else(PoisonError::into_inner);
         if start.is_some_and(|start| line.starts_with(start)) {
             *start = None;
@@ -98,11 +105,7 @@
     let router = Running::with(&told.to_string());
     let mut client = Client::new(&router);
     panic_at(panics_at);
-    for (number, id) in [(1, "0000000000000001"), (2, "0000000000000002")] {
-        let fields = [("id", id), ("wait", "15000"), ("cost", "10"), ("ram", "1"), ("key", "k")];
-        let message = Client::request(number, "load", &fields, "select 1 from sales_1.x");
-        std::io::Write::write_all(&mut client.0, &message).unwrap();
-    }
+    (1..=2).for_each(|number| ask_for_load(&mut client, number));
     let answers = [client.hears(), client.hears()];
     assert!(LOGGER.has_panicked.load(Ordering::SeqCst), "no line began with {panics_at}");
     assert!(client.pings(9), "it serves on, and no second answer came");
@@ -124,3 +127,85 @@
     assert!(!runs_beside, "the second one was sent while the first one ran");
     assert_eq!(answers, [(1, Err("Internal".to_owned())), (2, Ok(ROWS.to_owned()))]);
 }
+
+fn ask_for_load(client: &mut Client, number: u32) {
+    let id = format!("{number:016x}");
+    let fields = [("id", id.as_str()), ("wait", "15000"), ("cost", "10"), ("ram", "1"), ("key", "k")];
+    let message = Client::request(number, "load", &fields, "select 1 from sales_1.x");
+    std::io::Write::write_all(&mut client.0, &message).unwrap();
+}
+
+/// Waits until one more key is told to be in doubt.
+fn await_doubt(before: usize) {
+    let by = Instant::now() + LONG;
+    while LOGGER.doubts.load(Ordering::SeqCst) == before {
+        assert!(Instant::now() < by, "no key is in doubt");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// How the first of three loads of a key stands as the module panics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum First {
+    /// Its engine runs it.
+    Out,
+    /// Its client left, and no engine has confirmed that it was given up.
+    InDoubt,
+}
+
+/// Guards against a module that begins again and forgets which keys have a query that runs, or may run: the next one of the key went out at
+/// once.
+#[test]
+fn a_panic_of_the_module_keeps_the_order_of_a_key_whose_query_may_run() {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    for first in [First::Out, First::InDoubt] {
+        let (runs_beside, given_up) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let (beside, may_end) = (runs_beside.clone(), given_up.clone());
+        let engine = Standin::start(move |call| {
+            let is_first = call.line.contains("0000000000000001")
+                || call.fields.contains(&"X-Trace: 0000000000000001".to_owned());
+            match call.line.split(' ').next() {
+                Some("POST") if is_first => says(202, &[], ""),
+                Some("GET") if is_first => {
+                    Says::Late(Duration::from_millis(100), Box::new(says(202, &[], "")))
+                }
+                Some("DELETE") if !may_end.load(Ordering::SeqCst) => Says::Cut,
+                _ => {
+                    let is_early = call.line.starts_with("POST") && !may_end.load(Ordering::SeqCst);
+                    beside.fetch_or(is_early, Ordering::SeqCst);
+                    pages(call, &[ROWS])
+                }
+            }
+        });
+        let mut told: Value = serde_json::from_str(&told(&[engine.address], nobody(), 1024)).unwrap();
+        told["settings"]["obligations"]["turnGapUs"] = json!(GAP.as_micros() as u64);
+        told["settings"]["classes"][1]["keepOrder"] = json!(true);
+        let router = Running::with(&told.to_string());
+        let mut client = Client::new(&router);
+        ask_for_load(&mut client, 1);
+        engine.awaits("GET");
+        if first == First::InDoubt {
+            let before = LOGGER.doubts.load(Ordering::SeqCst);
+            client.aborts(1);
+            await_doubt(before);
+        }
+        panic_at("job taken");
+        ask_for_load(&mut client, 2);
+        engine.awaits("DELETE");
+        ask_for_load(&mut client, 3);
+        // Several tries to give the first one up; the third load has had its chance to go out by then.
+        (0..5).for_each(|_| _ = engine.awaits("DELETE"));
+        given_up.store(true, Ordering::SeqCst);
+        let owed = if first == First::Out { 3 } else { 2 };
+        let mut answers: Vec<Answer> = (0..owed).map(|_| client.hears()).collect();
+        answers.sort_by_key(|(number, _)| *number);
+        let failed = |number| (number, Err("Internal".to_owned()));
+        let expected = [failed(1), failed(2), (3, Ok(ROWS.to_owned()))];
+        assert_eq!(answers, expected[3 - owed..], "{first:?}");
+        assert!(LOGGER.has_panicked.load(Ordering::SeqCst), "the module did not panic");
+        assert!(
+            !runs_beside.load(Ordering::SeqCst),
+            "the third one was sent while the first one ran: {first:?}"
+        );
+    }
+}
