The rig: each trouble keeps its own time, and kills, signals and moves hit whom they mean

Cause: one thread played all troubles, and a barrier in one of them held up the ends of the others; kills behind an order to end were not told; ends took away more than their own trouble. The old discovery was closed before the router could read of the new one.

Change: a thread for each trouble; the kill 3.7 s behind the first order as it was sent, told with the verdict; signals to the process that was meant, once it catches them; the discovery that is left tells on until the configuration can be read. No rule, bound or draw changes.

--- a/crates/router/tests/accord.rs
+++ b/crates/router/tests/accord.rs
@@ -47,7 +47,7 @@
 
 #[test]
 fn a_voter_killed_and_started_from_nothing_votes_again_once_the_others_named_it() {
-    let (mut fleet, _) = fleet("amnesia");
+    let (fleet, _) = fleet("amnesia");
     fleet.down(1);
     fleet.again(1);
     fleet.awaits("that it is told it forgot", |fleet| !fleet.events(1, "accord_forgotten").is_empty());
@@ -64,7 +64,7 @@
 
 #[test]
 fn a_majority_lost_at_once_lapses_everywhere_and_the_operators_order_at_one_router_is_the_way_back() {
-    let (mut fleet, folder) = fleet("majority");
+    let (fleet, folder) = fleet("majority");
     fleet.down(0);
     fleet.down(1);
     fleet.again(0);
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -27,7 +27,7 @@
 }
 
 fn play_at(story: &str, layout: Layout, schedule: &Schedule) -> Tally {
-    let mut fleet = Fleet::start(PROGRAM, &folder(story), layout);
+    let fleet = Fleet::start(PROGRAM, &folder(story), layout);
     fleet.suffer(schedule);
     fleet.settle();
     let tally = fleet.verdict().unwrap_or_else(|fault| panic!("{fault}\nafter {schedule:?}"));
@@ -120,7 +120,7 @@
     let (from, to) = told.split_once("..").expect("FROM..TO");
     let breaks = |schedule: &Schedule| {
         let layout = Layout::zoned(9, 9, 3, schedule.seed);
-        let mut fleet = Fleet::start(PROGRAM, &folder("search"), layout);
+        let fleet = Fleet::start(PROGRAM, &folder("search"), layout);
         fleet.suffer(schedule);
         fleet.settle();
         fleet.verdict().err()
--- a/crates/router/tests/soak.rs
+++ b/crates/router/tests/soak.rs
@@ -16,10 +16,11 @@
     let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}", plan.seed));
     let _ = fs::remove_dir_all(&folder);
     let layout = Layout { ordered: true, failing_calls: true, ..Layout::plain(ROUTERS, ENGINES) };
-    let mut fleet = Fleet::start(env!("CARGO_BIN_EXE_woadhook"), &folder, layout);
-    fleet.overlap(plan);
+    let fleet = Fleet::start(env!("CARGO_BIN_EXE_woadhook"), &folder, layout);
+    let late = fleet.overlap(plan).late;
     fleet.settle();
-    let tally = fleet.verdict().unwrap_or_else(|fault| panic!("{fault}\nschedule: {:#?}", plan.troubles));
+    let told = |fault| panic!("{fault}\nschedule: {:#?}\nthe rig was late: {late:#?}", plan.troubles);
+    let tally = fleet.verdict().unwrap_or_else(told);
     assert!(tally.done > 100, "{tally:?}");
 }
 
--- a/crates/standins/examples/soak.rs
+++ b/crates/standins/examples/soak.rs
@@ -107,10 +107,14 @@
     let _ = std::fs::remove_dir_all(folder);
     let layout =
         Layout { ordered: true, failing_calls: true, ..Layout::plain(line.processes as usize, ENGINES) };
-    let mut fleet = Fleet::start(&program.display().to_string(), folder, layout);
-    for kind in fleet.overlap(plan) {
+    let fleet = Fleet::start(&program.display().to_string(), folder, layout);
+    let played = fleet.overlap(plan);
+    for kind in played.left_out {
         *left_out.entry(kind).or_default() += 1;
     }
+    for late in played.late {
+        println!("seed {}: the rig: {late}", plan.seed);
+    }
     fleet.settle();
     fleet.verdict()
 }
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,12 +1,15 @@
 //! A fleet of the built program: routers in processes of their own over stand-in engines and bulletins, callers at each
 //! router, a schedule of faults, and the rules counted over all processes together.
 
+mod effects;
 mod judge;
 mod overlap;
 mod parties;
+mod stops;
 mod talk;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -18,6 +21,7 @@
 
 use self::judge::Seen;
 pub use self::judge::Tally;
+pub use self::overlap::Played;
 use self::parties::{Caller, Feed, Place, feed, line};
 use self::talk::{order, talking};
 use crate::LONG;
@@ -98,10 +102,13 @@
 pub struct Fleet {
     layout: Layout,
     pub relays: Relays,
-    routers: Vec<Process>,
-    engines: Vec<Place>,
-    number: u64,
-    feeds: Vec<Feed>,
+    routers: Vec<Mutex<Process>>,
+    engines: Mutex<Vec<Place>>,
+    /// Of the last event of discovery.
+    number: Mutex<u64>,
+    feeds: Vec<Mutex<Feed>>,
+    /// By router, where discovery was before it moved, as long as the router can't read where it is.
+    left_feeds: Mutex<Vec<(usize, Feed)>>,
     discovery: Arc<Mutex<DiscoveryMode>>,
     /// By router, where their calls can fail.
     preloads: BTreeMap<usize, Preload>,
@@ -181,99 +188,129 @@
             thread::spawn(move || parties::call(caller, &seen, &over))
         });
         let callers = callers.collect();
-        let number = 1;
-        Self { layout, relays, routers, engines, number, feeds, discovery, preloads, seen, over, callers }
+        Self {
+            layout,
+            relays,
+            routers: routers.into_iter().map(Mutex::new).collect(),
+            engines: Mutex::new(engines),
+            number: Mutex::new(1),
+            feeds: feeds.into_iter().map(Mutex::new).collect(),
+            left_feeds: Mutex::default(),
+            discovery,
+            preloads,
+            seen,
+            over,
+            callers,
+        }
     }
 
     /// Lets a schedule happen, one fault after another.
-    pub fn suffer(&mut self, schedule: &Schedule) {
+    pub fn suffer(&self, schedule: &Schedule) {
         for (fault, pause) in &schedule.faults {
             match fault {
                 Fault::Kill(routers) => self.kill(routers),
                 Fault::Roll(routers) => routers.iter().for_each(|router| self.roll(*router)),
-                Fault::Pause(router, millis) => {
-                    self.seen.lock().unwrap().stood.push(*router);
-                    self.routers[*router].signal(Signal::STOP);
-                    thread::sleep(Duration::from_millis(*millis));
-                    self.routers[*router].signal(Signal::CONT);
-                }
+                Fault::Pause(router, millis) => self.halt(&[*router], *millis),
                 Fault::Move => self.relocate(),
                 Fault::Replace(engines) => self.replace(engines),
-                Fault::Bad(engine) => *self.engines[*engine].mode.lock().unwrap() = EngineMode::Fails,
+                Fault::Bad(engine) => {
+                    *self.engines.lock().unwrap()[*engine].mode.lock().unwrap() = EngineMode::Fails;
+                }
                 Fault::Lay(ways, millis) => {
                     self.relays.lay(ways.iter().cloned());
                     thread::sleep(Duration::from_millis(*millis));
                     self.relays.heal();
                 }
                 Fault::Reset(from, to) => _ = self.relays.reset(from, to),
-                Fault::Halt(routers, millis) => {
-                    self.seen.lock().unwrap().stood.extend(routers);
-                    routers.iter().for_each(|router| self.routers[*router].signal(Signal::STOP));
-                    thread::sleep(Duration::from_millis(*millis));
-                    routers.iter().for_each(|router| self.routers[*router].signal(Signal::CONT));
-                }
+                Fault::Halt(routers, millis) => self.halt(routers, *millis),
             }
             thread::sleep(Duration::from_millis(*pause));
         }
     }
 
+    /// Routers stand still for so many milliseconds.
+    fn halt(&self, routers: &[usize], millis: u64) {
+        self.seen.lock().unwrap().stood.extend(routers);
+        routers.iter().for_each(|router| self.signal(*router, Signal::STOP));
+        thread::sleep(Duration::from_millis(millis));
+        routers.iter().for_each(|router| self.signal(*router, Signal::CONT));
+    }
+
     /// Routers killed all at once, and started again.
-    pub fn kill(&mut self, routers: &[usize]) {
-        for router in routers {
-            self.routers[*router].kill();
-            self.seen.lock().unwrap().killed.push((*router, Instant::now()));
-        }
+    pub fn kill(&self, routers: &[usize]) {
+        routers.iter().for_each(|router| self.down(*router));
         routers.iter().for_each(|router| self.again(*router));
-        routers.iter().for_each(|router| self.routers[*router].ready());
+        routers.iter().for_each(|router| self.routers[*router].lock().unwrap().ready());
     }
 
-    fn roll(&mut self, router: usize) {
+    fn roll(&self, router: usize) {
         self.seen.lock().unwrap().ended.push((router, Instant::now()));
-        self.routers[router].signal(Signal::TERM);
-        let status = self.routers[router].ends();
-        assert!(status.success(), "{} ended with {status}", self.routers[router].name);
+        let mut process = self.routers[router].lock().unwrap();
+        process.signal(Signal::TERM);
+        let status = process.ends();
+        assert!(status.success(), "{} ended with {status}", process.name);
+        drop(process);
         self.again(router);
-        self.routers[router].ready();
+        self.routers[router].lock().unwrap().ready();
     }
 
     /// Starts a router from nothing, told the bulletin so far.
-    pub fn again(&mut self, router: usize) {
-        let known = self.feeds[router].events.all();
-        self.routers[router].tell(|given| given["known"] = known);
-        self.routers[router].again();
+    pub fn again(&self, router: usize) {
+        let known = self.feeds[router].lock().unwrap().events.all();
+        let mut process = self.routers[router].lock().unwrap();
+        process.tell(|given| given["known"] = known);
+        process.again();
+        drop(process);
+        self.close_left_feeds(router);
     }
 
-    /// Every router's bulletin moves; the old ones tell nothing further.
-    fn relocate(&mut self) {
-        for (number, (router, old)) in self.routers.iter().zip(&mut self.feeds).enumerate() {
+    /// Every router's bulletin moves; the old ones tell nothing further, but to a router that can't read yet where the new one is.
+    fn relocate(&self) {
+        for (number, (router, old)) in self.routers.iter().zip(&self.feeds).enumerate() {
+            let mut old = old.lock().unwrap();
             let new = feed(old.events.clone(), self.discovery.clone());
             let (from, to) = (format!("n{number}"), format!("b{number}"));
             let at = self.relays.passage(&from, &to, new.standin.address);
+            let old = std::mem::replace(&mut *old, new);
+            let router = router.lock().unwrap();
             router.tell(|given| given["bulletin"] = json!(at.to_string()));
+            if router.is_hidden() {
+                self.left_feeds.lock().unwrap().push((number, old));
+                continue;
+            }
             if router.id().is_some() {
                 router.signal(Signal::HUP);
             }
             old.open.store(false, Ordering::Relaxed);
-            *old = new;
+        }
+    }
+
+    /// A router was told where discovery is: what it left tells nothing further.
+    fn close_left_feeds(&self, router: usize) {
+        let mut left = self.left_feeds.lock().unwrap();
+        for (_, feed) in left.extract_if(.., |(of, _)| *of == router) {
+            feed.open.store(false, Ordering::Relaxed);
         }
     }
 
     /// New engines come, cold.
-    fn add_cold(&mut self, count: usize) {
-        let first = self.engines.len();
+    fn add_cold(&self, count: usize) {
+        let mut engines = self.engines.lock().unwrap();
+        let first = engines.len();
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         for number in first..first + count {
             let (zone, region) = self.layout.zone(number);
             self.relays.place(&format!("s-{number}"), zone, region);
-            self.engines.push(parties::place(number, self.seen.clone()));
+            engines.push(parties::place(number, self.seen.clone()));
             self.seen.lock().unwrap().cold.insert(number, Instant::now());
         }
+        drop(engines);
         let new: Vec<usize> = (first..first + count).collect();
         self.tell(&new, "SERVING", now);
     }
 
     /// Engines drain and go, and new ones come in their places, cold.
-    pub fn replace(&mut self, engines: &[usize]) {
+    pub fn replace(&self, engines: &[usize]) {
         self.add_cold(engines.len());
         for phase in ["DRAINING", "DELETED"] {
             self.tell(engines, phase, 0);
@@ -283,38 +320,49 @@
     }
 
     /// Tells every router of engines in such a phase.
-    fn tell(&mut self, engines: &[usize], phase: &str, up_since: u64) {
-        self.number += 1;
+    fn tell(&self, engines: &[usize], phase: &str, up_since: u64) {
+        let mut number = self.number.lock().unwrap();
+        *number += 1;
+        let places = self.engines.lock().unwrap();
         for (router, feed) in self.feeds.iter().enumerate() {
             let (layout, relays) = (&self.layout, &self.relays);
-            let told = |at: &usize| line(layout, relays, router, *at, &self.engines[*at], phase, up_since);
-            feed.events.add(self.number, engines.iter().map(told).collect());
+            let told = |at: &usize| line(layout, relays, router, *at, &places[*at], phase, up_since);
+            feed.lock().unwrap().events.add(*number, engines.iter().map(told).collect());
         }
     }
 
     /// The operator orders another epoch, and tells one router.
     pub fn order(&self, folder: &Path, epoch: u64, router: usize) {
         order(folder, epoch, self.layout.voters);
-        self.routers[router].signal(Signal::HUP);
+        self.signal(router, Signal::HUP);
     }
 
     /// Kills a router and leaves it so, until [`again`](Self::again).
-    pub fn down(&mut self, router: usize) {
-        self.routers[router].kill();
+    pub fn down(&self, router: usize) {
+        let mut process = self.routers[router].lock().unwrap();
+        process.kill();
         self.seen.lock().unwrap().killed.push((router, Instant::now()));
     }
 
     pub fn signal(&self, router: usize, signal: Signal) {
-        self.routers[router].signal(signal);
+        self.routers[router].lock().unwrap().signal(signal);
     }
 
     pub fn said(&self, router: usize) -> String {
-        self.routers[router].said()
+        self.routers[router].lock().unwrap().said()
+    }
+
+    fn address(&self, router: usize) -> SocketAddr {
+        self.routers[router].lock().unwrap().address
+    }
+
+    fn engine_count(&self) -> usize {
+        self.engines.lock().unwrap().len()
     }
 
     /// Lines of a router's log with such an event, as fields.
     pub fn events(&self, router: usize, event: &str) -> Vec<Value> {
-        let said = self.routers[router].said();
+        let said = self.said(router);
         let lines = said.lines().filter(|line| line.contains(event));
         lines
             .filter_map(|line| serde_json::from_str(line).ok())
@@ -339,7 +387,7 @@
         };
         let mut lines: Vec<(Option<String>, String)> = Vec::new();
         for router in &self.routers {
-            let mut last = None;
+            let (router, mut last) = (router.lock().unwrap(), None);
             for line in router.said().lines() {
                 last = time(line).or(last);
                 lines.push((last.clone(), format!("{} {line}", router.name)));
@@ -359,40 +407,50 @@
     /// Waits until every router has done a job asked for from now on, then ends the callers and counts; the first
     /// broken rule, if any, in words.
     pub fn verdict(mut self) -> Result<Tally, String> {
-        let (from, by) = (Instant::now(), Instant::now() + LONG);
-        let serves = |seen: &Seen, router: usize| {
-            seen.answers.iter().any(|a| a.router == router && a.at >= from && matches!(a.got, Ok(true)))
-        };
-        for router in 0..self.routers.len() {
-            while !serves(&self.seen.lock().unwrap(), router) {
-                if Instant::now() > by {
-                    return Err(format!("{} does not serve in the end", self.routers[router].name));
-                }
-                thread::sleep(Duration::from_millis(10));
-            }
-        }
+        self.await_service()?;
         self.over.store(true, Ordering::Relaxed);
         for caller in self.callers.drain(..) {
             caller.join().map_err(|_| "a caller met what no answer may be".to_owned())?;
         }
-        if let Some(dead) = self.routers.iter_mut().find_map(|r| (!r.lives()).then(|| r.name.clone())) {
-            return Err(format!("{dead} ended by itself"));
-        }
-        let mut seen = self.seen.lock().unwrap();
-        seen.ways_cut = self.relays.held_anything_up();
-        let seen = &*seen;
-        let told = |id: &str| self.routers.iter().flat_map(|r| r.on_job(id)).collect::<Vec<_>>().join("\n");
         for router in &self.routers {
+            let router = router.lock().unwrap();
+            if !router.lives() {
+                return Err(format!("{} ended by itself", router.name));
+            }
             if let Some(line) = router.said().lines().find(|line| line.contains("\"event\":\"violation\"")) {
                 return Err(format!("{}: {line}", router.name));
             }
         }
-        judge::all_rules(seen).map_err(|(fault, id)| {
-            let lines = if id.is_empty() { String::new() } else { told(&id) };
-            format!("{fault}\n{lines}")
+        let mut seen = self.seen.lock().unwrap();
+        seen.ways_cut = self.relays.held_anything_up();
+        judge::all_rules(&seen).map_err(|(fault, id)| {
+            let told = if id.is_empty() { Vec::new() } else { self.on_job(&id) };
+            let kills = format!("killed behind the order to end: {:?}", seen.killed_behind_their_end);
+            format!("{fault}\n{}\n{kills}", told.join("\n"))
         })?;
         let done = seen.answers.iter().filter(|asked| matches!(asked.got, Ok(true))).count();
         let cold = seen.posts.iter().filter(|post| seen.cold.contains_key(&post.engine)).count();
         Ok(Tally { asked: seen.answers.len(), done, to_cold: cold })
     }
+
+    fn await_service(&self) -> Result<(), String> {
+        let (from, by) = (Instant::now(), Instant::now() + LONG);
+        let serves = |seen: &Seen, router: usize| {
+            seen.answers.iter().any(|a| a.router == router && a.at >= from && matches!(a.got, Ok(true)))
+        };
+        for (router, process) in self.routers.iter().enumerate() {
+            while !serves(&self.seen.lock().unwrap(), router) {
+                if Instant::now() > by {
+                    return Err(format!("{} does not serve in the end", process.lock().unwrap().name));
+                }
+                thread::sleep(Duration::from_millis(10));
+            }
+        }
+        Ok(())
+    }
+
+    /// The lines of all logs on a job.
+    fn on_job(&self, id: &str) -> Vec<String> {
+        self.routers.iter().flat_map(|router| router.lock().unwrap().on_job(id)).collect()
+    }
 }
--- a/crates/standins/src/fleet/judge.rs
+++ b/crates/standins/src/fleet/judge.rs
@@ -40,9 +40,11 @@
     /// When each engine was told to drain.
     pub drained: HashMap<usize, Instant>,
     pub cold: HashMap<usize, Instant>,
-    /// When each router was killed or told to end.
+    /// When each router was killed outright, or told to end.
     pub killed: Vec<(usize, Instant)>,
     pub ended: Vec<(usize, Instant)>,
+    /// When each was killed that had been told to end; it frees no request of its answer.
+    pub killed_behind_their_end: Vec<(usize, Instant)>,
     /// Whether bytes between routers and engines were held up, so that engines tell nothing of when they were sent.
     pub ways_cut: bool,
     /// Whether jobs of a key keep their order.
--- a/crates/standins/src/fleet/parties.rs
+++ b/crates/standins/src/fleet/parties.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Barrier, Mutex};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,8 @@
 use crate::relays::Relays;
 use crate::troubles::{DiscoveryMode, EngineMode, RudeClient};
 
+/// Callers that leave their loads are numbered from here on, with up to so many others at each router.
+pub(super) const LEAVERS_FROM: u64 = 16;
 /// How long one query in eight runs, so that something is always out when a fault comes.
 const RUN: Duration = Duration::from_millis(900);
 /// `ping` under the number 0.
@@ -243,11 +245,11 @@
     }
 }
 
-/// A client that asks one request after another over a connection of its own to the router itself, until the router ends that.
-pub(super) fn stay(router: usize, at: SocketAddr, number: u64, seen: &Mutex<Seen>, up: &Barrier) {
+/// A client that asks one request after another over a connection of its own to the router itself, until the router ends that. One that is
+/// not served by `by` goes again.
+pub(super) fn stay(router: usize, at: SocketAddr, number: u64, seen: &Mutex<Seen>, by: Instant) {
     let since = Instant::now();
-    let mut connection = connect(at);
-    up.wait();
+    let mut connection = connect(at).filter(|_| Instant::now() < by);
     let mut count = 0;
     while let Some(stream) = &mut connection {
         count += 1;
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -12,7 +12,7 @@
 
 use rustix::fs::{CWD, Mode, mkfifoat};
 use rustix::pipe::fcntl_setpipe_size;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use serde_json::{Value, json};
 
 use crate::LONG;
@@ -24,6 +24,8 @@
 const SETPRIV: &str = "setpriv";
 /// What a log's pipe holds: the least that the system allows, so that it is full at once where nobody reads.
 const PIPE_BYTES: usize = 4_096;
+/// A program that was started has its handlers of signals by then.
+const CATCHES_BY: Duration = Duration::from_millis(500);
 /// What the processes of stories log.
 const STORY_LEVEL: &str = "info,woadhook_router=debug";
 
@@ -193,9 +195,25 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Whether something else stands in place of its configuration.
+    pub fn is_hidden(&self) -> bool {
+        self.hidden.lock().unwrap().is_some()
+    }
+
+    /// Sends it a signal; one that the program catches not before it does, as it would end it.
     pub fn signal(&self, signal: Signal) {
-        let id = self.id().and_then(|id| Pid::from_raw(id as i32)).expect("it runs");
-        kill_process(id, signal).expect("a signal");
+        let id = self.id().expect("it runs");
+        if [Signal::HUP, Signal::TERM, Signal::INT].contains(&signal) {
+            await_handler(id, signal);
+        }
+        kill_process(Pid::from_raw(id as i32).expect("a process"), signal).expect("a signal");
+    }
+
+    /// Sends a signal to the process of that id and to no later one.
+    pub fn signal_if(&self, id: u32, signal: Signal) {
+        if self.id() == Some(id) {
+            self.signal(signal);
+        }
     }
 
     /// Ends it outright.
@@ -211,17 +229,23 @@
         self.reader.iter_mut().for_each(LogReader::finish);
     }
 
+    /// How it ended, once it has.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut().expect("it was started").try_wait().expect("a child")?;
+        self.child = None;
+        self.finish_log();
+        Some(status)
+    }
+
     /// Waits for the end of one that was told to end.
     pub fn ends(&mut self) -> ExitStatus {
-        let (mut child, by) = (self.child.take().expect("it runs"), Instant::now() + LONG);
+        let by = Instant::now() + LONG;
         loop {
-            if let Some(status) = child.try_wait().expect("a child") {
-                self.finish_log();
+            if let Some(status) = self.ended() {
                 return status;
             }
             if Instant::now() > by {
-                let _ = child.kill();
-                let _ = child.wait();
+                self.kill();
                 panic!("{} did not end", self.name);
             }
             thread::sleep(Duration::from_millis(5));
@@ -229,8 +253,11 @@
     }
 
     /// Whether it runs on: it was started and has not ended by itself.
-    pub fn lives(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| child.try_wait().expect("a child").is_none())
+    /// It is not waited for, so that its id stays its own.
+    pub fn lives(&self) -> bool {
+        let looks = WaitIdOptions::EXITED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
+        let id = self.id().and_then(|id| Pid::from_raw(id as i32));
+        id.is_some_and(|id| waitid(WaitId::Pid(id), looks).expect("a child").is_none())
     }
 
     /// Waits until it answers `ping` with true.
@@ -271,6 +298,22 @@
     }
 }
 
+/// Waits until a process catches a signal, as one that has just begun does not yet; for so long at most.
+fn await_handler(id: u32, signal: Signal) {
+    let by = Instant::now() + CATCHES_BY;
+    while !catches(id, signal) && Instant::now() < by {
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Whether the system tells that the process has a handler for the signal.
+fn catches(id: u32, signal: Signal) -> bool {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok()).unwrap_or(0);
+    caught & 1 << (signal.as_raw() - 1) != 0
+}
+
 /// A command that is killed as the thread that starts it ends, also where a test is killed and no guard runs. Where the machine has no
 /// `setpriv`, it is not.
 pub fn ends_with_this_thread(program: &Path) -> Command {
--- a/crates/standins/src/relays.rs
+++ b/crates/standins/src/relays.rs
@@ -250,6 +250,18 @@
         self.shared.inner.lock().unwrap().held_up
     }
 
+    /// What was laid so goes as before that.
+    pub fn lift(&self, ways: impl IntoIterator<Item = (Side, Side, Way)>) {
+        let mut inner = self.shared.inner.lock().unwrap();
+        for way in ways {
+            if let Some(place) = inner.laid.iter().rposition(|laid| *laid == way) {
+                inner.laid.remove(place);
+            }
+        }
+        drop(inner);
+        self.shared.block_ways();
+    }
+
     /// All goes as at the start.
     pub fn heal(&self) {
         self.shared.inner.lock().unwrap().laid.clear();
--- a/crates/standins/src/troubles.rs
+++ b/crates/standins/src/troubles.rs
@@ -1,5 +1,7 @@
 //! Troubles that overlap in time: data from a seed that can be printed, played again and made smaller.
 
+use std::time::Duration;
+
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
@@ -209,6 +211,50 @@
         }
     }
 
+    /// How long it takes to begin.
+    pub fn beginning(&self) -> Duration {
+        match self {
+            Self::Drain { resets: true, .. } => LOADS_BEGIN + BEFORE_RESET,
+            Self::Drain { .. } => LOADS_BEGIN,
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// The routers whose processes are stopped, killed or ended by it.
+    pub fn processes(&self) -> Vec<usize> {
+        match self {
+            Self::Stand { router, .. }
+            | Self::Kill { router, .. }
+            | Self::Restart { router }
+            | Self::Stop { router, .. } => vec![*router],
+            Self::Herd { routers, .. } => routers.clone(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// The engines that are told to drain by it.
+    pub fn drains(&self) -> Vec<usize> {
+        match self {
+            Self::Replace { engines } => engines.clone(),
+            Self::Drain { engine, .. } => vec![*engine],
+            _ => Vec::new(),
+        }
+    }
+
+    /// What it sets for its span, where others may set the same meanwhile.
+    pub fn setting(&self) -> Option<String> {
+        match self {
+            Self::Discovery { .. } => Some("discovery".to_owned()),
+            Self::Engine { engine, .. } => Some(format!("engine {engine}")),
+            Self::Calls { router, call, .. } => Some(format!("{call:?} of router {router}")),
+            Self::Short { router, .. } => Some(format!("transfers of router {router}")),
+            Self::Clock { router, .. } => Some(format!("clock of router {router}")),
+            Self::Log { router, .. } => Some(format!("log of router {router}")),
+            Self::Config { router, .. } => Some(format!("configuration of router {router}")),
+            _ => None,
+        }
+    }
+
     /// Its kind, for the count of troubles that never happened.
     pub fn kind(&self) -> String {
         let shown = format!("{self:?}");
@@ -219,7 +265,11 @@
 /// A router that is told to end has ended by then, in milliseconds.
 const RESTART: u64 = 4_500;
 /// The page's earliest kill behind a signal to end, in milliseconds: the longest deadline, 3 s at most, and 0.7 s.
-const EARLIEST_KILL: u64 = 3_700;
+pub(crate) const EARLIEST_KILL: u64 = 3_700;
+/// Loads have begun by so long behind their requests.
+pub(crate) const LOADS_BEGIN: Duration = Duration::from_millis(100);
+/// Between an engine's port that closes and the reset of what is up there.
+pub(crate) const BEFORE_RESET: Duration = Duration::from_millis(60);
 /// Idle clients of a crowd: more than the rig's routers have descriptors for (a third of 512).
 const CROWD: std::ops::Range<usize> = 180..260;
 
