--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -5,6 +5,7 @@
 mod judge;
 mod overlap;
 mod parties;
+mod queries;
 mod stops;
 mod talk;
 
@@ -423,10 +424,10 @@
         }
         let mut seen = self.seen.lock().unwrap();
         seen.ways_cut = self.relays.held_anything_up();
-        judge::all_rules(&seen).map_err(|(fault, id)| {
-            let told = if id.is_empty() { Vec::new() } else { self.on_job(&id) };
+        judge::all_rules(&seen).map_err(|broken| {
+            let told = broken.jobs.iter().flat_map(|id| self.on_job(id));
             let kills = format!("killed behind the order to end: {:?}", seen.killed_behind_their_end);
-            format!("{fault}\n{}\n{kills}", told.join("\n"))
+            format!("{}\n{}\n{kills}", broken.words, told.collect::<Vec<_>>().join("\n"))
         })?;
         let done = seen.answers.iter().filter(|asked| matches!(asked.got, Ok(true))).count();
         let cold = seen.posts.iter().filter(|post| seen.cold.contains_key(&post.engine)).count();
