Interrupted reads and writes are not counted as a client's slowness

What callers saw: since interrupted calls make room for timers, a client whose message was read in part, or whose answer was being written, was closed as too slow where signals interrupted the router's own calls for longer than a message or an answer may rest; its request was lost.

Cause: the bound on slow clients ran on over the router's own pauses.

Change: a message whose bytes stand there unread is read on; a write that was interrupted begins its least rate anew behind the pause.

--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -392,7 +392,9 @@
         loop {
             let until = due.unwrap_or_else(|| self.peer.quiet_since.get() + IDLE);
             let left = until.since(clock.now());
-            if left == Span::ZERO && self.peer.midway.get() {
+            // What stands there unread, as reads are interrupted, came in time.
+            let has_come = matches!(link.waiting(), Waiting::Bytes);
+            if left == Span::ZERO && self.peer.midway.get() && !has_come {
                 return Ok(None);
             }
             if left == Span::ZERO && self.peer.may_go(clock.now()) {
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -11,7 +11,7 @@
 
 use crate::clock::Clock;
 use crate::faults::CallFault;
-use crate::sockets::{FirstByte, Link, Waiting, read, write_gathered};
+use crate::sockets::{FirstByte, Link, Progress, Waiting, read, write_gathered};
 
 const HEAD_BYTES: usize = 4 * 1024;
 const HEAD_FIELDS: usize = 48;
@@ -109,13 +109,18 @@
     /// hears each field of the answer's head, and `wrote` of each write. An answer that comes with more than
     /// is its own is in doubt, as its length may not be the true one.
     pub async fn call(
-        &mut self, head: &str, body: &[u8], most: usize, wrote: impl FnMut(usize),
+        &mut self, head: &str, body: &[u8], most: usize, mut wrote: impl FnMut(usize),
         mut field: impl FnMut(&str, &str),
     ) -> Result<(u16, Vec<u8>)> {
         self.reusable = false;
         self.flow.0.set(None);
         let parts = [head.as_bytes(), body];
-        let written = write_gathered(&self.link.stream, &parts, FirstByte::AtOnce, wrote).await;
+        let progress = |progress| {
+            if let Progress::Written(bytes) = progress {
+                wrote(bytes);
+            }
+        };
+        let written = write_gathered(&self.link.stream, &parts, FirstByte::AtOnce, progress).await;
         written.map_err(CallFault::of_write)?;
         let mut interim = 0;
         let head = loop {
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -167,10 +167,14 @@
     stream: &Async<TcpStream>, parts: &[&[u8]], clock: Clock, least: Least,
 ) -> Result<(), WriteFault> {
     let watch = Cell::new(Watch::start(clock.now(), least));
-    let wrote = |bytes| {
-        let mut moved = watch.get();
-        moved.moved(clock.now(), bytes);
-        watch.set(moved);
+    let progress = |progress| match progress {
+        Progress::Written(bytes) => {
+            let mut moved = watch.get();
+            moved.moved(clock.now(), bytes);
+            watch.set(moved);
+        }
+        // The peer is not slow for it.
+        Progress::Interrupted => watch.set(Watch::start(clock.now(), least)),
     };
     let too_slow = async {
         while !watch.get().is_too_slow(clock.now()) {
@@ -181,7 +185,7 @@
         Err(WriteFault::TooSlow(format!("{bytes} bytes at {rate:.0} a second, allowed are {allowed:.0}")))
     };
     let written = async {
-        write_gathered(stream, parts, FirstByte::WhenItCan, wrote).await.map_err(WriteFault::Broken)
+        write_gathered(stream, parts, FirstByte::WhenItCan, progress).await.map_err(WriteFault::Broken)
     };
     written.or(too_slow).await
 }
@@ -195,9 +199,18 @@
     WhenItCan,
 }
 
-/// Writes all the parts in order, as many at once as the system takes. `wrote` hears of each write.
+/// How far a write has come.
+#[derive(Clone, Copy)]
+pub enum Progress {
+    /// So many bytes more went.
+    Written(usize),
+    /// None went, as signals interrupted each try.
+    Interrupted,
+}
+
+/// Writes all the parts in order, as many at once as the system takes. `progress` hears of each write.
 pub async fn write_gathered(
-    stream: &Async<TcpStream>, parts: &[&[u8]], first: FirstByte, mut wrote: impl FnMut(usize),
+    stream: &Async<TcpStream>, parts: &[&[u8]], first: FirstByte, mut progress: impl FnMut(Progress),
 ) -> io::Result<()> {
     let mut slices: Vec<IoSlice> = parts.iter().map(|part| IoSlice::new(part)).collect();
     let mut left = slices.as_mut_slice();
@@ -217,13 +230,14 @@
                     return Err(error);
                 }
                 pass(PAUSE).await;
+                progress(Progress::Interrupted);
                 continue;
             }
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             written => written?,
         };
         has_begun = true;
-        wrote(count);
+        progress(Progress::Written(count));
         IoSlice::advance_slices(&mut left, count);
     }
     Ok(())
--- a/crates/router/tests/failing_calls.rs
+++ b/crates/router/tests/failing_calls.rs
@@ -1,6 +1,7 @@
 //! System calls that fail as Linux documents: no client's connection ends for it, and no request is lost.
 
 use std::fs;
+use std::io::Write;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::thread;
@@ -111,6 +112,43 @@
     }
 }
 
+/// Longer than a message may take, and than an answer may rest.
+const LONG_FAULT: Duration = Duration::from_millis(3_500);
+
+/// Guards against counting interruptions as a client's slowness, in the middle of its message.
+#[test]
+fn a_message_whose_reads_are_interrupted_for_long_is_taken() {
+    let engine = Standin::start(|call| pages(call, &[ROWS]));
+    let Some((router, preload)) = router("half-read", &engine) else { return };
+    let mut client = client(&router);
+    let wait = LONG.as_millis() as u32;
+    let message = Client::message(1, "look", "0000000000000001", wait, "select 1 from sales_1.x");
+    let (start, rest) = message.split_at(message.len() / 2);
+    client.0.write_all(start).unwrap();
+    assert!(Client(TcpStream::connect(router.address).unwrap()).tries_ping(), "the start has been read");
+    preload.fail(SystemCall::Read, 1, Errno::INTR);
+    client.0.write_all(rest).unwrap();
+    thread::sleep(LONG_FAULT);
+    preload.clear();
+    assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())));
+}
+
+/// The same for an answer.
+#[test]
+fn an_answer_whose_writes_are_interrupted_for_long_arrives() {
+    let late = Duration::from_millis(300);
+    let engine = Standin::start(move |call| Says::Late(late, Box::new(pages(call, &[ROWS]))));
+    let Some((router, preload)) = router("unwritten", &engine) else { return };
+    let mut client = client(&router);
+    client.asks(1, "look", LONG.as_millis() as u32);
+    engine.awaits("POST");
+    preload.fail(SystemCall::Write, 1, Errno::INTR);
+    thread::sleep(LONG_FAULT);
+    assert!(preload.failed(SystemCall::Write) > 0, "the answer is held up");
+    preload.clear();
+    assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())));
+}
+
 /// Guards against a pause of the listener for each connection that ends before it is taken in.
 #[test]
 fn a_client_behind_many_aborted_connections_is_served_in_time() {
