The judge of a key's order knows of kills behind an order to end

The next load came 0.94 s behind a query whose key was in doubt; no line settled it.

Cause, by the lines of both loads: the router was killed between them, 3.7 s behind its order to end, and started again.

--- a/crates/standins/src/fleet/judge.rs
+++ b/crates/standins/src/fleet/judge.rs
@@ -199,7 +199,8 @@
         let (over, how) = query.over();
         let died = seen.died.get(&before.engine).is_some_and(|died| *died <= post.at);
         let between = |(of, when): &(usize, Instant)| *of == router && *when >= before.at && *when <= post.at;
-        let anew = seen.killed.iter().chain(&seen.ended).any(between);
+        let kills = seen.killed.iter().chain(&seen.killed_behind_their_end);
+        let anew = kills.chain(&seen.ended).any(between);
         if over > post.at && !died && !anew {
             let since = |at: Instant| at.saturating_duration_since(before.at);
             let words = format!(
