--- a/crates/router/src/backends/sql/give_up.rs
+++ b/crates/router/src/backends/sql/give_up.rs
@@ -5,7 +5,7 @@
 use woadhook::{Moment, Span};
 
 use crate::backends::sql::doubt::Settlement;
-use crate::backends::sql::query::{ASK_AGAIN, End, Out, PAGE_BYTES, PAUSE};
+use crate::backends::sql::query::{ASK_AGAIN, End, Out, PAGE_BYTES, PAUSE, SETTLE};
 use crate::clock::pass;
 use crate::faults::CallFault;
 use crate::http::head;
@@ -14,8 +14,6 @@
 
 /// How long a query lives at most behind a call for it: news take up to 250 ms, and then 2 s without a call.
 const EXPIRY: Span = Span::from_micros(2_250_000);
-/// Between calls that give up a query that an engine says nothing of.
-pub const SETTLE: Span = Span::from_micros(100_000);
 /// The status of a DELETE that gave its query up. By the protocol there is no other: behind any other, the engine may have failed, or what
 /// answers is another server that has the port by now.
 const DELETED: u16 = 204;
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -10,7 +10,6 @@
 
 use crate::backends::sql::doubt::{Cause, Doubt};
 use crate::backends::sql::engine::Engine;
-use crate::backends::sql::give_up::SETTLE;
 use crate::clock::pass;
 use crate::exchange::{Dispatch, Event, Rows, measure};
 use crate::faults::CallFault;
@@ -26,6 +25,8 @@
 const COLUMNS: usize = 3;
 /// An engine ends a query that was not asked for so long.
 const ASK_WITHIN: Span = Span::from_micros(2_000_000);
+/// Between calls that give up a query that an engine says nothing of.
+pub const SETTLE: Span = Span::from_micros(100_000);
 /// Between calls that fail at once.
 pub const PAUSE: Span = Span::from_micros(20_000);
 /// Between tries to connect that fail at once, which double: thousands of jobs may wait for the same.
