Tests of the order of keys stand in a file of their own

Change: the tests of the order of keys moved to key_order.rs as they were, and what both files use to the stand-ins (calls.rs). No test changed.

--- /dev/null
+++ b/crates/router/tests/key_order.rs
@@ -0,0 +1,307 @@
+//! The order of a key behind a query that was given up, reset or left at an engine that hangs, drains, closed its port or is another process
+//! by now: the next query of the key goes out once the first one is surely over.
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use woadhook_standins::calls::{FirstCall, LastCall, nobody, of_job, post, told_but};
+use woadhook_standins::*;
+
+const ROWS: &str = "a\tb\tc\n";
+
+#[test]
+fn the_order_of_a_key_waits_for_an_engine_that_hangs_with_its_job() {
+    let wakes = Arc::new(AtomicBool::new(false));
+    let awake = wakes.clone();
+    // It takes a job, and says nothing more of it.
+    let hung = Standin::start(move |call| match () {
+        _ if call.line.starts_with("GET /load") => says(200, &[], ""),
+        _ if awake.load(Ordering::Relaxed) => pages(call, &[ROWS]),
+        _ => Says::Nothing,
+    });
+    let (well, told_wakes) = (Standin::start(|call| pages(call, &[ROWS])), wakes);
+    // The engine that hangs comes first: the other stands in a dearer zone.
+    let mut client = two_loads_of_one_key([&hung, &well], Duration::from_millis(50));
+    // Its client hears at once that it failed; the key does not go on.
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    while hung.had("DELETE").is_empty() {
+        thread::yield_now();
+    }
+    (0..3).for_each(|_| _ = hung.awaits("DELETE /v2/q/0000000000000001 "));
+    assert!(well.had("POST").is_empty());
+    told_wakes.store(true, Ordering::Relaxed);
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+}
+
+/// A router before two engines, the second in a dearer zone, that keeps the order of loads with such a rest, and a client
+/// that asks for two loads of one key.
+fn two_loads_of_one_key(engines: [&Standin; 2], rest: Duration) -> Client {
+    two_loads_told_of(engines, rest, nobody(), Duration::from_secs(60))
+}
+
+/// The same with such a discovery, and a first load whose client waits so long.
+fn two_loads_told_of(
+    engines: [&Standin; 2], rest: Duration, discovery: SocketAddr, first_wait: Duration,
+) -> Client {
+    let told = told_but(&[engines[0].address], discovery, |given| {
+        let settings = &mut given["settings"];
+        settings["obligations"]["turnGapUs"] = json!(rest.as_micros() as u64);
+        settings["classes"][1]["keepOrder"] = json!(true);
+        (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
+        let mut dearer = member("s-b", engines[1].address, "SERVING");
+        dearer["locality"] = json!("b");
+        given["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(dearer);
+    });
+    let mut client = Client::new(&Running::with(&told));
+    let first_wait = first_wait.as_millis().to_string();
+    for (number, id, wait) in [(1, "0000000000000001", first_wait.as_str()), (2, "0000000000000002", "60000")]
+    {
+        let fields = [("id", id), ("wait", wait), ("cost", "10"), ("ram", "1"), ("key", "k")];
+        client.0.write_all(&Client::request(number, "load", &fields, "select 1 from sales_1.x")).unwrap();
+    }
+    client
+}
+
+#[test]
+fn the_order_of_a_key_waits_where_its_engine_closed_its_port_over_a_job_that_began() {
+    let (began, next) = (FirstCall::default(), FirstCall::default());
+    let (noted, noted_next) = (began.clone(), next.clone());
+    let dies = Standin::start(move |call| {
+        noted.note(post(call));
+        if post(call) { Says::Dies } else { says(200, &[], "") }
+    });
+    let well = Standin::start(move |call| {
+        noted_next.note(post(call));
+        pages(call, &[ROWS])
+    });
+    // It stays listed as well: the query may be held there for as long as its client would have waited.
+    let wait = Duration::from_secs(5);
+    let mut client = two_loads_told_of([&dies, &well], Duration::from_millis(50), nobody(), wait);
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    assert!(next.at() - began.at() >= wait, "{:?}", next.at() - began.at());
+}
+
+/// Threat, as traced: an engine that drains takes no new connection and works on. The call that gives a query up has to go
+/// over the connection that is up.
+#[test]
+fn a_query_at_an_engine_that_closed_its_port_is_given_up_over_its_own_connection() {
+    let (deleted, next) = (FirstCall::default(), FirstCall::default());
+    let (noted, noted_next, noted_there) = (deleted.clone(), next.clone(), next.clone());
+    let none_yet = || says(202, &[], "");
+    let drains = Standin::start(move |call| {
+        noted.note(call.line.starts_with("DELETE"));
+        noted_there.note(post(call) && of_job(call, 2));
+        match call.line.split(' ').next() {
+            Some("POST") if of_job(call, 1) => Says::ClosesPort(Box::new(none_yet())),
+            Some("GET") if call.line.contains("0000000000000001") => {
+                Says::Late(Duration::from_millis(150), Box::new(none_yet()))
+            }
+            _ => pages(call, &[ROWS]),
+        }
+    });
+    let well = Standin::start(move |call| {
+        noted_next.note(post(call));
+        pages(call, &[ROWS])
+    });
+    let mut client = two_loads_of_one_key([&drains, &well], Duration::from_millis(50));
+    drains.awaits("GET");
+    client.aborts(1);
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    drains.awaits("DELETE /v2/q/0000000000000001 ");
+    assert!(deleted.at() < next.at(), "the first is given up before the next one goes out");
+}
+
+/// Held, reset, refused: the query's own connection is reset at an engine that drains, takes no new connection and works on. Nothing can
+/// give the first one up there, so the next of its key waits for as long as the first one's client would have, whether that client waits
+/// on or has gone. By the protocol the engine ends a query that nobody asked for in 2 s, so that it runs no more by then.
+#[test]
+fn the_order_of_a_key_waits_where_a_query_was_reset_at_an_engine_that_refuses() {
+    for client_goes in [false, true] {
+        let (began, next) = (FirstCall::default(), FirstCall::default());
+        let (noted, noted_next) = (began.clone(), next.clone());
+        let drains = Standin::start(move |call| {
+            noted.note(post(call));
+            let still_running = says(202, &[], "");
+            match call.line.split(' ').next() {
+                Some("POST") => Says::ClosesPort(Box::new(still_running)),
+                _ => Says::Late(Duration::from_millis(150), Box::new(Says::Cut)),
+            }
+        });
+        let well = Standin::start(move |call| {
+            noted_next.note(post(call));
+            pages(call, &[ROWS])
+        });
+        let wait = Duration::from_secs(5);
+        let mut client = two_loads_told_of([&drains, &well], Duration::from_millis(50), nobody(), wait);
+        drains.awaits("GET");
+        if client_goes {
+            client.aborts(1);
+        } else {
+            assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+        }
+        assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+        let waited = next.at() - began.at();
+        assert!(waited >= wait, "client goes: {client_goes}; {waited:?}");
+    }
+}
+
+/// By the protocol an engine ends a query that was not asked for in so long.
+const UNASKED: Duration = Duration::from_secs(2);
+
+/// Guards against taking any answer to a DELETE for the word that the query was given up: by the protocol that is 204.
+#[test]
+fn the_order_of_a_key_waits_where_the_answer_to_a_delete_confirms_nothing() {
+    for status in [404, 500] {
+        let (asked, next) = (LastCall::default(), FirstCall::default());
+        let (noted, noted_next) = (asked.clone(), next.clone());
+        let engine = Standin::start(move |call| {
+            let is_first = of_job(call, 1) || call.line.contains("0000000000000001");
+            noted.note(is_first && !call.line.starts_with("DELETE"));
+            noted_next.note(post(call) && !is_first);
+            match call.line.split(' ').next() {
+                Some("DELETE") => says(status, &[], ""),
+                Some("GET") if is_first => {
+                    Says::Late(Duration::from_millis(150), Box::new(says(202, &[], "")))
+                }
+                _ if is_first => says(202, &[], ""),
+                _ => pages(call, &[ROWS]),
+            }
+        });
+        let mut client = two_loads_of_one_key([&engine, &engine], Duration::from_millis(50));
+        engine.awaits("GET");
+        client.aborts(1);
+        assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+        let waited = next.at().saturating_duration_since(asked.at());
+        assert!(waited >= UNASKED, "{status}: {waited:?}");
+    }
+}
+
+/// The same where the port of an engine that drains and works on is another server's by now.
+#[test]
+fn the_order_of_a_key_waits_where_another_server_has_the_port_of_its_engine() {
+    let (asked, next) = (LastCall::default(), FirstCall::default());
+    let (noted, noted_next) = (asked.clone(), next.clone());
+    // The system frees a port that it chose itself once the listener is shut down.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let drains = Standin::on(listener, move |call| {
+        let still_running = || says(202, &[], "");
+        noted.note(!call.line.starts_with("DELETE") && !call.line.starts_with("GET /load"));
+        match call.line.split(' ').next() {
+            Some("POST") => Says::ClosesPort(Box::new(still_running())),
+            _ => Says::Late(Duration::from_millis(150), Box::new(still_running())),
+        }
+    });
+    let well = Standin::start(move |call| {
+        noted_next.note(post(call));
+        pages(call, &[ROWS])
+    });
+    let mut client = two_loads_of_one_key([&drains, &well], Duration::from_millis(50));
+    drains.awaits("GET /v2/q/0000000000000001/0");
+    let listener = TcpListener::bind(drains.address).expect("the port is free");
+    let other = Standin::on(listener, |call| {
+        if post(call) { says(503, &["X-Declined: 1"], "") } else { says(404, &[], "") }
+    });
+    client.aborts(1);
+    other.awaits("DELETE /v2/q/0000000000000001");
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    let waited = next.at().saturating_duration_since(asked.at());
+    assert!(waited >= UNASKED, "{waited:?}");
+}
+
+/// The key goes on some time after the list told that the engine is gone; not at once, as its process ends later.
+#[test]
+fn the_order_of_a_key_goes_on_behind_the_word_that_its_engine_is_gone() {
+    let next = FirstCall::default();
+    let noted = next.clone();
+    let dies = Standin::start(|call| if post(call) { Says::Dies } else { says(200, &[], "") });
+    let well = Standin::start(move |call| {
+        noted.note(post(call));
+        pages(call, &[ROWS])
+    });
+    let (events, rest) = (Events::default(), Duration::from_millis(50));
+    let (discovery, wait) = (events.serve(), Duration::from_secs(60));
+    let mut client = two_loads_told_of([&dies, &well], rest, discovery.address, wait);
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    // Longer than a query lives that nobody asks for.
+    thread::sleep(Duration::from_millis(2_500));
+    let told = Instant::now();
+    events.add(2, vec![member("s-0", dies.address, "DELETED")]);
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    let waited = next.at().saturating_duration_since(told);
+    assert!(waited >= Duration::from_secs(2), "{waited:?} after the word");
+}
+
+/// Where nothing accepts for a moment, what runs there goes on: here at an engine that hangs once it accepts again.
+#[test]
+fn the_order_of_a_key_waits_where_its_engine_refuses_for_a_moment_and_accepts_again() {
+    let refuses = Standin::start(|call| if post(call) { Says::Dies } else { says(200, &[], "") });
+    let well = Standin::start(|call| pages(call, &[ROWS]));
+    let mut client = two_loads_of_one_key([&refuses, &well], Duration::from_millis(50));
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    let listener = loop {
+        match TcpListener::bind(refuses.address) {
+            Ok(listener) => break listener,
+            Err(_) => thread::yield_now(),
+        }
+    };
+    let wakes: Arc<AtomicBool> = Arc::default();
+    let told_wakes = wakes.clone();
+    let again =
+        Standin::on(
+            listener,
+            move |_| {
+                if wakes.load(Ordering::Relaxed) { says(204, &[], "") } else { Says::Nothing }
+            },
+        );
+    (0..12).for_each(|_| _ = again.awaits("DELETE /v2/q/0000000000000001 "));
+    assert!(well.had("POST").is_empty());
+    told_wakes.store(true, Ordering::Relaxed);
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+}
+
+/// A process that was started anew in place of the one that had the job says that it knows nothing of it.
+#[test]
+fn the_order_of_a_key_waits_where_its_engine_came_back_without_a_job_that_began() {
+    let (began, next) = (FirstCall::default(), FirstCall::default());
+    let (noted, noted_next) = (began.clone(), next.clone());
+    let engine = Standin::start(move |call| {
+        noted.note(post(call) && of_job(call, 1));
+        noted_next.note(post(call) && of_job(call, 2));
+        match call.line.split(' ').next() {
+            Some("POST") if of_job(call, 1) => Says::Cut,
+            Some("GET") if call.line.contains("0000000000000001") => says(500, &[], ""),
+            _ => pages(call, &[ROWS]),
+        }
+    });
+    let mut client = two_loads_of_one_key([&engine, &engine], Duration::from_millis(50));
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    assert!(next.at() - began.at() >= Duration::from_secs(2), "{:?}", next.at() - began.at());
+}
+
+#[test]
+fn a_key_rests_after_a_job_of_which_its_engine_does_not_tell_the_end() {
+    const GAP: Duration = Duration::from_secs(1);
+    let (deleted, next) = (FirstCall::default(), FirstCall::default());
+    let (noted, noted_next) = (deleted.clone(), next.clone());
+    // Its answer to the POST makes no sense, and it does not know the query: the POST may still be on its way in.
+    let engine = Standin::start(move |call| {
+        noted.note(call.line.starts_with("DELETE"));
+        noted_next.note(post(call) && of_job(call, 2));
+        match call.line.split(' ').next() {
+            Some("POST") if of_job(call, 1) => Says::Noise("no answer\r\n\r\n".to_owned()),
+            Some("GET") if call.line.contains("0000000000000001") => says(500, &[], ""),
+            _ => pages(call, &[ROWS]),
+        }
+    });
+    let mut client = two_loads_of_one_key([&engine, &engine], GAP);
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    assert!(next.at() - deleted.at() >= GAP, "{:?}", next.at() - deleted.at());
+}
--- /dev/null
+++ b/crates/standins/src/calls.rs
@@ -0,0 +1,63 @@
+//! What tests of keys and crossings share: calls told apart, and when a stand-in had one.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use serde_json::Value;
+
+use crate::engines::Call;
+use crate::routers::told;
+
+/// Whether a call starts a query.
+pub fn post(call: &Call) -> bool {
+    call.line.starts_with("POST")
+}
+
+/// Whether a call starts the query of the job with this number for its id.
+pub fn of_job(call: &Call, number: u32) -> bool {
+    call.fields.contains(&format!("X-Trace: {number:016x}"))
+}
+
+/// What a router is told, changed.
+pub fn told_but(engines: &[SocketAddr], bulletin: SocketAddr, change: impl FnOnce(&mut Value)) -> String {
+    let mut given = serde_json::from_str(&told(engines, bulletin, 1024)).unwrap();
+    change(&mut given);
+    given.to_string()
+}
+
+/// An address at which nothing listens.
+pub fn nobody() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// When a stand-in had its first call that `picked` takes.
+#[derive(Clone, Default)]
+pub struct FirstCall(Arc<Mutex<Option<Instant>>>);
+
+impl FirstCall {
+    pub fn note(&self, picked: bool) {
+        let mut at = self.0.lock().unwrap();
+        *at = at.or(picked.then(Instant::now));
+    }
+
+    pub fn at(&self) -> Instant {
+        self.0.lock().unwrap().expect("there was one")
+    }
+}
+
+/// When a stand-in had its latest call that `picked` takes.
+#[derive(Clone, Default)]
+pub struct LastCall(Arc<Mutex<Option<Instant>>>);
+
+impl LastCall {
+    pub fn note(&self, picked: bool) {
+        if picked {
+            *self.0.lock().unwrap() = Some(Instant::now());
+        }
+    }
+
+    pub fn at(&self) -> Instant {
+        self.0.lock().unwrap().expect("there was one")
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! loopback; datagrams, instances and engines on a virtual network and clock; and checkers of the rules.
 
 pub mod bulletin;
+pub mod calls;
 pub mod clients;
 pub mod cluster;
 pub mod engines;
