A declined query never ran only by the word of the process that has it

A run-once job whose POST got no answer was sent to a second engine and answered as served, while the first engine ran it: another process at the first one's port had answered the call for news with 503 and X-Declined.

Cause: follow took a declined query for one that never ran, over whatever connection that was said.

Change: 503 and 504 count so over the connection of the POST alone; else the dispatch ended with an error, behind which a run-once job fails.

--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -208,7 +208,9 @@
         }
         match answer.status {
             200 => Ok((answer.told, self.collect(answer, lease).await?)),
-            503 | 504 => Err(Outcome::TurnedAway),
+            // Threat: another process at the engine's port declines a query that the engine runs, and a job that must not run twice would be
+            // sent again. It costs such a job a failure where an engine's word that it declined came over a later connection.
+            503 | 504 if self.is_own.get() => Err(Outcome::TurnedAway),
             _ => Err(Outcome::Error),
         }
     }
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -4,7 +4,7 @@
 
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -440,6 +440,32 @@
     }
 }
 
+/// Guards against the word of another process at an engine's port that it declined a query, which the engine may run: a job that must not run
+/// twice is neither sent again nor refused as harmless to send again.
+#[test]
+fn a_run_once_job_is_not_sent_again_where_another_process_at_the_port_of_its_engine_declines() {
+    for status in [503, 504] {
+        // The system frees a port that it chose itself once the listener is shut down.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let runs = Standin::on(listener, |_| Says::ClosesPort(Box::new(Says::Nothing)));
+        let well = Standin::start(|call| pages(call, &[ROWS]));
+        let router = Running::with(&told_but(&[runs.address], nobody(), |given| {
+            let settings = &mut given["settings"];
+            (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
+            given["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(in_zone_b(&well));
+        }));
+        let mut client = Client::new(&router);
+        client.asks(1, "load", 5_000);
+        runs.awaits("POST");
+        let listener = TcpListener::bind(runs.address).expect("the port is free");
+        let other = Standin::on(listener, move |_| says(status, &["X-Declined: 1"], ""));
+        other.awaits("GET /v2/q/0000000000000001/0");
+        assert_eq!(client.hears(), (1, Err("Internal".to_owned())), "{status}");
+        let sent_again = other.had("POST").len() + well.had("POST").len();
+        assert_eq!(sent_again, 0, "{status}");
+    }
+}
+
 #[test]
 fn a_connection_that_does_not_come_up_is_tried_again_within_its_time() {
     let (gate, other) = (Gate::shut(), Standin::start(|call| pages(call, &[ROWS])));
