A query that is given up is settled before its job may be sent again

What callers would see: a job of an ordered type whose dispatch had a time-out of its own, and was sent again to the same engine, failed: the DELETE of its first query, over that one's own connection, came behind the second POST and gave that up, as a DELETE goes by the job's id.

Change: where the job has a key and is still wanted, the DELETE over the query's own connection goes out before the module hears that the dispatch ended, as the first DELETE does. For a client that has gone the module hears at once, as before.

Evidence: the new test fails without it and passes with it.

--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -160,7 +160,9 @@
         Err(_) if !out.began.get() => (Outcome::NotIssued, None, None),
         Err(outcome) => {
             out.give_up().await;
-            if out.doubt.is_refused() {
+            // A DELETE goes by the job's id, and a job that is still wanted may be sent there again once the module hears.
+            let may_be_sent_again = out.dispatch.key.is_some() && out.dispatch.statement.wanted.still();
+            if out.doubt.is_refused() || may_be_sent_again {
                 out.give_up_over_own(work).await;
             } else {
                 unfinished = Some(work);
--- a/crates/router/tests/key_order.rs
+++ b/crates/router/tests/key_order.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -316,6 +316,78 @@
     next.at() - left
 }
 
+/// The same reset where another process has the port some time later: by then the first query is over, as nobody asked for it, and its key goes
+/// on before that one's time is over.
+#[test]
+fn the_order_of_a_key_goes_on_where_something_answers_at_the_port_behind_the_expiry() {
+    const TAKEN_AFTER: Duration = Duration::from_millis(3_000);
+    let wait = Duration::from_secs(10);
+    let (asked, next) = (LastCall::default(), FirstCall::default());
+    let (noted, noted_next) = (asked.clone(), next.clone());
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let drains = Standin::on(listener, move |call| {
+        noted.note(post(call) || call.line.starts_with("GET /v2"));
+        let still_running = says(202, &[], "");
+        match call.line.split(' ').next() {
+            Some("POST") => Says::ClosesPort(Box::new(still_running)),
+            _ => Says::Late(Duration::from_millis(150), Box::new(Says::Cut)),
+        }
+    });
+    let well = Standin::start(move |call| {
+        noted_next.note(post(call));
+        pages(call, &[ROWS])
+    });
+    let mut client = two_loads_told_of([&drains, &well], Duration::from_millis(50), nobody(), wait);
+    assert_eq!(client.hears(), (1, Err("Internal".to_owned())));
+    thread::sleep(TAKEN_AFTER);
+    let listener = TcpListener::bind(drains.address).expect("the port is free");
+    let other = Standin::on(listener, |call| {
+        if post(call) { says(503, &["X-Declined: 1"], "") } else { says(404, &[], "") }
+    });
+    other.awaits("DELETE /v2/q/0000000000000001 ");
+    assert_eq!(client.hears(), (2, Ok(ROWS.to_owned())));
+    let waited = next.at() - asked.at();
+    assert!(waited >= UNASKED && waited < wait, "{waited:?}");
+}
+
+/// Guards against a DELETE that is meant for a query whose time-out was short, and hits the next dispatch of the same job at the same engine: it
+/// goes by the job's id.
+#[test]
+fn a_job_that_is_sent_again_behind_a_time_out_is_not_given_up_with_its_first_query() {
+    let posts = Arc::new(AtomicUsize::new(0));
+    let deleted_again: Arc<AtomicBool> = Arc::default();
+    let (counted, noted) = (posts.clone(), deleted_again.clone());
+    let engine = Standin::start(move |call| match call.line.split(' ').next() {
+        Some("POST") => {
+            counted.fetch_add(1, Ordering::SeqCst);
+            says(202, &[], "")
+        }
+        Some("DELETE") => {
+            noted.fetch_or(counted.load(Ordering::SeqCst) > 1, Ordering::SeqCst);
+            says(204, &[], "")
+        }
+        Some("GET") if call.line.starts_with("GET /v2") && counted.load(Ordering::SeqCst) == 1 => {
+            Says::Late(NEWS, Box::new(says(202, &[], "")))
+        }
+        // The second query takes longer than the call for news under which the first one was given up.
+        _ if call.line.starts_with("GET /v2") => Says::Late(2 * NEWS, Box::new(pages(call, &[ROWS]))),
+        _ => pages(call, &[ROWS]),
+    });
+    let router = Running::with(&told_but(&[engine.address], nobody(), |given| {
+        let class = &mut given["settings"]["classes"][1];
+        (class["keepOrder"], class["effect"]) = (json!(true), json!("repeatable"));
+        class["goalTimeUs"] = json!(500_000);
+        // Its dispatches have a time-out of their own, behind which it goes again.
+        given["settings"]["limits"]["cancelling"] = json!(false);
+    }));
+    let mut client = Client::new(&router);
+    let fields = [("id", "0000000000000001"), ("wait", "10000"), ("cost", "10"), ("ram", "1"), ("key", "k")];
+    client.0.write_all(&Client::request(1, "load", &fields, "select 1 from sales_1.x")).unwrap();
+    assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())));
+    assert_eq!(posts.load(Ordering::SeqCst), 2);
+    assert!(!deleted_again.load(Ordering::SeqCst), "the second query was given up with the first");
+}
+
 /// The key goes on some time after the list told that the engine is gone; not at once, as its process ends later.
 #[test]
 fn the_order_of_a_key_goes_on_behind_the_word_that_its_engine_is_gone() {
