Keys whose queries may run on have one owner, in a module of its own

Cause: decide.rs held the counts of queries that may run on and the dispatches that a module left over when it began again, beside everything else; the module counts the same keys. Change: both stand in unsettled_keys.rs, the host owns them and tells a module that begins again of all there are.

--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -24,6 +24,7 @@
 use crate::exchange::{Answer, Dispatch, Event, MALFORMED, Note, Notes, Reply, Statement, measure};
 use crate::guards::{Earlier, Refusal, Step};
 use crate::starts::{Happened, Stamp};
+use crate::unsettled_keys::UnsettledKeys;
 
 pub const MAILBOX: usize = 4096;
 /// Events that are taken in before decisions are pulled, and decisions that are pulled before others have a turn: what
@@ -93,10 +94,7 @@
     engines: HashMap<EngineId, Known>,
     /// The job of each key that has a dispatch out; emptied by its end.
     keys_out: HashMap<KeyId, JobId>,
-    /// How many queries of each key may run on behind their ends; emptied as these are settled.
-    doubts: HashMap<KeyId, usize>,
-    /// Dispatches that were out as the module began again, each with its key; emptied by their ends.
-    left_over: HashMap<(JobId, usize), Option<KeyId>>,
+    unsettled: UnsettledKeys,
     /// Whether the whole list was told once.
     listed: bool,
     /// Counts the holds on engines.
@@ -134,8 +132,7 @@
             jobs: HashMap::new(),
             engines: HashMap::new(),
             keys_out: HashMap::new(),
-            doubts: HashMap::new(),
-            left_over: HashMap::new(),
+            unsettled: UnsettledKeys::default(),
             listed: false,
             serial: 0,
             wake: None,
@@ -564,29 +561,25 @@
 
     /// A query of the key may run on behind its end.
     fn doubt(&mut self, key: KeyId) {
-        *self.doubts.entry(key).or_default() += 1;
+        self.unsettled.begin(key);
         self.instance.router.key_in_doubt(key);
     }
 
     /// One that might run on surely does not.
     fn settle(&mut self, now: Moment, key: KeyId) {
-        if let Some(count) = self.doubts.get_mut(&key) {
-            *count -= 1;
-            if *count == 0 {
-                self.doubts.remove(&key);
-            }
+        if self.unsettled.settle(key) {
             self.instance.router.key_settled(now, key);
         }
     }
 
     /// The end of a dispatch that the module does not know, as it began again behind it.
     fn end_left_over(&mut self, now: Moment, job: JobId, number: usize, in_doubt: bool) {
-        let Some(key) = self.left_over.remove(&(job, number)) else { return };
+        let Some(end) = self.unsettled.end_left_over(job, number) else { return };
         // One that may run on is settled later.
-        if let Some(key) = key.filter(|_| !in_doubt) {
+        if let Some(key) = end.key.filter(|_| !in_doubt) {
             self.settle(now, key);
         }
-        if !self.left_over.keys().any(|(other, _)| *other == job) {
+        if end.is_last {
             self.instance.jobs.forget(job.0);
         }
     }
@@ -606,8 +599,8 @@
             self.leave_over(job, &open);
         }
         self.keys_out.clear();
-        for (key, count) in &self.doubts {
-            (0..*count).for_each(|_| self.instance.router.key_in_doubt(*key));
+        for key in self.unsettled.all() {
+            self.instance.router.key_in_doubt(key);
         }
         let lines = self.engines.iter().map(|(engine, known)| (*engine, known.line, known.started));
         for (engine, line, started) in lines.collect::<Vec<_>>() {
@@ -618,10 +611,7 @@
     /// Keeps what is out of a job that the module knows no more.
     fn leave_over(&mut self, job: JobId, open: &Open) {
         for number in open.out.keys() {
-            self.left_over.insert((job, *number), open.key);
-            if let Some(key) = open.key {
-                *self.doubts.entry(key).or_default() += 1;
-            }
+            self.unsettled.leave_over(job, *number, open.key);
         }
         if open.out.is_empty() {
             self.instance.jobs.forget(job.0);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod stop;
 pub mod tasks;
 mod timers;
+mod unsettled_keys;
 
 use std::cell::Cell;
 use std::net::TcpListener;
