--- a/crates/router/tests/accord.rs
+++ b/crates/router/tests/accord.rs
@@ -2,22 +2,20 @@
 //! still and are cut off. What is asserted is what every router logs in the end, and that jobs are served by the rules all
 //! the while.
 
-use std::fs;
 use std::path::PathBuf;
 use std::thread;
 use std::time::Duration;
 
 use rustix::process::Signal;
 use woadhook_standins::fleet::{Fleet, LEASE, Layout};
+use woadhook_standins::folders;
 use woadhook_standins::relays::{Side, Way};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_woadhook");
 const ROUTERS: usize = 6;
 
 fn folder(story: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("accord-{story}"));
-    let _ = fs::remove_dir_all(&folder);
-    folder
+    folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("accord-{story}"))
 }
 
 /// Six routers in three zones, of which the first three vote, one in each zone.
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -2,10 +2,8 @@
 //! just begun. Each story forces its crossing with a stand-in or a process that stands still; spans that pass are the
 //! rules' own. The table of pairs is `docs/design/crossings.md`.
 
-use std::fs;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
-use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,6 +13,7 @@
 use woadhook_router::codec;
 use woadhook_router::stop::Order;
 use woadhook_standins::calls::{FirstCall, nobody, of_job, post, told_but};
+use woadhook_standins::folders;
 use woadhook_standins::processes::Process;
 use woadhook_standins::*;
 
@@ -244,8 +243,7 @@
 
 /// A router in a process, so that it can stand still.
 fn process(story: &str, told: &str) -> Process {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crossings-{story}"));
-    let _ = fs::remove_dir_all(&folder);
+    let folder = folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("crossings-{story}"));
     let process = Process::start(env!("CARGO_BIN_EXE_woadhook"), &folder, "n0", told);
     process.ready();
     process
--- a/crates/router/tests/deadlines.rs
+++ b/crates/router/tests/deadlines.rs
@@ -1,14 +1,13 @@
 //! A request's time counts from when its bytes may have come, not from when they are read: what engines are told of the time
 //! that is left is no more than the client has.
 
-use std::fs;
 use std::io::Write;
 use std::net::TcpStream;
-use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
+use woadhook_standins::folders;
 use woadhook_standins::processes::Process;
 use woadhook_standins::*;
 
@@ -19,8 +18,7 @@
 const SLACK: Duration = Duration::from_millis(150);
 
 fn process(story: &str, engine: &Standin) -> Process {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("deadlines-{story}"));
-    let _ = fs::remove_dir_all(&folder);
+    let folder = folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("deadlines-{story}"));
     let told = told(&[engine.address], "127.0.0.1:1".parse().unwrap(), 1024);
     let process = Process::start(env!("CARGO_BIN_EXE_woadhook"), &folder, "n0", &told);
     process.ready();
--- a/crates/router/tests/failing_calls.rs
+++ b/crates/router/tests/failing_calls.rs
@@ -1,14 +1,13 @@
 //! System calls that fail as Linux documents: no client's connection ends for it, and no request is lost.
 
-use std::fs;
 use std::io::Write;
 use std::net::TcpStream;
-use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rustix::io::Errno;
 use rustix::process::Signal;
+use woadhook_standins::folders;
 use woadhook_standins::preload::{Preload, SystemCall};
 use woadhook_standins::processes::Process;
 use woadhook_standins::*;
@@ -24,8 +23,7 @@
 
 /// A router whose faults can be set; nothing where the machine has no compiler, which is told.
 fn router(story: &str, engine: &Standin) -> Option<(Process, Preload)> {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("failing-{story}"));
-    let _ = fs::remove_dir_all(&folder);
+    let folder = folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("failing-{story}"));
     let preload =
         Preload::build(&folder, "n0").inspect_err(|missing| eprintln!("left out: {missing}")).ok()?;
     let told = told(&[engine.address], "127.0.0.1:1".parse().unwrap(), 1024);
--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -9,6 +9,7 @@
 
 use woadhook_standins::faults::{Fault, Schedule, shrink};
 use woadhook_standins::fleet::{Fleet, Layout, Tally};
+use woadhook_standins::folders;
 use woadhook_standins::processes::Process;
 use woadhook_standins::relays::{Side, Way};
 use woadhook_standins::{Events, told};
@@ -16,9 +17,7 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_woadhook");
 
 fn folder(story: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{story}"));
-    let _ = fs::remove_dir_all(&folder);
-    folder
+    folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("fleet-{story}"))
 }
 
 /// Plays a schedule before ten routers and ten engines; its seed and faults are told if a rule breaks.
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -11,11 +11,11 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use woadhook_standins::clients::hear;
+use woadhook_standins::folders;
 use woadhook_standins::{Client, Events, LONG, Standin, pages, told};
 
 fn folder(story: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("program-{story}"));
-    let _ = fs::remove_dir_all(&folder);
+    let folder = folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("program-{story}"));
     fs::create_dir_all(&folder).unwrap();
     folder
 }
--- a/crates/router/tests/soak.rs
+++ b/crates/router/tests/soak.rs
@@ -1,10 +1,8 @@
 //! A slice of the soak: troubles that overlap in time, from seeds, on processes of their own. Its length is bounded; the
 //! whole one is `examples/soak.rs` of the stand-ins.
 
-use std::fs;
-use std::path::PathBuf;
-
 use woadhook_standins::fleet::{Fleet, Layout};
+use woadhook_standins::folders;
 use woadhook_standins::troubles::Plan;
 
 const ROUTERS: usize = 8;
@@ -13,8 +11,7 @@
 const LENGTH: u64 = 8_000;
 
 fn play(plan: &Plan) {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{}", plan.seed));
-    let _ = fs::remove_dir_all(&folder);
+    let folder = folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("soak-{}", plan.seed));
     let layout = Layout { ordered: true, failing_calls: true, ..Layout::plain(ROUTERS, ENGINES) };
     let fleet = Fleet::start(env!("CARGO_BIN_EXE_woadhook"), &folder, layout);
     let late = fleet.overlap(plan).late;
--- a/crates/router/tests/stands_and_steps.rs
+++ b/crates/router/tests/stands_and_steps.rs
@@ -1,6 +1,5 @@
 //! A process that stands, a wall clock that steps, an order to end: rules that `docs/PROMISES.md` told as open until they were forced here.
 
-use std::fs;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::thread;
@@ -8,6 +7,7 @@
 
 use rustix::process::Signal;
 use serde_json::{Value, json};
+use woadhook_standins::folders;
 use woadhook_standins::preload::Preload;
 use woadhook_standins::processes::Process;
 use woadhook_standins::*;
@@ -17,9 +17,7 @@
 const GRACE: Duration = Duration::from_millis(1_000);
 
 fn folder(story: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("stands-{story}"));
-    let _ = fs::remove_dir_all(&folder);
-    folder
+    folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("stands-{story}"))
 }
 
 fn nobody() -> SocketAddr {
--- a/crates/router/tests/waiting_calls.rs
+++ b/crates/router/tests/waiting_calls.rs
@@ -21,6 +21,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 use woadhook_standins::clients::hear;
+use woadhook_standins::folders;
 use woadhook_standins::processes::ends_with_this_thread;
 use woadhook_standins::{Call, Client, Events, LONG, Says, Standin, asked, pages, told};
 
@@ -123,8 +124,7 @@
 }
 
 fn folder(story: &str) -> PathBuf {
-    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("waiting-{story}"));
-    let _ = fs::remove_dir_all(&folder);
+    let folder = folders::own(env!("CARGO_TARGET_TMPDIR"), &format!("waiting-{story}"));
     fs::create_dir_all(&folder).unwrap();
     folder
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engines;
 pub mod faults;
 pub mod fleet;
+pub mod folders;
 pub mod hollow;
 pub mod log_reader;
 pub mod net;
