A broken rule tells when the rig's relays stood, and how long its caller wrote

Cause: thirty_routers_of_which_most_restart_... was red once over a deadline, 0.66 s of which went before the router had the job; nothing told whether the rig or the router held it. The relays pass all bytes on one thread, which a busy machine may not run. Change: the relays note when their thread did not run for over 50 ms, the caller how long it wrote; a broken rule prints both. No check changed.

--- a/crates/router/tests/fleet.rs
+++ b/crates/router/tests/fleet.rs
@@ -61,6 +61,22 @@
     assert!(tally.to_cold > 50, "cold engines are used: {tally:?}");
 }
 
+/// Guards against a verdict that can't tell a rest of the rig from one of the router: the rig's is told beside the broken rule.
+#[test]
+fn a_deadline_that_the_relays_held_up_is_told_with_their_rest() {
+    /// Longer than what the judge allows for the machine and the deadline's slack.
+    const STOOD: Duration = Duration::from_millis(1_200);
+    let fleet = Fleet::start(PROGRAM, &folder("stood"), Layout::plain(2, 2));
+    // Again and again, as callers whose jobs run for long send none meanwhile.
+    for _ in 0..4 {
+        thread::sleep(Duration::from_millis(250));
+        fleet.relays.stand(STOOD);
+        thread::sleep(STOOD);
+    }
+    let fault = fleet.verdict().expect_err("its requests were held up");
+    assert!(fault.contains("its client had") && fault.contains("the relays stood: [Rest"), "{fault}");
+}
+
 #[test]
 fn engines_replaced_while_routers_restart_and_the_bulletin_moves_get_nothing_after_the_grace() {
     let faults = vec![
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -427,7 +427,8 @@
         judge::all_rules(&seen).map_err(|broken| {
             let told = broken.jobs.iter().flat_map(|id| self.on_job(id));
             let kills = format!("killed behind the order to end: {:?}", seen.killed_behind_their_end);
-            format!("{}\n{}\n{kills}", broken.words, told.collect::<Vec<_>>().join("\n"))
+            let rests = format!("the relays stood: {:?}; now: {:?}", self.relays.rests(), Instant::now());
+            format!("{}\n{}\n{kills}\n{rests}", broken.words, told.collect::<Vec<_>>().join("\n"))
         })?;
         let done = seen.answers.iter().filter(|asked| matches!(asked.got, Ok(true))).count();
         let cold = seen.posts.iter().filter(|post| seen.cold.contains_key(&post.engine)).count();
--- a/crates/standins/src/fleet/judge.rs
+++ b/crates/standins/src/fleet/judge.rs
@@ -67,6 +67,8 @@
     /// How long its caller waits, and how long it waited.
     pub wait: Duration,
     pub took: Duration,
+    /// How long its caller took to write it, from `at` on.
+    pub written: Duration,
     /// When its connection came up.
     pub since: Instant,
     /// Done, another answer, or none as the connection ended.
@@ -240,7 +242,10 @@
         let Some(asked) = asked.get(post.id.as_str()) else { continue };
         let left = asked.wait.saturating_sub(post.at.saturating_duration_since(asked.at));
         if post.patience > left + DEADLINE_SLACK + MACHINE.min(asked.wait / 10) {
-            let words = format!("job {} was sent with {:?}, its client had {left:?}", post.id, post.patience);
+            let words = format!(
+                "job {} was sent with {:?}, its client had {left:?}: it began to write at {:?}, took {:?}, and the job came to engine {} at {:?}",
+                post.id, post.patience, asked.at, asked.written, post.engine, post.at
+            );
             return Err(Broken::by(&post.id, words));
         }
     }
--- a/crates/standins/src/fleet/parties.rs
+++ b/crates/standins/src/fleet/parties.rs
@@ -197,6 +197,7 @@
         let class = if id.starts_with('f') { "load" } else { "look" };
         let asked = Instant::now();
         let sent = stream.write_all(&request(number, class, &id, WAIT, &text));
+        let written = asked.elapsed();
         let got = sent.and_then(|()| hear(stream, number));
         let (router, wait, took) = (caller.router, Duration::from_millis(WAIT.into()), asked.elapsed());
         if got.is_err() {
@@ -208,7 +209,8 @@
             }
         }
         let is_direct = false;
-        seen.lock().unwrap().answers.push(Asked { router, id, at: asked, wait, took, since, got, is_direct });
+        let asked = Asked { router, id, at: asked, wait, took, written, since, got, is_direct };
+        seen.lock().unwrap().answers.push(asked);
         thread::sleep(caller.pause);
     }
 }
@@ -283,12 +285,13 @@
         let id = format!("d{number:07x}{count:08x}");
         let asked = Instant::now();
         let sent = stream.write_all(&request(count, "look", &id, STAY_WAIT, "select 1 from sales_2.x"));
+        let written = asked.elapsed();
         let got = sent.and_then(|()| hear(stream, count));
         if got.is_err() {
             connection = None;
         }
         let (wait, took) = (Duration::from_millis(STAY_WAIT.into()), asked.elapsed());
-        let asked = Asked { router, id, at: asked, wait, took, since, got, is_direct: true };
+        let asked = Asked { router, id, at: asked, wait, took, written, since, got, is_direct: true };
         seen.lock().unwrap().answers.push(asked);
         thread::sleep(STAY_PAUSE);
     }
--- a/crates/standins/src/relays.rs
+++ b/crates/standins/src/relays.rs
@@ -21,6 +21,11 @@
 
 /// Bytes that are passed on at a time.
 const PIECE: usize = 8 * 1024;
+/// The relays look so often whether their thread runs, and tell of a rest that is longer.
+const BEAT: Duration = Duration::from_millis(10);
+const LONG_REST: Duration = Duration::from_millis(50);
+/// Rests that are told at the most.
+const MOST_RESTS: usize = 200;
 /// Own connections that fill a listener's queue during a cut.
 const FILLERS: usize = 4;
 const QUEUE: i32 = 1024;
@@ -62,6 +67,13 @@
     pub const CUT: Way = Way { cut: true, delay: (0, 0), loss: 0.0, twice: 0.0, bytes_per_s: None };
 }
 
+/// A time in which the relays' thread did not run, so that nothing passed.
+#[derive(Clone, Copy, Debug)]
+pub struct Rest {
+    pub from: Instant,
+    pub span: Duration,
+}
+
 struct Place {
     zone: String,
     region: String,
@@ -72,6 +84,8 @@
     from: String,
     to: String,
     listener: Arc<Async<TcpListener>>,
+    /// Where new connections lead.
+    target: Arc<Mutex<SocketAddr>>,
     /// Whether its relay takes connections in, which it leaves off soon after a cut is laid.
     accepts: Arc<AtomicBool>,
     /// Whether it refuses connections for good.
@@ -108,6 +122,7 @@
     held_up: bool,
     chance: Pcg32,
     passages: Vec<Passage>,
+    rests: Vec<Rest>,
     /// Listener's and own connection's ports; each goes as its connection is taken in, a few a cut stay for good.
     spent: BTreeSet<(u16, u16)>,
     /// Connections that are up, each with its end; emptied as they end.
@@ -143,6 +158,7 @@
             held_up: false,
             chance: Pcg32::seed_from_u64(seed),
             passages: Vec::new(),
+            rests: Vec::new(),
             spent: BTreeSet::new(),
             up: BTreeMap::new(),
             count: 0,
@@ -153,6 +169,7 @@
         let runs = executor.clone();
         thread::spawn(move || async_io::block_on(runs.run(ended.recv())));
         let shared = Arc::new(Shared { inner: Mutex::new(inner), changed: Event::new() });
+        executor.spawn(watch_rests(shared.clone())).detach();
         Self { shared, executor, _over: over }
     }
 
@@ -167,10 +184,12 @@
         let listener = Arc::new(Async::new(ports::listener()).expect("a listener"));
         let address = listener.get_ref().local_addr().expect("an address");
         let (accepts, refuses) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        let target = Arc::new(Mutex::new(target));
         let passage = Passage {
             from: from.into(),
             to: to.into(),
             listener: listener.clone(),
+            target: target.clone(),
             accepts: accepts.clone(),
             refuses: refuses.clone(),
             fillers: Vec::new(),
@@ -203,6 +222,7 @@
                 }
                 let Some(executor) = weak.upgrade() else { return };
                 let (shared, from, to) = (shared.clone(), from.clone(), to.clone());
+                let target = *target.lock().unwrap();
                 executor.spawn(async move { carry(&shared, &from, &to, stream, target).await }).detach();
             }
         };
@@ -279,6 +299,25 @@
         self.shared.changed.notify(usize::MAX);
     }
 
+    /// From now on connections to this party lead to another process at its port. Those that are up go on.
+    pub fn redirect(&self, party: &str, target: SocketAddr) {
+        let inner = self.shared.inner.lock().unwrap();
+        for passage in inner.passages.iter().filter(|passage| passage.to == party) {
+            *passage.target.lock().unwrap() = target;
+        }
+    }
+
+    /// The relays' thread does not run for so long.
+    pub fn stand(&self, span: Duration) {
+        self.executor.spawn(async move { thread::sleep(span) }).detach();
+    }
+
+    /// When the relays' thread did not run for long, as on a machine that is busy with other work: what passed then came later than it was
+    /// sent.
+    pub fn rests(&self) -> Vec<Rest> {
+        self.shared.inner.lock().unwrap().rests.clone()
+    }
+
     /// Resets the connections that are up from one side to the other; how many.
     pub fn reset(&self, from: &Side, to: &Side) -> usize {
         let inner = self.shared.inner.lock().unwrap();
@@ -389,6 +428,18 @@
     }
 }
 
+async fn watch_rests(shared: Arc<Shared>) {
+    loop {
+        let due = Instant::now() + BEAT;
+        Timer::at(due).await;
+        let span = Instant::now().saturating_duration_since(due);
+        let mut inner = shared.inner.lock().unwrap();
+        if span > LONG_REST && inner.rests.len() < MOST_RESTS {
+            inner.rests.push(Rest { from: due, span });
+        }
+    }
+}
+
 /// One connection, from the time it comes up. One that was asked for before a cut and not yet taken in comes to nothing.
 async fn carry(shared: &Shared, from: &str, to: &str, client: Async<TcpStream>, target: SocketAddr) {
     let broken = Arc::new(Broken::default());
--- a/crates/standins/tests/relays.rs
+++ b/crates/standins/tests/relays.rs
@@ -142,3 +142,24 @@
     assert_eq!(refused, Err(ErrorKind::ConnectionRefused));
     assert!(TcpListener::bind(at).is_err(), "another listener got the port");
 }
+
+/// Guards against a rest of the relays that passes for one of the router: what passes then comes later than it was sent.
+#[test]
+fn a_rest_of_the_relays_is_told() {
+    let (relays, at) = echo();
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(b"1").unwrap();
+    assert_eq!(hears(&mut stream, LONG).unwrap(), b'1');
+    let stood = Duration::from_millis(700);
+    let sent = Instant::now();
+    relays.stand(stood);
+    thread::sleep(stood / 2);
+    stream.write_all(b"2").unwrap();
+    assert_eq!(hears(&mut stream, LONG).unwrap(), b'2');
+    assert!(sent.elapsed() >= stood, "nothing passes meanwhile");
+    let by = Instant::now() + LONG;
+    while !relays.rests().iter().any(|rest| rest.span >= stood / 2) {
+        assert!(Instant::now() < by, "{:?}", relays.rests());
+        thread::sleep(Duration::from_millis(10));
+    }
+}
