--- a/crates/standins/src/fleet/effects.rs
+++ b/crates/standins/src/fleet/effects.rs
@@ -91,7 +91,16 @@
                 process.hide_config(*what);
                 process.signal(Signal::HUP);
             }
-            Trouble::Drain { engine, resets, .. } => self.drain(*engine, *resets),
+            Trouble::Drain { engine, resets, .. } => {
+                self.begin_to_drain(*engine);
+                self.refuse(*engine, *resets);
+            }
+            Trouble::TakenPort { engine, by, .. } => {
+                self.begin_to_drain(*engine);
+                let target = self.engines.lock().unwrap()[*by].engine.address;
+                self.relays.redirect(&format!("s-{engine}"), target);
+            }
+            Trouble::LeaveLoads => self.leave_loads(),
             Trouble::Stop { .. } => unreachable!("played on its own"),
         }
         true
@@ -118,7 +127,7 @@
                 self.routers[*router].lock().unwrap().read_log(Reading::AtOnce);
             }
             Trouble::Config { router, .. } => self.show_config(*router),
-            Trouble::Drain { engine, .. } => self.dies(*engine),
+            Trouble::Drain { engine, .. } | Trouble::TakenPort { engine, .. } => self.dies(*engine),
             _ => {}
         }
     }
@@ -157,19 +166,28 @@
         }
     }
 
-    /// The engine is told to drain, takes no new connection and works on. Clients of all routers have begun loads that run for a while, some of
-    /// them there, and leave behind that.
-    fn drain(&self, engine: usize, resets: bool) {
+    /// Clients of all routers begin loads that run for a while, and leave soon.
+    fn leave_loads(&self) {
         for router in 0..self.routers.len() {
             let (at, seen) = (self.address(router), self.seen.clone());
             let turn = LEAVERS.fetch_add(1, Ordering::Relaxed) as usize;
             let caller = router + self.routers.len() * turn;
             thread::spawn(move || parties::leave_a_load(at, caller, &seen));
         }
+    }
+
+    /// The engine is told to drain and works on. Clients of all routers have begun loads that run for a while, some of them there, and leave
+    /// behind that.
+    fn begin_to_drain(&self, engine: usize) {
+        self.leave_loads();
         self.add_cold(1);
         thread::sleep(LOADS_BEGIN);
         self.tell(&[engine], "DRAINING", 0);
         self.seen.lock().unwrap().drained.insert(engine, Instant::now());
+    }
+
+    /// The engine takes no new connection; what is up there may be reset.
+    fn refuse(&self, engine: usize, resets: bool) {
         self.relays.refuse(&format!("s-{engine}"));
         if resets {
             thread::sleep(BEFORE_RESET);
--- a/crates/standins/src/troubles.rs
+++ b/crates/standins/src/troubles.rs
@@ -186,6 +186,14 @@
         resets: bool,
         span: u64,
     },
+    /// As [`Drain`](Self::Drain), but another engine's process has the port behind that.
+    TakenPort {
+        engine: usize,
+        by: usize,
+        span: u64,
+    },
+    /// Clients leave loads that run at any engine.
+    LeaveLoads,
 }
 
 impl Trouble {
@@ -205,6 +213,7 @@
             | Self::Log { span, .. }
             | Self::Config { span, .. }
             | Self::Drain { span, .. }
+            | Self::TakenPort { span, .. }
             | Self::Cut { span, .. } => *span,
             Self::Restart { .. } => RESTART,
             _ => 0,
@@ -215,7 +224,7 @@
     pub fn beginning(&self) -> Duration {
         match self {
             Self::Drain { resets: true, .. } => LOADS_BEGIN + BEFORE_RESET,
-            Self::Drain { .. } => LOADS_BEGIN,
+            Self::Drain { .. } | Self::TakenPort { .. } => LOADS_BEGIN,
             _ => Duration::ZERO,
         }
     }
@@ -236,7 +245,7 @@
     pub fn drains(&self) -> Vec<usize> {
         match self {
             Self::Replace { engines } => engines.clone(),
-            Self::Drain { engine, .. } => vec![*engine],
+            Self::Drain { engine, .. } | Self::TakenPort { engine, .. } => vec![*engine],
             _ => Vec::new(),
         }
     }
@@ -310,6 +319,9 @@
             }
             start += GROUPS_APART;
         }
+        if seed >= LATER_TROUBLES_FROM {
+            troubles.extend(draw_later(&mut chance, routers, engines, length));
+        }
         troubles.sort_by_key(|timed| timed.at);
         Self { seed, troubles }
     }
@@ -328,6 +340,37 @@
     }
 }
 
+/// Seeds from here on draw further troubles behind all others, so that the schedules of earlier seeds stay as they are.
+pub const LATER_TROUBLES_FROM: u64 = 100_000;
+/// How long accepts fail at the most, in milliseconds.
+const LONG_FAILING_ACCEPTS: u64 = 4_000;
+
+/// A port that another engine's process takes, loads that are left at an engine that fails soon after, and accepts that fail for seconds.
+fn draw_later(chance: &mut Pcg32, routers: usize, engines: usize, length: u64) -> Vec<Timed> {
+    let mut at = || chance.random_range(0..length);
+    let (taken, left, accepts) = (at(), at(), at());
+    let engine = chance.random_range(0..engines);
+    let by = (engine + chance.random_range(1..engines)) % engines;
+    let span = chance.random_range(2_000..5_000);
+    let fails = Trouble::Engine {
+        engine: chance.random_range(0..engines),
+        mode: EngineMode::Fails,
+        span: chance.random_range(1_000..4_000),
+    };
+    let error = if chance.random() { Errno::INTR } else { Errno::NFILE };
+    let span_of_accepts = chance.random_range(LONG_FAILING_ACCEPTS / 2..LONG_FAILING_ACCEPTS);
+    let router = chance.random_range(0..routers);
+    let accept = SystemCall::Accept;
+    let failing = Trouble::Calls { router, call: accept, every: 1, error, span: span_of_accepts };
+    let loads_begin = LOADS_BEGIN.as_millis() as u64;
+    vec![
+        Timed { at: taken, trouble: Trouble::TakenPort { engine, by, span } },
+        Timed { at: left, trouble: Trouble::LeaveLoads },
+        Timed { at: left + loads_begin, trouble: fails },
+        Timed { at: accepts, trouble: failing },
+    ]
+}
+
 /// What may be drawn; clients that misbehave are drawn for all that has no number of its own.
 const DRAWS: u32 = 24;
 
--- a/crates/subset/src/lib.rs
+++ b/crates/subset/src/lib.rs
@@ -1,4 +1,4 @@
-//! The working set of a router: which of the listed engines it holds, where it can't hold all of them.
+//! The working set of a router: which of the listed engines it holds, where it can't hold all of them. Nothing uses this crate yet.
 //!
 //! Membership is decided engine by engine: each engine's mark draws an order of the replicas ([`rank`]), and the
 //! first so many of them hold it ([`Plan`]). So every engine is held by a stated number of replicas, a test of
