The rig: routers' addresses for datagrams are their own until they listen

Cause: the rig looked for free ports at 127.0.0.1, let go of them, and bound its mailboxes there. Change: addresses of the process's own, as for connections.

--- a/crates/standins/src/fleet/talk.rs
+++ b/crates/standins/src/fleet/talk.rs
@@ -1,7 +1,7 @@
 //! Routers that talk with one another: their keys, passes and operator files, and the operator's orders.
 
 use std::fs;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -12,6 +12,7 @@
 
 use super::{LEASE, Layout};
 use crate::cluster::{operator, secret, tag};
+use crate::processes::free_datagram_address;
 use crate::relays::Relays;
 
 /// The operator's order that the first routers vote.
@@ -26,9 +27,7 @@
     fs::create_dir_all(folder).expect("a folder");
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
     let (from, until) = (Moment::from_micros(now - 60_000_000), Moment::from_micros(now + 3_600_000_000));
-    let own: Vec<SocketAddr> = (0..layout.routers)
-        .map(|_| UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).expect("an address"))
-        .collect();
+    let own: Vec<SocketAddr> = (0..layout.routers).map(|_| free_datagram_address()).collect();
     let known: Vec<SocketAddr> =
         own.iter().enumerate().map(|(router, own)| relays.mailbox(&format!("n{router}"), *own)).collect();
     let file = |name: String| folder.join(name).to_string_lossy().into_owned();
--- a/crates/standins/src/processes.rs
+++ b/crates/standins/src/processes.rs
@@ -2,7 +2,7 @@
 //! told to read its configuration again. A process ends with its guard, also when a story panics.
 
 use std::fs::{self, File};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Mutex;
@@ -329,10 +329,17 @@
 /// A free port at an address of this process's own: one at 127.0.0.1 might be taken, between this look and the program's
 /// start, by any of the connections that stories make there.
 fn free_address() -> SocketAddr {
+    TcpListener::bind((own_loopback(), 0)).and_then(|listener| listener.local_addr()).expect("an address")
+}
+
+/// The same for datagrams.
+pub fn free_datagram_address() -> SocketAddr {
+    UdpSocket::bind((own_loopback(), 0)).and_then(|socket| socket.local_addr()).expect("an address")
+}
+
+/// An address of the loopback network that is this process's own, another one each time.
+fn own_loopback() -> Ipv4Addr {
     static COUNT: AtomicU8 = AtomicU8::new(0);
     let (id, count) = (std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
-    let own = [127, 1 + (id >> 8 & 0x3f) as u8, id as u8, count];
-    TcpListener::bind(SocketAddr::from((own, 0)))
-        .and_then(|listener| listener.local_addr())
-        .expect("an address")
+    Ipv4Addr::new(127, 1 + (id >> 8 & 0x3f) as u8, id as u8, count)
 }
--- a/crates/standins/tests/relays.rs
+++ b/crates/standins/tests/relays.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use woadhook_standins::LONG;
+use woadhook_standins::processes::free_datagram_address;
 use woadhook_standins::relays::{Relays, Side, Way};
 
 const SOON: Duration = Duration::from_millis(250);
@@ -163,3 +164,14 @@
         thread::sleep(Duration::from_millis(10));
     }
 }
+
+/// Guards against a router of a story that can't listen: the address for its datagrams was free as it was chosen, and one of the relays', or of
+/// another test's, as it started.
+#[test]
+fn a_free_address_for_datagrams_is_no_other_partys_until_it_is_used() {
+    let chosen: Vec<SocketAddr> = (0..50).map(|_| free_datagram_address()).collect();
+    // As many as there are may be asked for meanwhile.
+    let _others: Vec<UdpSocket> = (0..2_000).filter_map(|_| UdpSocket::bind("127.0.0.1:0").ok()).collect();
+    let taken = chosen.iter().filter(|at| UdpSocket::bind(at).is_err()).count();
+    assert_eq!(taken, 0);
+}
