A test of a job that is sent again holds on a busy machine

Cause: the test's second query took 0.5 s, about its dispatch's time-out, so on a busy machine later dispatches timed out as well, which is right. Change: the time-out is 2 s, and the check is what the test is for: no DELETE within half a time-out of a POST.

--- a/crates/router/tests/key_order.rs
+++ b/crates/router/tests/key_order.rs
@@ -4,8 +4,8 @@
 use std::env;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -354,16 +354,19 @@
 /// goes by the job's id.
 #[test]
 fn a_job_that_is_sent_again_behind_a_time_out_is_not_given_up_with_its_first_query() {
+    /// The time-out of a dispatch; a query that is given up sooner behind its POST is given up for another's sake.
+    const TIME_OUT: Duration = Duration::from_secs(2);
     let posts = Arc::new(AtomicUsize::new(0));
-    let deleted_again: Arc<AtomicBool> = Arc::default();
-    let (counted, noted) = (posts.clone(), deleted_again.clone());
+    let given_up: Arc<Mutex<Vec<Duration>>> = Arc::default();
+    let (counted, noted, mut latest) = (posts.clone(), given_up.clone(), Instant::now());
     let engine = Standin::start(move |call| match call.line.split(' ').next() {
         Some("POST") => {
             counted.fetch_add(1, Ordering::SeqCst);
+            latest = Instant::now();
             says(202, &[], "")
         }
         Some("DELETE") => {
-            noted.fetch_or(counted.load(Ordering::SeqCst) > 1, Ordering::SeqCst);
+            noted.lock().unwrap().push(latest.elapsed());
             says(204, &[], "")
         }
         Some("GET") if call.line.starts_with("GET /v2") && counted.load(Ordering::SeqCst) == 1 => {
@@ -376,7 +379,7 @@
     let router = Running::with(&told_but(&[engine.address], nobody(), |given| {
         let class = &mut given["settings"]["classes"][1];
         (class["keepOrder"], class["effect"]) = (json!(true), json!("repeatable"));
-        class["goalTimeUs"] = json!(500_000);
+        class["goalTimeUs"] = json!(TIME_OUT.as_micros() as u64);
         // Its dispatches have a time-out of their own, behind which it goes again.
         given["settings"]["limits"]["cancelling"] = json!(false);
     }));
@@ -384,8 +387,12 @@
     let fields = [("id", "0000000000000001"), ("wait", "10000"), ("cost", "10"), ("ram", "1"), ("key", "k")];
     client.0.write_all(&Client::request(1, "load", &fields, "select 1 from sales_1.x")).unwrap();
     assert_eq!(client.hears(), (1, Ok(ROWS.to_owned())));
-    assert_eq!(posts.load(Ordering::SeqCst), 2);
-    assert!(!deleted_again.load(Ordering::SeqCst), "the second query was given up with the first");
+    assert!(posts.load(Ordering::SeqCst) >= 2, "it was sent again");
+    let given_up = given_up.lock().unwrap();
+    assert!(
+        given_up.iter().all(|behind| *behind >= TIME_OUT / 2),
+        "given up so long behind a POST: {given_up:?}"
+    );
 }
 
 /// The key goes on some time after the list told that the engine is gone; not at once, as its process ends later.
