review: case 3, a cold engine gets several times what makes it fall

Cause: the cost that clients state moves the learned work of a type, by which the budget of a cold engine is counted; requests with a cost of 0.001 ms empty the count.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -2,11 +2,11 @@
 //! into FOLDER, waits until the router that `run.sh` starts is ready, plays the case and judges it. Exit code:
 //! 0 the rule held, 1 it was broken, 2 the case could not run.
 
+mod cold;
 mod net;
 mod order;
 mod settings;
 mod twice;
-mod withdrawn;
 
 use std::fs;
 use std::net::SocketAddr;
@@ -52,8 +52,8 @@
     let stage = Stage { record: Record::create(record), folder: folder.clone(), trouble: trouble != "0" };
     let is_broken = match case.as_str() {
         "twice" => twice::play(&stage),
+        "cold" => cold::play(&stage),
         "order" => order::play(&stage),
-        "withdrawn" => withdrawn::play(&stage),
         _ => {
             eprintln!("no case {case}");
             exit(2);
--- a/review/rig/net.rs
+++ b/review/rig/net.rs
@@ -368,13 +368,40 @@
     (head + "\r\n" + body).into_bytes()
 }
 
-/// A bulletin whose list, event 1, does not change.
-pub fn serve_bulletin() -> SocketAddr {
-    serve_http(Arc::new(|call| {
-        let patience = call.path.split("patience=").nth(1).and_then(|ms| ms.parse().ok()).unwrap_or(0);
-        sleep_ms(u64::min(patience, 5_000));
-        http_answer(200, &[("Content-Type", "application/json".into())], r#"{"no":1,"items":[]}"#)
-    }))
+/// A bulletin. Event 1 is in the configuration; further ones can be told while it runs.
+#[derive(Clone, Default)]
+pub struct Bulletin(Arc<Mutex<Vec<String>>>);
+
+impl Bulletin {
+    pub fn serve(&self) -> SocketAddr {
+        let events = self.0.clone();
+        serve_http(Arc::new(move |call| {
+            let number = |name: &str| -> usize {
+                let rest = call.path.split(name).nth(1).unwrap_or("");
+                rest.split('&').next().and_then(|digits| digits.parse().ok()).unwrap_or(0)
+            };
+            let (after, patience) = (number("after="), number("patience=").min(5_000));
+            let until = Instant::now() + Duration::from_millis(patience as u64);
+            loop {
+                let told = events.lock().unwrap().clone();
+                if told.len() + 1 > after || Instant::now() >= until {
+                    let items = told.get(after.max(1) - 1..).unwrap_or(&[]).join(",");
+                    let body = format!(r#"{{"no":{},"items":[{items}]}}"#, told.len() + 1);
+                    return http_answer(200, &[("Content-Type", "application/json".into())], &body);
+                }
+                sleep_ms(5);
+            }
+        }))
+    }
+
+    /// Tells a change of the list: the lines of the members that have changed.
+    pub fn tell(&self, members: &str) {
+        let mut events = self.0.lock().unwrap();
+        let number = events.len() + 2;
+        events.push(format!(
+            r#"{{"no":{number},"roster":{{"revision":{number},"complete":false,"members":[{members}]}}}}"#
+        ));
+    }
 }
 
 /// One attempt: a query from when its POST came whole until it was over.
@@ -382,6 +409,7 @@
 pub struct Attempt {
     pub engine: usize,
     pub id: String,
+    pub class: String,
     pub key: String,
     pub came: f64,
     /// When it was over and how; `None` while it is out.
@@ -400,6 +428,7 @@
     attempt: usize,
     state: State,
     ends: f64,
+    work_ms: f64,
     asked: f64,
     noted: f64,
 }
@@ -454,22 +483,28 @@
     fn begin(&self, engine: usize, call: &Call) -> Vec<u8> {
         let (id, now) = (call.field("X-Trace").to_owned(), self.record.now());
         let statement = String::from_utf8_lossy(&call.body).into_owned();
-        let run_ms: f64 = statement
-            .split("run ")
-            .nth(1)
-            .and_then(|rest| rest.split(' ').next()?.parse().ok())
-            .unwrap_or(100.0);
+        let figure = |name: &str| -> Option<f64> {
+            statement.split(name).nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok())
+        };
+        let run_ms = figure("run ").unwrap_or(100.0);
+        let work_ms = figure("work ").unwrap_or(run_ms);
         let key = call.field("X-Asset").to_owned();
-        let class = call.field("X-Profile");
+        let class = call.field("X-Profile").to_owned();
         self.record.line(&format!("engine {engine}: POST {id} {class} key '{key}' runs {run_ms} ms"));
         let mut attempts = self.attempts.lock().unwrap();
-        attempts.push(Attempt { engine, id: id.clone(), key, came: now, over: None });
+        attempts.push(Attempt { engine, id: id.clone(), class, key, came: now, over: None });
         let attempt = attempts.len() - 1;
         drop(attempts);
         // An engine that is sent a query again that it is running begins it anew.
         self.end(engine, &id, State::Unknown, "begun anew");
-        let query =
-            Query { attempt, state: State::Running, ends: now + run_ms / 1e3, asked: now, noted: now };
+        let query = Query {
+            attempt,
+            state: State::Running,
+            ends: now + run_ms / 1e3,
+            work_ms,
+            asked: now,
+            noted: now,
+        };
         self.queries.lock().unwrap().insert((engine, id.clone()), query);
         self.news(engine, &id, false)
     }
@@ -491,11 +526,12 @@
             query.asked = now;
             let mut fields = self.report_field();
             if query.state == State::Done || now >= query.ends {
+                let work_ms = query.work_ms;
                 drop(queries);
                 self.end(engine, id, State::Done, "done");
                 fields.push(("X-Batches", "1".into()));
                 if self.tells_cost {
-                    fields.extend([("X-Spent", "100".into()), ("X-Wanted", "64".into())]);
+                    fields.extend([("X-Spent", work_ms.to_string()), ("X-Wanted", "64".into())]);
                 }
                 return http_answer(200, &fields, &format!("{id}\t{engine}\tok\n"));
             }
--- a/review/rig/order.rs
+++ b/review/rig/order.rs
@@ -28,7 +28,7 @@
             zone: if index < 3 { "hall-a" } else { "hall-b" },
         })
         .collect();
-    let router = stage.start_router(BANGNA, &members, serve_bulletin());
+    let router = stage.start_router(BANGNA, &members, Bulletin::default().serve());
     let is_over = Arc::new(AtomicBool::new(false));
     let bad_answers = Arc::new(AtomicU64::new(0));
     let mut keyed = Vec::new();
--- a/review/rig/settings.rs
+++ b/review/rig/settings.rs
@@ -8,18 +8,21 @@
     pub zone: &'static str,
 }
 
+impl Member {
+    /// Its line of the list. `up_since_ms` is the Unix time of a late start, or 0.
+    pub fn line(&self, index: usize, kind: &str, phase: &str, up_since_ms: u128) -> String {
+        let Self { address, zone } = self;
+        format!(
+            r#"{{"id":"s-{index:08}","host_port":"{address}","locality":"{zone}","flavor":"{kind}","cell":{},"phase":"{phase}","size":4,"up_since_ms":{up_since_ms}}}"#,
+            index / 3
+        )
+    }
+}
+
 pub fn config(listen: SocketAddr, settings: &str, members: &[Member], bulletin: SocketAddr) -> String {
     let kind = settings.split("\"kinds\":[\"").nth(1).and_then(|rest| rest.split('"').next()).unwrap();
-    let lines: Vec<String> = members
-        .iter()
-        .enumerate()
-        .map(|(index, Member { address, zone })| {
-            format!(
-                r#"{{"id":"s-{index:08}","host_port":"{address}","locality":"{zone}","flavor":"{kind}","cell":{},"phase":"SERVING","size":4,"up_since_ms":0}}"#,
-                index / 3
-            )
-        })
-        .collect();
+    let lines: Vec<String> =
+        members.iter().enumerate().map(|(index, member)| member.line(index, kind, "SERVING", 0)).collect();
     let known = format!(
         r#"{{"no":1,"items":[{{"no":1,"roster":{{"revision":1,"complete":true,"members":[{}]}}}}]}}"#,
         lines.join(",")
--- a/review/rig/twice.rs
+++ b/review/rig/twice.rs
@@ -28,7 +28,7 @@
         members.push(Member { address: relay.address, zone });
         relays.push(relay);
     }
-    let router = stage.start_router(LJUBLJANA, &members, serve_bulletin());
+    let router = stage.start_router(LJUBLJANA, &members, Bulletin::default().serve());
     let cut_off = &relays[ENGINES - CUT_ENGINES..];
     let mut chance = Chance::new(1);
     for _ in 0..CUTS {
@@ -79,7 +79,14 @@
         ("ram", "96".into()),
     ];
     stage.record.line(&format!("request {class} {id} runs {run_ms} ms"));
-    client.send(class, &fields, &format!("select a, b, c from photos_{schema}.lines -- run {run_ms} ms"));
+    client.send(
+        class,
+        &fields,
+        &format!(
+            "select a, b, c from photos_{schema}.lines -- run {run_ms} ms, work {} ms",
+            run_ms * threads
+        ),
+    );
 }
 
 /// The rule is broken where an attempt comes while another one of the same request is out at another engine.
