--- a/review/rig/net.rs
+++ b/review/rig/net.rs
@@ -174,13 +174,6 @@
     out
 }
 
-pub fn abort(number: u32) -> Vec<u8> {
-    let mut out = Vec::new();
-    let numbers = Value::Array(vec![Value::Int(number.into())]);
-    Value::Array(vec![Value::Int(2), Value::Str("abort".into()), numbers]).write(&mut out);
-    out
-}
-
 fn ping(number: u32) -> Vec<u8> {
     let mut out = Vec::new();
     let parameters = Value::Array(vec![Value::Map(vec![])]);
