review: a run that hangs ends by itself

Cause: a time limit outside of the stand-ins could leave them running when the script is interrupted. Change: the stand-ins end after 110 s.

--- a/review/play.sh
+++ b/review/play.sh
@@ -19,7 +19,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-timeout -k 1 110 "$rig" "$case_name" "$work" "$folder/record.txt" "${TROUBLE:-1}" &
+"$rig" "$case_name" "$work" "$folder/record.txt" "${TROUBLE:-1}" &
 rig_pid=$!
 for _ in $(seq 200); do [ -e "$work/config.json" ] && break; sleep 0.05; done
 [ -e "$work/config.json" ] || { echo "no configuration"; exit 2; }
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -15,6 +15,8 @@
 
 use net::{Record, free_address, wait_until_ready};
 
+const LONGEST_RUN_MS: u64 = 110_000;
+
 /// What a case is given.
 pub struct Stage {
     pub record: Record,
@@ -49,6 +51,12 @@
         eprintln!("rig CASE FOLDER RECORD TROUBLE");
         exit(2);
     };
+    // A run that hangs ends before its 120 s are over.
+    std::thread::spawn(|| {
+        net::sleep_ms(LONGEST_RUN_MS);
+        println!("the run took too long");
+        exit(2);
+    });
     let stage = Stage { record: Record::create(record), folder: folder.clone(), trouble: trouble != "0" };
     let is_broken = match case.as_str() {
         "twice" => twice::play(&stage),
