--- a/crates/router/src/backends/sql/give_up.rs
+++ b/crates/router/src/backends/sql/give_up.rs
@@ -14,13 +14,16 @@
 use crate::pool::PooledConnection;
 use crate::sockets::with_timeout;
 
-/// Maximum time that a query runs on after the last poll: the answer to a poll may take up to 250 ms, and an
-/// engine ends a query after 2 s without a poll.
+/// Maximum time that a query runs on after the engine was last asked for it: the answer to a poll may take up
+/// to 250 ms, and an engine ends a query after 2 s without a poll.
 const QUERY_EXPIRY: Span = Span::from_micros(2_250_000);
 /// Status of a DELETE that gave its query up, the only one in the protocol. After any other status, the
 /// engine may have failed, or another server that now has the port may have answered.
 const GIVEN_UP_STATUS: u16 = 204;
 
+/// An attempt must not begin later than this after its client has left or its time is over.
+const MAX_LATE_START: Span = Span::from_micros(100_000);
+
 /// The connection over which a query is given up.
 #[derive(Clone, Copy, Debug)]
 enum Over {
@@ -44,6 +47,20 @@
         }
     }
 
+    /// Whether the query's end is to be learned over the connection that carried its POST, so that this
+    /// connection must stay up: the next job of its order key waits for that end, and the engine's machine
+    /// responds at once. Otherwise the call under way there is taken back. Threat: a network partition or a
+    /// full receive buffer holds the call back, and it arrives after the client has left. Where the engine
+    /// responds later than usual, this defence costs a delay: the order key waits for the query's expiry.
+    pub async fn needs_post_connection(&self) -> bool {
+        if self.dispatch.order_key.is_none() {
+            return false;
+        }
+        self.doubt.record_give_up();
+        let deleted = with_timeout(MAX_LATE_START, self.delete()).await;
+        matches!(deleted, Some(Ok(()) | Err(CallError::Refused | CallError::Broken(_))))
+    }
+
     /// Gives up a query over the connection that carried its POST, once the call under way there is answered.
     /// Threat: a draining engine closes its port and continues to run its queries, so that a call over a new
     /// connection is refused, or reaches another process that now has the port and confirms the end of a
@@ -93,7 +110,7 @@
 
     /// The time by which the engine has ended the query by itself, because it is no longer polled.
     fn expiry(&self) -> Moment {
-        self.last_poll.get() + QUERY_EXPIRY
+        self.last_asked.get() + QUERY_EXPIRY
     }
 
     /// Waits until the query has certainly ended, and returns why: the process that has it reported so;
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -116,8 +116,10 @@
     priorities: Receiver<u8>,
     /// Whether any byte of the POST was written.
     has_begun: Cell<bool>,
-    /// When a poll was last written, and when one was last answered.
-    pub last_poll: Cell<Moment>,
+    /// The latest moment at which the engine may have received a call for the query: when a call was last
+    /// written, answered or cut short by a reset.
+    pub last_asked: Cell<Moment>,
+    /// When a call was last answered.
     last_answer: Cell<Moment>,
     pub doubt: Doubt,
     /// Whether the POST was written completely.
@@ -147,14 +149,14 @@
 /// Runs a dispatch. `priorities` carries new priorities. It closes once the dispatch is cancelled, and the
 /// query is given up then.
 pub async fn run(engine: Rc<Engine>, dispatch: Dispatch, priorities: Receiver<u8>, events: Sender<Event>) {
-    let (last_poll, last_answer) = (Cell::new(dispatch.decided_at), Cell::new(dispatch.decided_at));
+    let (last_asked, last_answer) = (Cell::new(dispatch.decided_at), Cell::new(dispatch.decided_at));
     let query = Rc::new(Query {
         engine,
         dispatch,
         events,
         priorities,
         has_begun: Cell::new(false),
-        last_poll,
+        last_asked,
         last_answer,
         doubt: Doubt::default(),
         is_posted: Cell::new(false),
@@ -162,7 +164,7 @@
         give_up_requested: Cell::new(false),
     });
     let mut notifier = EndNotifier::new(query.clone());
-    let mut work = std::pin::pin!(query.work());
+    let mut work = Box::pin(query.work());
     let end =
         async { Ok(work.as_mut().await) }.or(async { Err(query.send_priorities_until_stop().await) }).await;
     if !query.has_begun.get() && !query.dispatch.statement.client.is_waiting() {
@@ -175,16 +177,21 @@
         Ok(end) => end,
         Err(_) if !query.has_begun.get() => (Outcome::NotIssued, None, None),
         Err(outcome) => {
+            let mut work = Some(work);
+            if !query.needs_post_connection().await {
+                // The call under way is taken back, and only then is the query given up.
+                work = None;
+            }
             query.give_up().await;
             // A DELETE names the job's id, not the dispatch. Once the dispatcher is notified, a job whose
             // client still waits may be sent to the engine again, and a DELETE sent later would give up the
             // new query. After the notification, a DELETE is sent only for a query with an order key.
             let may_be_sent_again =
                 query.dispatch.order_key.is_some() && query.dispatch.statement.client.is_waiting();
-            if query.doubt.is_refused() || may_be_sent_again {
-                query.give_up_over_post_connection(work).await;
+            if let (Some(work), true) = (&mut work, query.doubt.is_refused() || may_be_sent_again) {
+                query.give_up_over_post_connection(work.as_mut()).await;
             } else {
-                unfinished = Some(work);
+                unfinished = work;
             }
             (outcome, None, None)
         }
@@ -192,8 +199,8 @@
     let doubt = query.doubt.cause(end.0).filter(|_| query.has_begun.get());
     notifier.report(end, doubt).await;
     // Only the next job with the same order key waits for the end of this query.
-    if let (Some(work), Some(_), Some(_)) = (unfinished, doubt, query.dispatch.order_key) {
-        query.give_up_over_post_connection(work).await;
+    if let (Some(mut work), Some(_), Some(_)) = (unfinished, doubt, query.dispatch.order_key) {
+        query.give_up_over_post_connection(work.as_mut()).await;
     }
     notifier.settle(doubt).await;
 }
@@ -297,7 +304,7 @@
             fields.extend(statement.idempotency_key.as_deref().map(|key| ("X-Op-Key", key)));
             self.on_post_connection.set(true);
             let post = self.call(&mut connection, "POST", "/v2/q", &fields, statement.text.as_bytes(), 0);
-            match with_timeout(ANSWER_TIMEOUT, post).await.unwrap_or(Err(CallError::NoAnswerInTime)) {
+            match with_timeout(self.post_timeout(), post).await.unwrap_or(Err(CallError::NoAnswerInTime)) {
                 Ok(answer) => return Ok((answer, connection)),
                 Err(CallError::Local(_)) if !self.has_begun.get() && in_time => {
                     sleep(pause).await;
@@ -309,6 +316,7 @@
                 Err(_) if !self.has_begun.get() => return Err(Outcome::NotConnected),
                 Err(error) => self.doubt.record_break(&error),
             }
+            // Takes the POST back, as far as the engine's machine has not received it.
             drop(connection);
             let (answer, connection) = self.request_page(0, None).await?;
             if answer.status == 500 {
@@ -321,6 +329,13 @@
         }
     }
 
+    /// How long the POST waits for its answer. A POST that may repeat an earlier dispatch must not arrive
+    /// after the time for that.
+    fn post_timeout(&self) -> Span {
+        let left = self.dispatch.repeat_deadline.map(|deadline| deadline.since(self.now()));
+        left.map_or(ANSWER_TIMEOUT, |left| left.min(ANSWER_TIMEOUT))
+    }
+
     /// Checks again, after the wait for a connection and right before the first byte, what may have changed
     /// since the decision: the engine drains, the job's deadline or the limit for repeating it has passed,
     /// the dispatch was cancelled, or the client is gone.
@@ -472,9 +487,10 @@
             number
         };
         let mut unwritten = head.len() + body.len();
+        let asked = AskedUntilEnd { query: self, is_written: Cell::new(false) };
         let on_write = |bytes| {
             self.record_first_byte();
-            self.last_poll.set(self.now());
+            asked.record_write();
             unwritten -= bytes;
             if unwritten == 0 {
                 self.is_posted.set(true);
@@ -583,6 +599,28 @@
     }
 }
 
+/// Records, as a call is written and again as it ends, that the engine may have received it by then. A call
+/// ends when it is answered, or when its connection is reset because it was cut short.
+struct AskedUntilEnd<'a> {
+    query: &'a Query,
+    is_written: Cell<bool>,
+}
+
+impl AskedUntilEnd<'_> {
+    fn record_write(&self) {
+        self.is_written.set(true);
+        self.query.last_asked.set(self.query.now());
+    }
+}
+
+impl Drop for AskedUntilEnd<'_> {
+    fn drop(&mut self) {
+        if self.is_written.get() {
+            self.query.last_asked.set(self.query.now());
+        }
+    }
+}
+
 impl CallAnswer {
     /// Whether this can be the answer to a call for the page.
     fn is_valid_for(&self, page: usize) -> bool {
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -74,6 +74,8 @@
     /// Whether no call is under way and the peer will take another.
     pub reusable: bool,
     pub idle_since: Moment,
+    /// Whether a call is under way, or ended without a complete answer.
+    is_call_open: bool,
 }
 
 /// How the length of the body is given.
@@ -102,6 +104,7 @@
             buffer: Vec::new(),
             reusable: true,
             idle_since: Moment::default(),
+            is_call_open: false,
         }
     }
 
@@ -114,12 +117,14 @@
     /// Makes one call and returns the status and the body of its answer, of at most `max_body_bytes` bytes.
     /// `on_field` is called with each field of the answer's head, and `on_write` with the number of bytes of
     /// each write. An answer that is followed by further bytes is rejected, as its length may not be the true
-    /// one.
+    /// one. If the connection is dropped before the answer is complete, it is reset, so that a call that the
+    /// system has not delivered yet is never delivered.
     pub async fn call(
         &mut self, head: &str, body: &[u8], max_body_bytes: usize, mut on_write: impl FnMut(usize),
         mut on_field: impl FnMut(&str, &str),
     ) -> Result<(u16, Vec<u8>)> {
         self.reusable = false;
+        self.is_call_open = true;
         self.response_progress.0.set(None);
         let parts = [head.as_bytes(), body];
         let progress = |progress| {
@@ -154,6 +159,7 @@
             return Err(malformed("bytes after the answer"));
         }
         self.buffer = Vec::new();
+        self.is_call_open = false;
         self.reusable = head.keeps_open && matches!(pending_input, PendingInput::Nothing);
         Ok((head.status, body))
     }
@@ -207,6 +213,17 @@
     }
 }
 
+impl Drop for Connection {
+    /// Closes the connection in order unless a call was cut short. Threat: a call that is given up while a
+    /// partition holds it back would reach the peer after the partition ends. If the peer has read the call
+    /// already, the reset costs nothing but an error in the peer's log.
+    fn drop(&mut self) {
+        if !self.is_call_open {
+            let _ = self.socket.close_in_order();
+        }
+    }
+}
+
 /// Returns `None` until the head is complete. An answer with neither a length nor chunks, whose body would
 /// end with the connection, is an error, because it would be unknown whether the body is complete.
 fn parse(buffer: &[u8], on_field: &mut impl FnMut(&str, &str)) -> Result<Option<Head>> {
--- a/crates/router/src/sockets.rs
+++ b/crates/router/src/sockets.rs
@@ -5,11 +5,13 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::AsFd;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_io::Async;
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{AsyncReadExt, AsyncWrite, FutureExt, future};
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
+use socket2::SockRef;
 use woadhook::Span;
 use woadhook_flow_control::min_rate::{MinRate, RateMonitor};
 
@@ -76,10 +78,27 @@
         Self { stream, _permit: permit }
     }
 
+    /// Connects to a server. Until [`Socket::close_in_order`] is called, closing the socket resets the
+    /// connection.
     pub async fn connect(to: SocketAddr, span: Span, permit: SemaphoreGuardArc) -> Result<Self, CallError> {
         let stream = with_timeout(span, Async::<TcpStream>::connect(to)).await;
         let stream = stream.ok_or(CallError::NoConnectionInTime)?.map_err(CallError::of_connect)?;
-        Ok(Self::accepted(stream, permit))
+        let socket = Self::accepted(stream, permit);
+        socket.reset_on_close().map_err(CallError::Local)?;
+        Ok(socket)
+    }
+
+    /// Makes a later close reset the connection, however the close comes about, even by the end of the
+    /// process. The system then discards what it has not delivered; otherwise it would go on delivering it,
+    /// for example once a network partition ends. Bytes that have reached the peer's system stay there, and
+    /// the peer may still read them.
+    fn reset_on_close(&self) -> io::Result<()> {
+        retry_interrupted_at_once(|| SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)))
+    }
+
+    /// Makes a later close an orderly one again, as it is by default.
+    pub fn close_in_order(&self) -> io::Result<()> {
+        retry_interrupted_at_once(|| SockRef::from(&self.stream).set_linger(None))
     }
 
     /// Whether the peer has neither closed the connection nor sent unsolicited bytes.
--- a/crates/standins/src/relays.rs
+++ b/crates/standins/src/relays.rs
@@ -424,9 +424,9 @@
     }
 
     /// Waits until this many bytes may pass in one direction: for the end of a cut, the delay and the
-    /// transfer time.
-    async fn wait_to_pass(&self, from: &str, to: &str, bytes: usize) {
-        let mut has_waited = false;
+    /// transfer time. Returns whether a cut held them back.
+    async fn wait_to_pass(&self, from: &str, to: &str, bytes: usize) -> bool {
+        let (mut has_waited, mut was_cut) = (false, false);
         loop {
             let changed = self.changed.listen();
             let (conditions, delay) = {
@@ -436,9 +436,9 @@
             };
             if conditions.cut {
                 changed.await;
-                has_waited = false;
+                (has_waited, was_cut) = (false, true);
             } else if has_waited {
-                return;
+                return was_cut;
             } else {
                 let transfer_time =
                     conditions.bytes_per_s.map_or(0.0, |rate| bytes as f64 / rate.max(1) as f64);
@@ -519,14 +519,19 @@
 }
 
 /// Forwards bytes from one connection to another until the first is closed for writing, then closes the other
-/// for writing.
+/// for writing. Bytes that a cut held back are discarded if their sender has reset its connection meanwhile:
+/// without a relay, its system would have held them and discarded them.
 async fn forward_bytes(
     shared: &Shared, from: &str, to: &str, mut source: &Async<TcpStream>, mut destination: &Async<TcpStream>,
 ) -> io::Result<()> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         let count = source.read(&mut chunk).await?;
-        shared.wait_to_pass(from, to, count).await;
+        if shared.wait_to_pass(from, to, count).await
+            && let Some(error) = source.get_ref().take_error()?
+        {
+            return Err(error);
+        }
         if count == 0 {
             let _ = destination.get_ref().shutdown(std::net::Shutdown::Write);
             return Ok(());
