--- a/crates/router/src/backends/sql/engine.rs
+++ b/crates/router/src/backends/sql/engine.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use async_channel::Sender;
-use woadhook::Span;
+use woadhook::{Moment, Span};
 use woadhook_flow_control::min_rate::MinRate;
 
 use crate::clock::Clock;
@@ -53,11 +53,15 @@
     pub is_live: Cell<bool>,
     /// Whether it has been reported as gone.
     pub is_gone: Cell<bool>,
+    /// When a connection to it last came up; the engine's machine was reachable then.
+    pub connected_at: Cell<Moment>,
 }
 
 impl Engine {
     pub async fn acquire(&self, pool: &Rc<ConnectionPool>) -> Result<PooledConnection, CallError> {
-        pool.acquire(self.serial, self.address, self.context.connect_timeout).await
+        let connection = pool.acquire(self.serial, self.address, self.context.connect_timeout).await?;
+        self.connected_at.set(self.connected_at.get().max(connection.opened_at));
+        Ok(connection)
     }
 
     /// Makes a short call about a query over a separate connection: a DELETE, or a PUT with a new priority.
--- a/crates/router/src/backends/sql/give_up.rs
+++ b/crates/router/src/backends/sql/give_up.rs
@@ -36,11 +36,17 @@
 impl Query {
     /// Gives the query up. The call is repeated until a process answers it, a connection is refused, or the
     /// query was not polled for so long that the engine has ended it by itself, unless the engine hangs.
+    ///
+    /// Threat: an engine that hangs may have an unread POST in its receive buffer, where no reset reaches it,
+    /// and starts the query when it goes on. A further dispatch of the job would run beside it. This defence
+    /// costs a delay: a job whose POST met a hanging engine waits until the engine answers again, refuses
+    /// connections or is listed as gone, or until the client's deadline.
     pub async fn give_up(&self) {
         self.doubt.record_give_up();
-        while let Err(error) = self.delete().await {
+        while let Err(error) = self.delete_and_confirm().await {
             self.log_no_answer("deleted", &error);
-            if self.doubt.is_refused() || self.now() >= self.expiry() {
+            let is_expired = self.now() >= self.expiry() && !self.may_be_unread();
+            if self.doubt.is_refused() || is_expired {
                 return;
             }
             sleep(RETRY_PAUSE).await;
@@ -61,6 +67,30 @@
         matches!(deleted, Some(Ok(()) | Err(CallError::Refused | CallError::Broken(_))))
     }
 
+    /// Whether the engine may have received the POST without having read it, and another dispatch of the job
+    /// may follow: the engine's machine was reachable after the POST began, and the engine has not answered.
+    /// A machine that was not reachable has received nothing that a reset does not take back.
+    fn may_be_unread(&self) -> bool {
+        let may_be_repeated = self.dispatch.exclusive_until.is_some_and(|until| self.now() < until)
+            && self.dispatch.statement.client.is_waiting();
+        let was_reachable =
+            self.begun_at.get().is_some_and(|begun_at| self.engine.connected_at.get() > begun_at);
+        let is_unanswered = self.is_posted.get() && !self.is_received.get();
+        may_be_repeated && was_reachable && is_unanswered && !self.engine.is_gone.get()
+    }
+
+    /// Gives the query up with one call, and with another after a pause if the POST was not answered. Threat:
+    /// the POST and the DELETE arrive over different connections, so an engine may read the DELETE first and
+    /// start the query after it. The defence costs the pause.
+    async fn delete_and_confirm(&self) -> Result<(), CallError> {
+        self.delete().await?;
+        if self.is_received.get() {
+            return Ok(());
+        }
+        sleep(SETTLE_INTERVAL).await;
+        self.delete().await
+    }
+
     /// Gives up a query over the connection that carried its POST, once the call under way there is answered.
     /// Threat: a draining engine closes its port and continues to run its queries, so that a call over a new
     /// connection is refused, or reaches another process that now has the port and confirms the end of a
@@ -143,7 +173,7 @@
             if gone_since.is_some_and(|since| now.since(since) >= QUERY_EXPIRY) {
                 return Settlement::EngineGone;
             }
-            let deleted = self.delete().await;
+            let deleted = self.delete_and_confirm().await;
             if deleted.is_ok() && now >= self.expiry() {
                 return Settlement::Expired;
             }
--- a/crates/router/src/backends/sql/handle.rs
+++ b/crates/router/src/backends/sql/handle.rs
@@ -38,6 +38,7 @@
             address,
             is_live: Cell::new(true),
             is_gone: Cell::new(false),
+            connected_at: Cell::default(),
         });
         Self { engine, events }
     }
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -114,8 +114,8 @@
     events: Sender<Event>,
     /// New priorities. The channel closes once the dispatch is cancelled.
     priorities: Receiver<u8>,
-    /// Whether any byte of the POST was written.
-    has_begun: Cell<bool>,
+    /// When the first byte of the POST was written.
+    pub begun_at: Cell<Option<Moment>>,
     /// The latest moment at which the engine may have received a call for the query: when a call was last
     /// written, answered or cut short by a reset.
     pub last_asked: Cell<Moment>,
@@ -124,6 +124,9 @@
     pub doubt: Doubt,
     /// Whether the POST was written completely.
     pub is_posted: Cell<bool>,
+    /// Whether the engine has certainly received the POST, as it answered the POST, or a poll as one that
+    /// knows the query.
+    pub is_received: Cell<bool>,
     /// Whether the polls use the connection that carried the POST.
     pub on_post_connection: Cell<bool>,
     /// Whether the query is to be given up over the connection of its polls, once the call under way there is
@@ -155,11 +158,12 @@
         dispatch,
         events,
         priorities,
-        has_begun: Cell::new(false),
+        begun_at: Cell::new(None),
         last_asked,
         last_answer,
         doubt: Doubt::default(),
         is_posted: Cell::new(false),
+        is_received: Cell::new(false),
         on_post_connection: Cell::new(false),
         give_up_requested: Cell::new(false),
     });
@@ -167,7 +171,7 @@
     let mut work = Box::pin(query.work());
     let end =
         async { Ok(work.as_mut().await) }.or(async { Err(query.send_priorities_until_stop().await) }).await;
-    if !query.has_begun.get() && !query.dispatch.statement.client.is_waiting() {
+    if !query.has_begun() && !query.dispatch.statement.client.is_waiting() {
         let _ = query.events.send(Event::JobAbandoned { job: query.dispatch.job }).await;
     }
     // A query that may still run is deleted before the dispatcher is notified, as only then another dispatch
@@ -175,7 +179,7 @@
     let mut unfinished = None;
     let end = match end {
         Ok(end) => end,
-        Err(_) if !query.has_begun.get() => (Outcome::NotIssued, None, None),
+        Err(_) if !query.has_begun() => (Outcome::NotIssued, None, None),
         Err(outcome) => {
             let mut work = Some(work);
             if !query.needs_post_connection().await {
@@ -196,7 +200,7 @@
             (outcome, None, None)
         }
     };
-    let doubt = query.doubt.cause(end.0).filter(|_| query.has_begun.get());
+    let doubt = query.doubt.cause(end.0).filter(|_| query.has_begun());
     notifier.report(end, doubt).await;
     // Only the next job with the same order key waits for the end of this query.
     if let (Some(mut work), Some(_), Some(_)) = (unfinished, doubt, query.dispatch.order_key) {
@@ -210,6 +214,11 @@
         self.engine.context.clock.now()
     }
 
+    /// Whether any byte of the POST was written.
+    fn has_begun(&self) -> bool {
+        self.begun_at.get().is_some()
+    }
+
     async fn work(&self) -> QueryEnd {
         match self.fetch().await {
             Ok((actual_cost, result)) => (Outcome::Done, actual_cost, Some(result)),
@@ -246,6 +255,14 @@
         }
     }
 
+    /// Records what an answer to a poll shows about the POST: only an engine that has received the POST
+    /// answers with news or a result.
+    fn record_news(&self, status: u16) {
+        if matches!(status, 200 | 202) {
+            self.is_received.set(true);
+        }
+    }
+
     /// Records that the engine reported the end of the query. Threat: a draining engine closes its port and
     /// continues to run its queries; a process that takes over the port does not know the query and answers
     /// with an error, which does not mean that the query has ended. Only a result can come from no other
@@ -305,15 +322,18 @@
             self.on_post_connection.set(true);
             let post = self.call(&mut connection, "POST", "/v2/q", &fields, statement.text.as_bytes(), 0);
             match with_timeout(self.post_timeout(), post).await.unwrap_or(Err(CallError::NoAnswerInTime)) {
-                Ok(answer) => return Ok((answer, connection)),
-                Err(CallError::Local(_)) if !self.has_begun.get() && in_time => {
+                Ok(answer) => {
+                    self.is_received.set(true);
+                    return Ok((answer, connection));
+                }
+                Err(CallError::Local(_)) if !self.has_begun() && in_time => {
                     sleep(pause).await;
                     pause = pause.mul_f64(2.0).min(MAX_CONNECT_PAUSE);
                     continue;
                 }
-                Err(CallError::Local(_)) if !self.has_begun.get() => return Err(Outcome::NotIssued),
-                Err(_) if !self.has_begun.get() && in_time => continue,
-                Err(_) if !self.has_begun.get() => return Err(Outcome::NotConnected),
+                Err(CallError::Local(_)) if !self.has_begun() => return Err(Outcome::NotIssued),
+                Err(_) if !self.has_begun() && in_time => continue,
+                Err(_) if !self.has_begun() => return Err(Outcome::NotConnected),
                 Err(error) => self.doubt.record_break(&error),
             }
             // Takes the POST back, as far as the engine's machine has not received it.
@@ -358,7 +378,11 @@
     /// Records that bytes of the POST were written. There is no await between the guard and the first write,
     /// so what the guard checked holds there.
     fn record_first_byte(&self) {
-        if let (false, Err(why)) = (self.has_begun.replace(true), self.send_conditions().check()) {
+        if self.has_begun() {
+            return;
+        }
+        self.begun_at.set(Some(self.now()));
+        if let Err(why) = self.send_conditions().check() {
             self.engine.context.guards.record_violation(Step::Send, why, &self.dispatch.statement.id);
         }
     }
@@ -394,7 +418,10 @@
                         MinRate { bytes_per_s: 1.0, ..min_rate }
                     };
                     match self.timed_call(&mut connection, &path, page).await {
-                        Ok(answer) => return Ok((answer, connection)),
+                        Ok(answer) => {
+                            self.record_news(answer.status);
+                            return Ok((answer, connection));
+                        }
                         Err(CallError::TooSlow(figures)) => {
                             slow_pages += 1;
                             let at = self.engine.address;
@@ -573,7 +600,7 @@
             loop {
                 match self.priorities.recv().await {
                     Ok(priority) if !self.priorities.is_closed() => {
-                        if !self.has_begun.get() {
+                        if !self.has_begun() {
                             continue;
                         }
                         let (path, body) = (self.path(), priority.to_string());
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -622,6 +622,8 @@
         log::debug!(event = "dispatched", job = open.statement.id, number, engine = self.instance.engines.name(engine.0); "dispatched");
         let (statement, order_key) = (open.statement.clone(), open.order_key);
         let deadline = deadline.min(open.deadline);
+        let is_exclusive = !self.instance.concurrent_dispatches && !self.instance.is_run_once(open.type_id);
+        let exclusive_until = is_exclusive.then_some(open.deadline);
         let dispatch = Dispatch {
             job,
             number,
@@ -630,6 +632,7 @@
             decided_at: now,
             deadline,
             repeat_deadline,
+            exclusive_until,
             order_key,
             priority,
         };
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -124,6 +124,10 @@
     pub deadline: Moment,
     /// The time by which the dispatch must begin, if an earlier dispatch of the job may have run.
     pub repeat_deadline: Option<Moment>,
+    /// The time until which the job may be dispatched again once this dispatch has ended, where two
+    /// dispatches of a job must never be in flight at once; `None` where they may, and if the job is not
+    /// dispatched again after one that may have run.
+    pub exclusive_until: Option<Moment>,
     /// The order key, if jobs of the type keep order.
     pub order_key: Option<KeyId>,
     pub priority: u8,
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -74,6 +74,8 @@
     /// Whether no call is under way and the peer will take another.
     pub reusable: bool,
     pub idle_since: Moment,
+    /// When the connection came up.
+    pub opened_at: Moment,
     /// Whether a call is under way, or ended without a complete answer.
     is_call_open: bool,
 }
@@ -104,6 +106,7 @@
             buffer: Vec::new(),
             reusable: true,
             idle_since: Moment::default(),
+            opened_at: clock.now(),
             is_call_open: false,
         }
     }
--- a/crates/router/tests/taken_back_calls.rs
+++ b/crates/router/tests/taken_back_calls.rs
@@ -1,14 +1,14 @@
-//! A call that the router gave up must not reach its engine later. A partition holds the call back: a POST
-//! would start a query that has been sent elsewhere or whose client has left, and a poll would keep one
-//! running.
+//! A call that the router gave up must not reach its engine later. A partition, or an engine that hangs,
+//! holds the call back: a POST would start a query that has been sent elsewhere or whose client has left, and
+//! a poll would keep one running.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
-use woadhook_standins::calls::{is_for_job, is_post, modified_config, unused_address};
+use woadhook_standins::calls::{FirstCall, is_for_job, is_post, modified_config, unused_address};
 use woadhook_standins::folders;
 use woadhook_standins::processes::RouterProcess;
 use woadhook_standins::relays::{EndpointSet, Relays, Way};
@@ -19,6 +19,10 @@
 const ENGINE: &str = "engine";
 /// A connection stays idle for this long before it serves another job.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(100);
+/// By the protocol an engine answers a poll within 250 ms and ends a query that was not polled for 2 s.
+const QUERY_EXPIRY: Duration = Duration::from_millis(2_250);
+/// A POST waits for its answer for this long.
+const POST_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// An engine behind a relay. It serves job 1 and keeps job 2 running.
 struct PartitionedEngine {
@@ -161,3 +165,36 @@
     let late = partitioned.engine.received_calls("POST");
     assert!(late.is_empty(), "{late:?}");
 }
+
+/// Guards against two attempts of one request at once: an engine that hangs has a POST in its receive buffer,
+/// where a reset does not reach it, reads it when it goes on, and reads a DELETE before it.
+#[test]
+fn a_job_whose_post_a_hanging_engine_has_not_read_is_not_sent_elsewhere() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let started_elsewhere = FirstCall::default();
+    let recorder = started_elsewhere.clone();
+    let other = StandinServer::start(move |call| {
+        recorder.record(is_post(call));
+        result_page(call, &[ROWS])
+    });
+    let config = config_of(listener.local_addr().unwrap(), other.address);
+    let mut client = Client::connect(&RouterThread::start_with_config(&config));
+    client.send_job(1, "look", 20_000);
+    let (mut post_connection, _) = listener.accept().unwrap();
+    thread::sleep(POST_TIMEOUT + QUERY_EXPIRY * 2);
+    assert!(other.received_calls("POST").is_empty(), "the hanging engine may still start the query");
+    let engine = StandinServer::on_listener(listener, |call| match call.line.split(' ').next() {
+        Some("DELETE") => response(204, &[], ""),
+        _ => response(500, &[], ""),
+    });
+    engine.wait_for_call("DELETE");
+    let post_read_at = Instant::now();
+    let mut head = [0; 4];
+    post_connection.read_exact(&mut head).unwrap();
+    assert_eq!(&head, b"POST");
+    let deletes_before = engine.received_calls("DELETE").len();
+    assert_eq!(client.receive(), (1, Ok(ROWS.to_owned())));
+    assert!(started_elsewhere.at() > post_read_at);
+    let deletes = engine.received_calls("DELETE").len();
+    assert!(deletes_before + deletes > 0, "the query was given up after its POST was read");
+}
