--- a/crates/host/src/interner.rs
+++ b/crates/host/src/interner.rs
@@ -46,9 +46,12 @@
         &self.names[index]
     }
 
-    /// Removes a name, so that its index may be reused.
+    /// Removes the name of an index, so that the index may be reused. Does nothing if the index has no name at
+    /// present. Panics if the index was never assigned.
     pub fn release(&mut self, index: usize) {
-        if self.indices.remove(&self.names[index]).is_some() {
+        let name = &self.names[index];
+        if self.get(name) == Some(index) {
+            self.indices.remove(name);
             self.free.push(index);
         }
     }
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -21,8 +21,16 @@
 
     /// Adds an event with this number and these members. Event 1 is a complete list, later ones are changes.
     pub fn add(&self, number: u64, members: Vec<Value>) {
-        let roster = json!({"revision": number, "complete": number == 1, "members": members});
-        self.0.0.lock().unwrap().push(json!({"no": number, "roster": roster}));
+        self.add_together(number, [members]);
+    }
+
+    /// Adds events with consecutive numbers, so that one answer holds all of them.
+    pub fn add_together(&self, first: u64, rosters: impl IntoIterator<Item = Vec<Value>>) {
+        let event = |(number, members): (u64, Vec<Value>)| {
+            let roster = json!({"revision": number, "complete": number == 1, "members": members});
+            json!({"no": number, "roster": roster})
+        };
+        self.0.0.lock().unwrap().extend((first..).zip(rosters).map(event));
         self.0.1.notify_all();
     }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -119,7 +119,8 @@
     dispatches_since_probe: u32,
     /// When the wake-up that was last requested by `Decision::Wake` is due.
     wake_at: Option<Moment>,
-    /// Indices for which `Decision::Forget` has yet to be returned.
+    /// Indices whose records were removed and for which `Decision::Forget` has yet to be returned, unless
+    /// they are in use again by then.
     unused_indices: Vec<Forgotten>,
     /// `Decision::SetAside` and `Decision::Back` that have yet to be returned.
     engine_notices: VecDeque<Decision>,
@@ -519,10 +520,24 @@
             .or_else(|| self.dispatch(now))
             .or_else(|| if self.monitoring.may_probe { self.probe(now) } else { None })
             .or_else(|| self.engine_notices.pop_front())
-            .or_else(|| self.unused_indices.pop().map(Decision::Forget))
+            .or_else(|| self.next_unused_index().map(Decision::Forget))
             .or_else(|| self.wake(now))
     }
 
+    /// The next index that the host may release. Threat: while other decisions come first, a job of a key or a
+    /// line of an engine arrives whose record was removed, and the index is in use again. If the host released
+    /// it, the next job of the key would get another index and run beside this one, and dispatches to the
+    /// engine would be lost.
+    fn next_unused_index(&mut self) -> Option<Forgotten> {
+        let (jobs, keys, engines) = (&self.jobs, &self.keys, &self.engines);
+        let is_in_use = |index: &Forgotten| match index {
+            Forgotten::Job(job) => jobs.contains_key(job),
+            Forgotten::Key(key) => keys.contains_key(key),
+            Forgotten::Engine(engine) => engines.contains_key(engine),
+        };
+        std::iter::from_fn(|| self.unused_indices.pop()).find(|index| !is_in_use(index))
+    }
+
     /// Removes entries that have expired. Expired entries in the records of engines have no effect where they
     /// are read, so these records are swept only once per `SWEEP_PERIOD`.
     fn remove_expired(&mut self, now: Moment) {
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -173,6 +173,37 @@
     assert!(host.forgotten.contains(&Forgotten::Key(KeyId(3))));
 }
 
+/// Guards against releasing an index that is in use again: a job of the key, or a line of the engine, arrives
+/// after its record was removed and before the host is told to forget the index.
+#[test]
+fn an_index_that_is_in_use_again_is_not_forgotten() {
+    let mut host = Host::new(|start| {
+        (start.types[0].ordered, start.types[0].effect) = (true, Effect::RunOnce);
+    });
+    let (key, work, too_much_work) = (Some(3), 50, 100_000);
+    let first = host.job_of(LOOKUP, 1, None, key, work);
+    host.pull();
+    let unused = other(host.engines_of(first)[0]);
+    host.router.dispatch_ended(host.now, first, 0, Outcome::Done, ms(work), None, true);
+    host.list_engine(unused.0, EngineStatus::Gone, None);
+    // The decision to refuse this job comes before those to forget indices.
+    let refused = host.job_of(LOAD, 1, None, None, too_much_work);
+    let decision = host.router.next_decision(host.now);
+    assert!(matches!(decision, Some(Decision::Throttle { job, .. }) if job == refused), "{decision:?}");
+    let second = host.job_of(LOOKUP, 1, None, key, work);
+    host.list_engine(unused.0, EngineStatus::Live, None);
+    host.pull();
+    assert!(!host.forgotten.contains(&Forgotten::Key(KeyId(3))));
+    assert!(!host.forgotten.contains(&Forgotten::Engine(unused)));
+    assert_eq!(host.engines_of(second).len(), 1);
+    host.end(second, 0, Outcome::Done, work);
+    host.list_engine(unused.0, EngineStatus::Gone, None);
+    host.advance(40);
+    let times_forgotten = |index| host.forgotten.iter().filter(|forgotten| **forgotten == index).count();
+    assert_eq!(times_forgotten(Forgotten::Key(KeyId(3))), 1);
+    assert_eq!(times_forgotten(Forgotten::Engine(unused)), 1);
+}
+
 /// Threat: as the capacity of a cold engine grows, more routers share a window. If their number were
 /// recomputed within a window, other routers would send beside those that have already used it.
 #[test]
