--- a/crates/router/src/backends/sql.rs
+++ b/crates/router/src/backends/sql.rs
@@ -1,6 +1,7 @@
 //! SQL engines over HTTP/1.1.
 
 mod doubt;
+mod end_notifier;
 pub mod engine;
 mod give_up;
 pub mod handle;
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -1,5 +1,5 @@
-//! One dispatch: the POST, the polls and the pages of the result. `give_up` ends its query early, and `doubt`
-//! tracks whether the query may still run.
+//! One dispatch: the POST, the polls and the pages of the result. `give_up` ends its query early, `doubt`
+//! tracks whether the query may still run, and `end_notifier` reports the end.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -10,6 +10,7 @@
 use woadhook_flow_control::min_rate::MinRate;
 
 use crate::backends::sql::doubt::{Cause, Doubt};
+use crate::backends::sql::end_notifier::EndNotifier;
 use crate::backends::sql::engine::Engine;
 use crate::clock::sleep;
 use crate::exchange::{Dispatch, Event, QueryResult, parse_measurement};
@@ -42,68 +43,6 @@
 /// Number of malformed answers in a row after which no valid one is expected.
 const MAX_MALFORMED_ANSWERS: usize = 8;
 
-/// Sends the notifications about one dispatch to the dispatcher, whatever happens to the dispatch's task. The
-/// first reports that the dispatch ended. If the query may still run and the dispatch has an order key, a
-/// second one reports that the query has certainly ended. Threat: after a panic of the task, the dispatcher
-/// would wait forever for the end of the dispatch, or the next job of the same key would run beside the
-/// query. If the fault repeats, this defence costs another attempt to give the query up once every
-/// `SETTLE_INTERVAL`.
-struct EndNotifier {
-    query: Rc<Query>,
-    is_reported: bool,
-    is_settled: bool,
-}
-
-impl EndNotifier {
-    fn new(query: Rc<Query>) -> Self {
-        Self { query, is_reported: false, is_settled: false }
-    }
-
-    async fn report(&mut self, (outcome, actual_cost, result): QueryEnd, doubt: Option<Cause>) {
-        let Dispatch { job, number, decided_at, .. } = self.query.dispatch;
-        let took = self.query.now().since(decided_at);
-        self.is_reported = true;
-        let in_doubt = doubt.is_some();
-        let ended = Event::DispatchEnded { job, number, outcome, took, actual_cost, result, in_doubt };
-        let _ = self.query.events.send(ended).await;
-    }
-
-    /// Waits until the query has certainly ended, and then releases the order key. The dispatch's end was
-    /// reported before, so that only the next job of the same key waits.
-    async fn settle(mut self, doubt: Option<Cause>) {
-        if let Some((order_key, cause)) = self.query.dispatch.order_key.zip(doubt) {
-            let (job, number) = (&self.query.dispatch.statement.id, self.query.dispatch.number);
-            log::debug!(event = "key_in_doubt", job = job.as_str(), number, cause:? = cause; "its key is in doubt: {cause:?}");
-            let settlement = self.query.settle().await;
-            log::debug!(event = "key_settled", job = job.as_str(), number, settlement:? = settlement; "its key is settled: {settlement:?}");
-            let _ = self.query.events.send(Event::KeySettled { order_key }).await;
-        }
-        self.is_settled = true;
-    }
-
-    /// Sends the missing notifications after a panic. Nothing is known then about the query, so it counts as
-    /// one that may still run.
-    async fn resume(mut self) {
-        if !self.is_reported {
-            self.report((Outcome::Reset, None, None), Some(Cause::Panic)).await;
-        }
-        sleep(SETTLE_INTERVAL).await;
-        self.settle(Some(Cause::Panic)).await;
-    }
-}
-
-impl Drop for EndNotifier {
-    fn drop(&mut self) {
-        if self.is_settled {
-            return;
-        }
-        self.query.doubt.record_panic();
-        let rest =
-            EndNotifier { query: self.query.clone(), is_reported: self.is_reported, is_settled: false };
-        self.query.engine.context.tasks.spawn(rest.resume());
-    }
-}
-
 /// The outcome, the actual work and memory where the engine reports them, and the result.
 pub type QueryEnd = (Outcome, Option<(Span, f64)>, Option<QueryResult>);
 
@@ -111,7 +50,7 @@
 pub struct Query {
     pub engine: Rc<Engine>,
     pub dispatch: Dispatch,
-    events: Sender<Event>,
+    pub events: Sender<Event>,
     /// New priorities. The channel closes once the dispatch is cancelled.
     priorities: Receiver<u8>,
     /// When the first byte of the POST was written.
@@ -215,7 +154,7 @@
     }
 
     /// Whether any byte of the POST was written.
-    fn has_begun(&self) -> bool {
+    pub fn has_begun(&self) -> bool {
         self.begun_at.get().is_some()
     }
 
--- a/crates/router/tests/panics.rs
+++ b/crates/router/tests/panics.rs
@@ -133,6 +133,37 @@
     assert_eq!(answers, [(1, Err("Internal".to_owned())), (2, Ok(ROWS.to_owned()))]);
 }
 
+/// Guards against two attempts of one request at once: the end of the dispatch of a task that panicked was
+/// reported at once, and the job was sent again while its query ran.
+#[test]
+fn a_panic_in_a_query_task_gives_its_query_up_before_the_job_is_sent_again() {
+    let _serial = SERIAL.lock().unwrap_or_else(PoisonError::into_inner);
+    let (mut is_running, ran_twice) = (false, Arc::new(AtomicBool::new(false)));
+    let twice = ran_twice.clone();
+    let mut posts = 0;
+    let engine = StandinServer::start(move |call| match call.line.split(' ').next() {
+        Some("POST") => {
+            posts += 1;
+            twice.fetch_or(is_running, Ordering::SeqCst);
+            is_running = posts == 1;
+            if is_running { response(202, &[], "") } else { result_page(call, &[ROWS]) }
+        }
+        Some("GET") if call.line.starts_with("GET /v2") => Response::CloseConnection,
+        Some("DELETE") => {
+            is_running = false;
+            response(204, &[], "")
+        }
+        _ => response(200, &[], ""),
+    });
+    let router = RouterThread::start_with_idle_discovery(&[engine.address]);
+    let mut client = Client::connect(&router);
+    panic_at("asked");
+    client.send_job(1, "look", 15_000);
+    assert_eq!(client.receive(), (1, Ok(ROWS.to_owned())));
+    assert!(LOGGER.has_panicked.load(Ordering::SeqCst), "the task did not panic");
+    assert!(!ran_twice.load(Ordering::SeqCst), "the job was sent again while its query ran");
+}
+
 fn send_load(client: &mut Client, number: u32) {
     let id = format!("{number:016x}");
     let fields = [("id", id.as_str()), ("wait", "15000"), ("cost", "10"), ("ram", "1"), ("key", "k")];
