--- a/crates/router/src/backends/sql/doubt.rs
+++ b/crates/router/src/backends/sql/doubt.rs
@@ -16,6 +16,8 @@
     is_given_up: Cell<bool>,
     /// Whether the engine refused a connection. This is not the engine declining the query.
     is_refused: Cell<bool>,
+    /// Whether a connection broke that carried the POST, a poll or the request of a page.
+    has_connection_broken: Cell<bool>,
     /// Whether the process that answers at the engine's address may be another one than the process that has
     /// the query.
     may_be_another_process: Cell<bool>,
@@ -91,6 +93,13 @@
         }
     }
 
+    /// Records that the POST, a poll or the request of a page got no answer.
+    pub fn record_query_break(&self, error: &CallError) {
+        let is_broken = matches!(error, CallError::Broken(_));
+        self.has_connection_broken.set(self.has_connection_broken.get() || is_broken);
+        self.record_break(error);
+    }
+
     /// Records that from now on another process may answer at the engine's address instead of the process
     /// that has the query. Errors from that address then no longer prove the query's end.
     pub fn record_another_process(&self) {
@@ -111,6 +120,11 @@
         self.is_refused.get()
     }
 
+    /// Whether a connection broke that carried the POST, a poll or the request of a page.
+    pub fn has_connection_broken(&self) -> bool {
+        self.has_connection_broken.get()
+    }
+
     /// Returns why a query that has begun may still run after a dispatch with this outcome; `None` if it has
     /// certainly ended.
     pub fn cause(&self, outcome: Outcome) -> Option<Cause> {
--- a/crates/router/src/backends/sql/give_up.rs
+++ b/crates/router/src/backends/sql/give_up.rs
@@ -46,10 +46,11 @@
         while let Err(error) = self.delete_and_confirm().await {
             self.log_no_answer("deleted", &error);
             let is_expired = self.now() >= self.expiry() && !self.may_be_unread();
-            if self.doubt.is_refused() || is_expired {
+            let is_refused = self.doubt.is_refused();
+            if is_expired || (is_refused && !self.may_run_behind_closed_port()) {
                 return;
             }
-            sleep(RETRY_PAUSE).await;
+            sleep(if is_refused { SETTLE_INTERVAL } else { RETRY_PAUSE }).await;
         }
     }
 
@@ -71,12 +72,25 @@
     /// may follow: the engine's machine was reachable after the POST began, and the engine has not answered.
     /// A machine that was not reachable has received nothing that a reset does not take back.
     fn may_be_unread(&self) -> bool {
-        let may_be_repeated = self.dispatch.exclusive_until.is_some_and(|until| self.now() < until)
-            && self.dispatch.statement.client.is_waiting();
         let was_reachable =
             self.begun_at.get().is_some_and(|begun_at| self.engine.connected_at.get() > begun_at);
         let is_unanswered = self.is_posted.get() && !self.is_received.get();
-        may_be_repeated && was_reachable && is_unanswered && !self.engine.is_gone.get()
+        self.may_be_repeated() && was_reachable && is_unanswered && !self.engine.is_gone.get()
+    }
+
+    /// Whether the query may run on although its engine refuses connections, and another dispatch of the job
+    /// may follow. Threat: an engine that drains closes its port and continues to run its queries until they
+    /// expire. If the connection of the query broke at an engine that is not known to drain, its process has
+    /// ended. The defence costs a delay: behind an engine that drains, such a job waits for the expiry.
+    pub fn may_run_behind_closed_port(&self) -> bool {
+        let has_process_ended = self.engine.is_live.get() && self.doubt.has_connection_broken();
+        self.may_be_repeated() && !has_process_ended && self.now() < self.expiry()
+    }
+
+    /// Whether another dispatch of the job may follow, which must not run beside this one.
+    fn may_be_repeated(&self) -> bool {
+        self.dispatch.exclusive_until.is_some_and(|until| self.now() < until)
+            && self.dispatch.statement.client.is_waiting()
     }
 
     /// Gives the query up with one call, and with another after a pause if the POST was not answered. Threat:
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -273,7 +273,7 @@
                 Err(CallError::Local(_)) if !self.has_begun() => return Err(Outcome::NotIssued),
                 Err(_) if !self.has_begun() && in_time => continue,
                 Err(_) if !self.has_begun() => return Err(Outcome::NotConnected),
-                Err(error) => self.doubt.record_break(&error),
+                Err(error) => self.doubt.record_query_break(&error),
             }
             // Takes the POST back, as far as the engine's machine has not received it.
             drop(connection);
@@ -376,7 +376,7 @@
                             continue;
                         }
                         Err(error) => {
-                            self.doubt.record_break(&error);
+                            self.doubt.record_query_break(&error);
                             self.log_no_answer("asked", &error);
                         }
                     }
@@ -384,6 +384,9 @@
                 Err(CallError::Refused) => {
                     self.doubt.record_cause(Cause::Refused);
                     self.doubt.record_break(&CallError::Refused);
+                    if self.may_run_behind_closed_port() {
+                        self.give_up().await;
+                    }
                     return Err(Outcome::Reset);
                 }
                 // The log key `what` states here that there was no connection for the poll or the request.
