--- a/crates/router/src/backends/sql/engine.rs
+++ b/crates/router/src/backends/sql/engine.rs
@@ -65,19 +65,23 @@
     }
 
     /// Makes a short call about a query over a separate connection: a DELETE, or a PUT with a new priority.
-    pub async fn control_call(&self, method: &str, path: &str, body: &str) -> Result<u16, CallError> {
-        self.short_call(&self.context.control_calls, method, path, body, |_, _| ()).await
+    /// The answer must come within `answer_timeout`.
+    pub async fn control_call(
+        &self, method: &str, path: &str, body: &str, answer_timeout: Span,
+    ) -> Result<u16, CallError> {
+        self.short_call(&self.context.control_calls, method, path, body, answer_timeout, |_, _| ()).await
     }
 
-    /// Makes one call over a connection of `pool` and returns the status of the answer. `field` receives the
-    /// header fields of the answer.
+    /// Makes one call over a connection of `pool` and returns the status of the answer, which must come
+    /// within `answer_timeout`. `field` receives the header fields of the answer.
     pub async fn short_call(
-        &self, pool: &Rc<ConnectionPool>, method: &str, path: &str, body: &str, field: impl FnMut(&str, &str),
+        &self, pool: &Rc<ConnectionPool>, method: &str, path: &str, body: &str, answer_timeout: Span,
+        field: impl FnMut(&str, &str),
     ) -> Result<u16, CallError> {
         let mut connection = self.acquire(pool).await?;
         let head = request_head(method, path, self.address, &[], body.len());
         let call = connection.call(&head, body.as_bytes(), MAX_CONTROL_ANSWER_BYTES, |_| (), field);
-        let answer = with_timeout(self.context.connect_timeout, call).await;
+        let answer = with_timeout(answer_timeout, call).await;
         let (status, _) = answer.unwrap_or(Err(CallError::NoAnswerInTime))?;
         Ok(status)
     }
--- a/crates/router/src/backends/sql/give_up.rs
+++ b/crates/router/src/backends/sql/give_up.rs
@@ -24,6 +24,10 @@
 /// An attempt must not begin later than this after its client has left or its time is over.
 const MAX_LATE_START: Span = Span::from_micros(100_000);
 
+/// How long a DELETE waits for its answer once the query's expiry is over, so that an engine that answers late
+/// is heard at last.
+const LATE_ANSWER_TIMEOUT: Span = Span::from_micros(2_000_000);
+
 /// The connection over which a query is given up.
 #[derive(Clone, Copy, Debug)]
 enum Over {
@@ -121,7 +125,10 @@
 
     /// Gives the query up with one call.
     async fn delete(&self) -> Result<(), CallError> {
-        let status = self.engine.control_call("DELETE", &self.path(), "").await;
+        let is_expired = self.now() >= self.expiry();
+        let answer_timeout =
+            if is_expired { LATE_ANSWER_TIMEOUT } else { self.engine.context.connect_timeout };
+        let status = self.engine.control_call("DELETE", &self.path(), "", answer_timeout).await;
         self.record_delete(Over::Another, status)
     }
 
--- a/crates/router/src/backends/sql/handle.rs
+++ b/crates/router/src/backends/sql/handle.rs
@@ -120,7 +120,8 @@
             stats = Some(value.to_owned());
         }
     };
-    let outcome = match engine.short_call(&engine.context.probes, "GET", path, "", read_field).await {
+    let (pool, answer_timeout) = (&engine.context.probes, engine.context.connect_timeout);
+    let outcome = match engine.short_call(pool, "GET", path, "", answer_timeout, read_field).await {
         Ok(200) => Outcome::Done,
         Ok(503) => Outcome::TurnedAway,
         Ok(_) => Outcome::Error,
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -546,7 +546,8 @@
                             continue;
                         }
                         let (path, body) = (self.path(), priority.to_string());
-                        let _ = self.engine.control_call("PUT", &path, &body).await;
+                        let answer_timeout = self.engine.context.connect_timeout;
+                        let _ = self.engine.control_call("PUT", &path, &body, answer_timeout).await;
                     }
                     _ => return Outcome::Cancelled,
                 }
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -12,7 +12,9 @@
 use serde_json::{Value, json};
 use woadhook_router::codec;
 use woadhook_router::stop::OperatorCommand;
-use woadhook_standins::calls::{FirstCall, is_for_job, is_post, modified_config, unused_address};
+use woadhook_standins::calls::{
+    FirstCall, add_remote_engine, is_for_job, is_post, modified_config, unused_address,
+};
 use woadhook_standins::folders;
 use woadhook_standins::processes::RouterProcess;
 use woadhook_standins::*;
@@ -498,10 +500,7 @@
         let settings = &mut config["settings"];
         // The system's own next attempt comes after a second.
         settings["limits"]["connectTimeoutUs"] = json!(990_000);
-        (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
-        let mut remote = roster_member("s-b", other.address, "SERVING");
-        remote["locality"] = json!("b");
-        config["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(remote);
+        add_remote_engine(config, other.address);
     });
     let mut client = Client::connect(&RouterThread::start_with_config(&config));
     client.send_job(1, "load", 60_000);
--- a/crates/router/tests/exclusive_dispatches.rs
+++ b/crates/router/tests/exclusive_dispatches.rs
@@ -5,8 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use serde_json::json;
-use woadhook_standins::calls::{FirstCall, LastCall, is_post, modified_config};
+use woadhook_standins::calls::{FirstCall, LastCall, first_choice_config, is_post, unused_address};
 use woadhook_standins::*;
 
 const ROWS: &str = "a\tb\tc\n";
@@ -49,14 +48,7 @@
         });
         let events = DiscoveryEvents::default();
         let discovery = events.serve();
-        // The draining engine is the first choice, as the other one is in a more expensive zone.
-        let config = modified_config(&[draining.address], discovery.address, |config| {
-            let settings = &mut config["settings"];
-            (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
-            let mut remote = roster_member("s-b", healthy.address, "SERVING");
-            remote["locality"] = json!("b");
-            config["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(remote);
-        });
+        let config = first_choice_config(draining.address, healthy.address, discovery.address);
         let mut client = Client::connect(&RouterThread::start_with_config(&config));
         client.send_job(1, "look", 20_000);
         draining.wait_for_call("GET /v2");
@@ -70,3 +62,27 @@
         assert!(waited >= UNPOLLED_EXPIRY, "{own:?}: {waited:?}");
     }
 }
+
+/// Guards against a job that waits until its client's deadline for an engine that does not answer its POST,
+/// although that engine answers each DELETE, later than a call usually waits.
+#[test]
+fn a_job_is_sent_elsewhere_once_an_engine_that_answers_late_confirms_that_it_was_given_up() {
+    const LATE: Duration = Duration::from_millis(700);
+    let deadline_ms = 20_000;
+    let deleted = FirstCall::default();
+    let recorder = deleted.clone();
+    let late = StandinServer::start(move |call| {
+        recorder.record(call.line.starts_with("DELETE"));
+        match call.line.split(' ').next() {
+            Some("DELETE") => Response::Delayed(LATE, Box::new(response(204, &[], ""))),
+            Some("GET") if call.line.starts_with("GET /load") => response(200, &[], ""),
+            _ => Response::NoResponse,
+        }
+    });
+    let healthy = StandinServer::start(|call| result_page(call, &[ROWS]));
+    let config = first_choice_config(late.address, healthy.address, unused_address());
+    let mut client = Client::connect(&RouterThread::start_with_config(&config));
+    client.send_job(1, "look", deadline_ms);
+    assert_eq!(client.receive(), (1, Ok(ROWS.to_owned())));
+    assert!(deleted.at().elapsed() < Duration::from_millis(u64::from(deadline_ms)) / 2);
+}
--- a/crates/router/tests/key_order.rs
+++ b/crates/router/tests/key_order.rs
@@ -12,7 +12,9 @@
 
 use serde_json::json;
 // `FirstCall` and `LastCall` record the times of the first and the latest call that matches.
-use woadhook_standins::calls::{FirstCall, LastCall, is_for_job, is_post, modified_config, unused_address};
+use woadhook_standins::calls::{
+    FirstCall, LastCall, add_remote_engine, is_for_job, is_post, modified_config, unused_address,
+};
 use woadhook_standins::*;
 
 const ROWS: &str = "a\tb\tc\n";
@@ -59,10 +61,7 @@
         // runs.
         settings["obligations"]["turnGapUs"] = json!(key_pause.as_micros() as u64);
         settings["classes"][1]["keepOrder"] = json!(true);
-        (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
-        let mut remote = roster_member("s-b", engines[1].address, "SERVING");
-        remote["locality"] = json!("b");
-        config["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(remote);
+        add_remote_engine(config, engines[1].address);
     });
     let mut client = Client::connect(&RouterThread::start_with_config(&config));
     let first_wait = first_wait.as_millis().to_string();
--- a/crates/router/tests/taken_back_calls.rs
+++ b/crates/router/tests/taken_back_calls.rs
@@ -7,8 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use serde_json::json;
-use woadhook_standins::calls::{FirstCall, is_for_job, is_post, modified_config, unused_address};
+use woadhook_standins::calls::{FirstCall, first_choice_config, is_for_job, is_post, unused_address};
 use woadhook_standins::folders;
 use woadhook_standins::processes::RouterProcess;
 use woadhook_standins::relays::{EndpointSet, Relays, Way};
@@ -64,18 +63,6 @@
     }
 }
 
-/// A configuration in which the first engine is the first choice, as the other one is in a more expensive
-/// zone.
-fn config_of(first_choice: SocketAddr, other: SocketAddr) -> String {
-    modified_config(&[first_choice], unused_address(), |config| {
-        let settings = &mut config["settings"];
-        (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
-        let mut remote = roster_member("s-b", other, "SERVING");
-        remote["locality"] = json!("b");
-        config["known"]["items"][0]["roster"]["members"].as_array_mut().unwrap().push(remote);
-    })
-}
-
 /// Leaves an idle connection to the engine behind, which is used for the next job.
 fn serve_one_job(client: &mut Client) {
     client.send_job(1, "look", 20_000);
@@ -94,7 +81,7 @@
     for is_posted_before in [false, true] {
         let partitioned = PartitionedEngine::start();
         let other = StandinServer::start(|call| result_page(call, &[ROWS]));
-        let config = config_of(partitioned.address, other.address);
+        let config = first_choice_config(partitioned.address, other.address, unused_address());
         let mut client = Client::connect(&RouterThread::start_with_config(&config));
         serve_one_job(&mut client);
         if is_posted_before {
@@ -116,7 +103,7 @@
 fn the_post_of_a_withdrawn_job_does_not_arrive_after_a_partition() {
     for departure in ["abort", "close"] {
         let partitioned = PartitionedEngine::start();
-        let config = config_of(partitioned.address, unused_address());
+        let config = first_choice_config(partitioned.address, unused_address(), unused_address());
         let router = RouterThread::start_with_config(&config);
         let (mut client, mut other) = (Client::connect(&router), Client::connect(&router));
         serve_one_job(&mut client);
@@ -146,7 +133,7 @@
 fn the_post_of_a_router_that_was_killed_does_not_arrive_after_a_partition() {
     let partitioned = PartitionedEngine::start();
     let folder = folders::run_folder(env!("CARGO_TARGET_TMPDIR"), "taken_back_calls");
-    let config = config_of(partitioned.address, unused_address());
+    let config = first_choice_config(partitioned.address, unused_address(), unused_address());
     let mut router = RouterProcess::start(env!("CARGO_BIN_EXE_woadhook"), &folder, "n0", &config);
     router.wait_until_ready();
     let mut client = Client(TcpStream::connect(router.address).unwrap());
@@ -177,7 +164,7 @@
         recorder.record(is_post(call));
         result_page(call, &[ROWS])
     });
-    let config = config_of(listener.local_addr().unwrap(), other.address);
+    let config = first_choice_config(listener.local_addr().unwrap(), other.address, unused_address());
     let mut client = Client::connect(&RouterThread::start_with_config(&config));
     client.send_job(1, "look", 20_000);
     let (mut post_connection, _) = listener.accept().unwrap();
--- a/crates/standins/src/calls.rs
+++ b/crates/standins/src/calls.rs
@@ -5,8 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use serde_json::Value;
+use serde_json::{Value, json};
 
+use crate::discovery::roster_member;
 use crate::engines::Call;
 use crate::routers::router_config;
 
@@ -29,6 +30,22 @@
     config.to_string()
 }
 
+/// Returns a configuration with two engines, of which the first is the first choice, as the other one is in a
+/// more expensive zone.
+pub fn first_choice_config(first_choice: SocketAddr, other: SocketAddr, bulletin: SocketAddr) -> String {
+    modified_config(&[first_choice], bulletin, |config| add_remote_engine(config, other))
+}
+
+/// Adds an engine in a more expensive zone to a configuration.
+pub fn add_remote_engine(config: &mut Value, at: SocketAddr) {
+    let settings = &mut config["settings"];
+    (settings["zones"], settings["prices"]) = (json!(["a", "b"]), json!({"crossZone": 0.1}));
+    let mut remote = roster_member("s-b", at, "SERVING");
+    remote["locality"] = json!("b");
+    let members = config["known"]["items"][0]["roster"]["members"].as_array_mut();
+    members.expect("a list of engines").push(remote);
+}
+
 /// An address at which nothing listens.
 pub fn unused_address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 1))
