--- a/crates/router/src/backends/sql.rs
+++ b/crates/router/src/backends/sql.rs
@@ -1,5 +1,6 @@
 //! SQL engines over HTTP/1.1.
 
+mod dispatch;
 mod doubt;
 mod end_notifier;
 pub mod engine;
--- a/crates/router/src/backends/sql/handle.rs
+++ b/crates/router/src/backends/sql/handle.rs
@@ -7,8 +7,8 @@
 use async_channel::{Receiver, Sender};
 use woadhook::{EngineId, Outcome};
 
+use crate::backends::sql::dispatch;
 use crate::backends::sql::engine::{Engine, EngineContext};
-use crate::backends::sql::query;
 use crate::exchange::{Dispatch, Event};
 use crate::faults::CallError;
 use crate::tasks::Tasks;
@@ -50,7 +50,7 @@
         let (engine, tasks) = (self.engine.clone(), self.engine.context.tasks);
         match call {
             EngineCall::Run(dispatch, priorities) => {
-                tasks.spawn(query::run(engine, dispatch, priorities, self.events.clone()));
+                tasks.spawn(dispatch::run(engine, dispatch, priorities, self.events.clone()));
             }
             EngineCall::Probe(id) => {
                 let urgent = engine.context.urgent.clone();
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -1,5 +1,5 @@
-//! One dispatch: the POST, the polls and the pages of the result. `give_up` ends its query early, `doubt`
-//! tracks whether the query may still run, and `end_notifier` reports the end.
+//! A query: the POST, the polls and the pages of the result. `give_up` ends it early, and `doubt` tracks whether
+//! it may still run.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -10,7 +10,6 @@
 use woadhook_flow_control::min_rate::MinRate;
 
 use crate::backends::sql::doubt::{Cause, Doubt};
-use crate::backends::sql::end_notifier::EndNotifier;
 use crate::backends::sql::engine::Engine;
 use crate::clock::sleep;
 use crate::exchange::{Dispatch, Event, QueryResult, parse_measurement};
@@ -88,67 +87,28 @@
     body: Vec<u8>,
 }
 
-/// Runs a dispatch. `priorities` carries new priorities. It closes once the dispatch is cancelled, and the
-/// query is given up then.
-pub async fn run(engine: Rc<Engine>, dispatch: Dispatch, priorities: Receiver<u8>, events: Sender<Event>) {
-    let (last_asked, last_answer) = (Cell::new(dispatch.decided_at), Cell::new(dispatch.decided_at));
-    let query = Rc::new(Query {
-        engine,
-        dispatch,
-        events,
-        priorities,
-        begun_at: Cell::new(None),
-        last_asked,
-        last_answer,
-        doubt: Doubt::default(),
-        is_posted: Cell::new(false),
-        is_received: Cell::new(false),
-        on_post_connection: Cell::new(false),
-        give_up_requested: Cell::new(false),
-    });
-    let mut notifier = EndNotifier::new(query.clone());
-    let mut work = Box::pin(query.work());
-    let end =
-        async { Ok(work.as_mut().await) }.or(async { Err(query.send_priorities_until_stop().await) }).await;
-    if !query.has_begun() && !query.dispatch.statement.client.is_waiting() {
-        let _ = query.events.send(Event::JobAbandoned { job: query.dispatch.job }).await;
-    }
-    // A query that may still run is deleted before the dispatcher is notified, as only then another dispatch
-    // of the job may be sent.
-    let mut unfinished = None;
-    let end = match end {
-        Ok(end) => end,
-        Err(_) if !query.has_begun() => (Outcome::NotIssued, None, None),
-        Err(outcome) => {
-            let mut work = Some(work);
-            if !query.needs_post_connection().await {
-                // The call under way is taken back, and only then is the query given up.
-                work = None;
-            }
-            query.give_up().await;
-            // A DELETE names the job's id, not the dispatch. Once the dispatcher is notified, a job whose
-            // client still waits may be sent to the engine again, and a DELETE sent later would give up the
-            // new query. After the notification, a DELETE is sent only for a query with an order key.
-            let may_be_sent_again =
-                query.dispatch.order_key.is_some() && query.dispatch.statement.client.is_waiting();
-            if let (Some(work), true) = (&mut work, query.doubt.is_refused() || may_be_sent_again) {
-                query.give_up_over_post_connection(work.as_mut()).await;
-            } else {
-                unfinished = work;
-            }
-            (outcome, None, None)
+impl Query {
+    /// A query that was not sent yet. `priorities` closes once the dispatch is cancelled.
+    pub fn new(
+        engine: Rc<Engine>, dispatch: Dispatch, priorities: Receiver<u8>, events: Sender<Event>,
+    ) -> Self {
+        let (last_asked, last_answer) = (Cell::new(dispatch.decided_at), Cell::new(dispatch.decided_at));
+        Self {
+            engine,
+            dispatch,
+            events,
+            priorities,
+            begun_at: Cell::new(None),
+            last_asked,
+            last_answer,
+            doubt: Doubt::default(),
+            is_posted: Cell::new(false),
+            is_received: Cell::new(false),
+            on_post_connection: Cell::new(false),
+            give_up_requested: Cell::new(false),
         }
-    };
-    let doubt = query.doubt.cause(end.0).filter(|_| query.has_begun());
-    notifier.report(end, doubt).await;
-    // Only the next job with the same order key waits for the end of this query.
-    if let (Some(mut work), Some(_), Some(_)) = (unfinished, doubt, query.dispatch.order_key) {
-        query.give_up_over_post_connection(work.as_mut()).await;
     }
-    notifier.settle(doubt).await;
-}
 
-impl Query {
     pub fn now(&self) -> Moment {
         self.engine.context.clock.now()
     }
@@ -158,7 +118,8 @@
         self.begun_at.get().is_some()
     }
 
-    async fn work(&self) -> QueryEnd {
+    /// Runs the query to its end.
+    pub async fn work(&self) -> QueryEnd {
         match self.fetch().await {
             Ok((actual_cost, result)) => (Outcome::Done, actual_cost, Some(result)),
             Err(outcome) => (outcome, None, None),
@@ -533,7 +494,7 @@
 
     /// Sends new priorities to the engine until the job's deadline passes or the dispatch is cancelled.
     /// Returns `TimedOut` or `Cancelled` accordingly.
-    async fn send_priorities_until_stop(&self) -> Outcome {
+    pub async fn send_priorities_until_stop(&self) -> Outcome {
         let late = async {
             self.engine.context.clock.sleep_until(self.dispatch.deadline).await;
             Outcome::TimedOut
