--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod calls;
 pub mod clients;
 pub mod cluster;
+pub mod cpu_share;
 pub mod discovery;
 pub mod engines;
 pub mod faults;
@@ -12,6 +13,7 @@
 pub mod folders;
 pub mod lightweight;
 pub mod log_reader;
+pub mod many_engines;
 pub mod net;
 pub mod ports;
 pub mod preload;
--- a/crates/standins/src/lightweight/engines.rs
+++ b/crates/standins/src/lightweight/engines.rs
@@ -1,18 +1,22 @@
 //! Lightweight engines that share one listener. Each answers every query with one row and every probe with a
-//! load report, and counts both.
+//! load report, and counts both. Queries take no time unless a run time is set, and an engine can be made to
+//! misbehave.
 
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 use async_executor::Executor;
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use socket2::SockRef;
 
+use crate::troubles::EngineMode;
+
 /// Number of available engine addresses.
 pub const MAX_ENGINES: usize = 1 << 16;
 /// First two bytes of the addresses; the last two are the engine's number.
@@ -23,6 +27,10 @@
 const READ_BYTES: usize = 4 * 1024;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 const ROW: &str = "a\tb\tc\n";
+const RESULT_FIELDS: &str = "X-Batches: 1\r\nX-Batch: 0\r\n";
+const ERROR_RESPONSE: &str = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n";
+/// Interval at which a call to an engine that hangs is checked for the end of the hang.
+const HANG_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// The utilisation that engines report is kept in units of a thousandth.
 const UTILISATION_UNITS: f64 = 1_000.0;
 
@@ -36,6 +44,15 @@
     pub report_bytes: u64,
 }
 
+/// A query that an engine received.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    /// The number that the job's id states in hexadecimal digits.
+    pub job: u64,
+    pub engine: usize,
+    pub at: Instant,
+}
+
 #[derive(Default)]
 struct Counts {
     queries: AtomicU64,
@@ -58,8 +75,29 @@
 
 struct Shared {
     engines: Vec<Counts>,
+    modes: Vec<Mutex<EngineMode>>,
     /// The utilisation that every engine reports, in thousandths.
     reported_load: AtomicU32,
+    /// How long each query runs, in milliseconds.
+    run_time_ms: AtomicU64,
+    connections: AtomicU64,
+    /// The queries received, if they are recorded.
+    attempts: Option<Mutex<Vec<Attempt>>>,
+}
+
+impl Shared {
+    fn mode(&self, engine: usize) -> EngineMode {
+        *self.modes[engine].lock().unwrap()
+    }
+
+    /// Records a query, if queries are recorded.
+    fn record_attempt(&self, engine: usize, call: &[u8]) {
+        let Some(attempts) = &self.attempts else { return };
+        let text = str::from_utf8(call).unwrap_or_default();
+        let id = text.lines().find_map(|line| line.strip_prefix("X-Trace: "));
+        let Some(job) = id.and_then(|id| u64::from_str_radix(id.trim(), 16).ok()) else { return };
+        attempts.lock().unwrap().push(Attempt { job, engine, at: Instant::now() });
+    }
 }
 
 /// Engines that differ only in their addresses.
@@ -72,12 +110,24 @@
 impl LightweightEngines {
     /// Starts `count` engines, which report no load until it is set.
     pub fn start(count: usize) -> io::Result<Self> {
+        Self::start_with(count, None)
+    }
+
+    /// Starts `count` engines that record each query.
+    pub fn start_recording(count: usize) -> io::Result<Self> {
+        Self::start_with(count, Some(Mutex::default()))
+    }
+
+    fn start_with(count: usize, attempts: Option<Mutex<Vec<Attempt>>>) -> io::Result<Self> {
         assert!(count <= MAX_ENGINES, "{count} engines, {MAX_ENGINES} have addresses");
         let listener = Async::<TcpListener>::bind((Ipv4Addr::UNSPECIFIED, 0))?;
         SockRef::from(listener.get_ref()).listen(LISTEN_BACKLOG)?;
         let port = listener.get_ref().local_addr()?.port();
         let engines = (0..count).map(|_| Counts::default()).collect();
-        let shared = Arc::new(Shared { engines, reported_load: AtomicU32::new(0) });
+        let modes = (0..count).map(|_| Mutex::new(EngineMode::Well)).collect();
+        let (reported_load, run_time_ms) = (AtomicU32::new(0), AtomicU64::new(0));
+        let connections = AtomicU64::new(0);
+        let shared = Arc::new(Shared { engines, modes, reported_load, run_time_ms, connections, attempts });
         let (shutdown, shut_down) = async_channel::bounded::<()>(1);
         let executor = Arc::new(Executor::new());
         for _ in 0..THREADS {
@@ -103,6 +153,27 @@
         self.shared.reported_load.store((share * UTILISATION_UNITS) as u32, Ordering::Relaxed);
     }
 
+    /// Sets how long each query runs from now on. It must be shorter than the 250 ms after which an engine
+    /// answers a query that still runs.
+    pub fn set_run_time(&self, run_time: Duration) {
+        self.shared.run_time_ms.store(run_time.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Changes how an engine behaves.
+    pub fn set_mode(&self, engine: usize, mode: EngineMode) {
+        *self.shared.modes[engine].lock().unwrap() = mode;
+    }
+
+    /// The number of connections that all engines accepted.
+    pub fn connections(&self) -> u64 {
+        self.shared.connections.load(Ordering::Relaxed)
+    }
+
+    /// The queries received so far, in the order of their arrival; empty unless they are recorded.
+    pub fn attempts(&self) -> Vec<Attempt> {
+        self.shared.attempts.as_ref().map(|attempts| attempts.lock().unwrap().clone()).unwrap_or_default()
+    }
+
     /// The requests that one engine received.
     pub fn counts(&self, engine: usize) -> RequestCounts {
         self.shared.engines[engine].snapshot()
@@ -123,6 +194,7 @@
 
 async fn accept(listener: Async<TcpListener>, shared: Arc<Shared>, executor: &Executor<'static>) {
     while let Ok((stream, _)) = listener.accept().await {
+        shared.connections.fetch_add(1, Ordering::Relaxed);
         executor.spawn(serve(stream, shared.clone())).detach();
     }
 }
@@ -130,11 +202,11 @@
 /// Serves one connection until its peer closes it.
 async fn serve(mut stream: Async<TcpStream>, shared: Arc<Shared>) {
     let _ = stream.get_ref().set_nodelay(true);
-    let Some(counts) = engine_of(&stream).and_then(|engine| shared.engines.get(engine)) else { return };
+    let Some(engine) = engine_of(&stream).filter(|engine| *engine < shared.engines.len()) else { return };
     let (mut bytes, mut chunk) = (Vec::new(), [0; READ_BYTES]);
     loop {
         while let Some(length) = complete_call_length(&bytes) {
-            let answer = answer(&bytes[..length], counts, &shared.reported_load);
+            let Some(answer) = handle_call(engine, &bytes[..length], &shared).await else { return };
             bytes.drain(..length);
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
@@ -147,6 +219,28 @@
     }
 }
 
+/// Carries out one call and returns its answer; `None` if the connection is to be closed without one.
+async fn handle_call(engine: usize, call: &[u8], shared: &Shared) -> Option<String> {
+    let is_query = call.starts_with(b"POST ");
+    if is_query {
+        shared.record_attempt(engine, call);
+    }
+    while shared.mode(engine) == EngineMode::Hangs {
+        Timer::after(HANG_CHECK_INTERVAL).await;
+    }
+    match shared.mode(engine) {
+        EngineMode::Cuts => return None,
+        EngineMode::Garbles => return Some("garbled\r\n\r\n".to_owned()),
+        EngineMode::Fails => return Some(ERROR_RESPONSE.to_owned()),
+        EngineMode::Well | EngineMode::Hangs => {}
+    }
+    let run_time = Duration::from_millis(shared.run_time_ms.load(Ordering::Relaxed));
+    if is_query && run_time > Duration::ZERO {
+        Timer::after(run_time).await;
+    }
+    Some(answer(call, &shared.engines[engine], &shared.reported_load))
+}
+
 /// The engine that a connection is addressed to.
 fn engine_of(stream: &Async<TcpStream>) -> Option<usize> {
     match stream.get_ref().local_addr().ok()? {
@@ -170,7 +264,11 @@
 fn answer(call: &[u8], counts: &Counts, reported_load: &AtomicU32) -> String {
     if call.starts_with(b"POST ") {
         counts.queries.fetch_add(1, Ordering::Relaxed);
-        return ok_response("X-Batches: 1\r\nX-Batch: 0\r\n", ROW);
+        return ok_response(RESULT_FIELDS, ROW);
+    }
+    // After a good end a query has the same answer again.
+    if call.starts_with(b"GET /v2/q/") {
+        return ok_response(RESULT_FIELDS, ROW);
     }
     if !call.starts_with(b"GET /load ") {
         return "HTTP/1.1 204 No Content\r\n\r\n".to_owned();
