--- a/src/logic.rs
+++ b/src/logic.rs
@@ -29,6 +29,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
+use crate::engine_sets::EngineSets;
 use crate::estimates::{Estimates, MEAN_SAMPLES};
 use crate::interface::*;
 use crate::records::{
@@ -72,6 +73,8 @@
 const PROGRESS_VALID_PERIODS: f64 = 1.5;
 /// Period at which expired entries are removed from the records of engines.
 const SWEEP_PERIOD: Span = Span::from_micros(100_000);
+/// Maximum number of records of engines that are gone that one pull removes.
+const MAX_REMOVED_ENGINES: usize = 128;
 
 /// The decisions of one router.
 pub struct Router {
@@ -111,8 +114,8 @@
     engines: BTreeMap<EngineId, Engine>,
     /// When expired entries were last removed from the records of engines.
     swept_at: Moment,
-    /// Whether the record of an engine that is gone may still be kept.
-    any_gone: bool,
+    /// The engines that checks other than the choice of an engine look at.
+    engine_sets: EngineSets,
     /// No engine needs a health check before this time (see `all_healthy`); `None` if unknown.
     healthy_until: Option<Moment>,
     /// Dispatches since the last probe that only requested a load report.
@@ -160,7 +163,7 @@
             keys: BTreeMap::new(),
             engines: BTreeMap::new(),
             swept_at: now,
-            any_gone: false,
+            engine_sets: EngineSets::default(),
             healthy_until: None,
             dispatches_since_probe: 0,
             wake_at: None,
@@ -249,6 +252,9 @@
         }
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.in_flight.remove(&(job, number));
+            if engine.in_flight.is_empty() {
+                self.engine_sets.in_flight.remove(&id);
+            }
             if matches!(outcome, Outcome::Done | Outcome::Error | Outcome::TurnedAway) {
                 engine.last_contact = now;
             }
@@ -314,6 +320,7 @@
             Progress::WaitsForLoad => {
                 dispatch.waited_for_load = true;
                 engine.locked_until.insert(record.group, locked_until);
+                self.engine_sets.expiring.insert(dispatch.engine);
             }
         }
     }
@@ -345,6 +352,7 @@
         engine.probes_to_return = (left > 1).then_some(left - 1);
         if engine.probes_to_return.is_none() {
             engine.cold_since = Some(now);
+            self.engine_sets.set_aside.remove(&id);
             self.engine_notices.push_back(Decision::Back { engine: id });
         }
     }
@@ -354,6 +362,7 @@
     fn set_aside(&mut self, id: EngineId, why: SetAsideReason) {
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.probes_to_return.is_none()) {
             engine.probes_to_return = Some(PROBES_TO_RETURN);
+            self.engine_sets.set_aside.insert(id);
             self.healthy_until = None;
             self.engine_notices.push_back(Decision::SetAside { engine: id, why });
         }
@@ -374,6 +383,8 @@
     ) {
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.peer_suspicions.insert(reservation_type, (suspicion.clamp(0.0, 1.0), now));
+            self.engine_sets.suspected.insert(id);
+            self.engine_sets.expiring.insert(id);
             self.healthy_until = None;
         }
     }
@@ -404,9 +415,10 @@
         let cold_since = start.map(|start| now.saturating_sub(start.age));
         let stamp = start.map(|start| start.stamp);
         let record = Engine { stable_hash, start: stamp, cold_since, last_contact: now, ..Engine::default() };
+        let status_before = self.engines.get(&id).map(|engine| engine.status);
+        self.engine_sets.status_changed(id, status_before, status);
         let engine = self.engines.entry(id).or_insert(record);
         (engine.zone, engine.kind, engine.cell, engine.status) = (zone, kind, cell, status);
-        self.any_gone |= status == EngineStatus::Gone;
         // Any other stamp is another start, even an earlier one: the engine's clock may have stepped back.
         if stamp.is_some() && stamp != engine.start {
             (engine.start, engine.cold_since) = (stamp, engine.cold_since.max(cold_since));
@@ -420,9 +432,9 @@
     pub fn list_complete(&mut self, named: &[EngineId]) {
         self.list_changed();
         let named: BTreeSet<EngineId> = named.iter().copied().collect();
-        for (_, engine) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
+        for (id, engine) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
+            self.engine_sets.status_changed(*id, Some(engine.status), EngineStatus::Gone);
             engine.status = EngineStatus::Gone;
-            self.any_gone = true;
         }
     }
 
@@ -484,9 +496,14 @@
         }
     }
 
-    /// This router's threads in flight that count towards the limit: cold engines have a budget instead.
-    fn threads_in_flight(&self, engines: &[(EngineId, &Engine)], now: Moment) -> f64 {
-        engines.iter().filter(|(_, e)| !self.is_cold(e, now)).map(|(_, e)| e.threads_in_flight()).sum()
+    /// This router's threads in flight at usable engines that count towards the limit: cold engines have a
+    /// budget instead.
+    fn threads_in_flight(&self, usable: &[(EngineId, &Engine)], now: Moment) -> f64 {
+        let all_set_aside = usable.first().is_some_and(|(_, e)| e.probes_to_return.is_some());
+        let is_usable =
+            |e: &Engine| e.status == EngineStatus::Live && (all_set_aside || e.probes_to_return.is_none());
+        let counted = self.engines_in_flight().filter(|(_, e)| is_usable(e) && !self.is_cold(e, now));
+        counted.map(|(_, e)| e.threads_in_flight()).sum()
     }
 
     /// This router's part of the engine pool.
@@ -543,9 +560,7 @@
     fn remove_expired(&mut self, now: Moment) {
         if now.since(self.swept_at) >= SWEEP_PERIOD {
             self.swept_at = now;
-            self.engines
-                .values_mut()
-                .for_each(|engine| engine.remove_expired(now, self.slow_start.window(), self.derived));
+            self.sweep_engines(now);
         }
         if let Some(budget) = &self.retry_limits.retry_budget {
             while self.accepted_at.front().is_some_and(|&at| now.since(at) >= budget.window) {
@@ -559,25 +574,56 @@
             |queue: &KeyQueue| queue.jobs.is_empty() && queue.in_doubt == 0 && now >= queue.paused_until;
         let unused_keys = self.keys.extract_if(.., |_, queue| unused(queue));
         self.unused_indices.extend(unused_keys.map(|(key, _)| Forgotten::Key(key)));
-        if self.any_gone {
-            let idle = |e: &mut Engine| e.in_flight.is_empty() && !e.probe_in_flight;
-            let gone = self.engines.extract_if(.., |_, e| e.status == EngineStatus::Gone && idle(e));
-            self.unused_indices.extend(gone.map(|(id, _)| Forgotten::Engine(id)));
-            self.any_gone = self.engines.values().any(|e| e.status == EngineStatus::Gone);
+        self.remove_gone_engines();
+    }
+
+    /// Removes expired entries from the records of engines.
+    fn sweep_engines(&mut self, now: Moment) {
+        let (window, derived, engines) = (self.slow_start.window(), self.derived, &mut self.engines);
+        self.engine_sets.count_examined(self.engine_sets.expiring.len());
+        self.engine_sets.expiring.retain(|id| {
+            let Some(engine) = engines.get_mut(id) else { return false };
+            engine.remove_expired(now, window, derived);
+            engine.has_expiring_entries()
+        });
+        self.engine_sets
+            .suspected
+            .retain(|id| engines.get(id).is_some_and(|engine| !engine.peer_suspicions.is_empty()));
+    }
+
+    /// Removes the records of engines that are gone and idle.
+    fn remove_gone_engines(&mut self) {
+        let is_idle = |engine: &Engine| engine.in_flight.is_empty() && !engine.probe_in_flight;
+        let gone = self.engine_sets.gone.iter().filter(|id| self.engines.get(id).is_some_and(is_idle));
+        let removed: Vec<EngineId> = gone.take(MAX_REMOVED_ENGINES).copied().collect();
+        for id in removed {
+            if let Some(engine) = self.engines.remove(&id) {
+                self.engine_sets.remove(id, &engine);
+                self.unused_indices.push(Forgotten::Engine(id));
+            }
         }
     }
 
+    /// The engines with dispatches in flight, with their records.
+    fn engines_in_flight(&self) -> impl Iterator<Item = (EngineId, &Engine)> {
+        let records = self.engine_sets.in_flight.iter().filter_map(|id| Some((*id, self.engines.get(id)?)));
+        records.inspect(|_| self.engine_sets.count_examined(1))
+    }
+
+    /// How many records of engines were looked at since the start: a measure of the work that decisions take.
+    pub fn engines_examined(&self) -> u64 {
+        self.engine_sets.examined()
+    }
+
     /// Whether no engine is set aside, suspected, or silent for half of the maximum silence. The time until
     /// which this certainly holds is kept in `healthy_until`: no dispatch sent meanwhile can make its engine
     /// silent before that time.
     fn all_healthy(&mut self, now: Moment) -> bool {
         let healthy = self.healthy_until.is_some_and(|until| now <= until);
-        if healthy
-            || self.engines.values().any(|e| e.probes_to_return.is_some() || !e.peer_suspicions.is_empty())
-        {
+        if healthy || !self.engine_sets.none_in_doubt() {
             return healthy;
         }
-        let first = self.engines.values().filter_map(Engine::silent_since).min().unwrap_or(now);
+        let first = self.engines_in_flight().filter_map(|(_, e)| e.silent_since()).min().unwrap_or(now);
         let until = first + self.derived.max_silence.mul_f64(0.5);
         self.healthy_until = Some(until);
         now <= until
@@ -592,14 +638,17 @@
             return;
         }
         let max_silence = self.derived.max_silence;
-        let live = || self.engines.iter().filter(|(_, e)| e.status == EngineStatus::Live);
-        let silent = live().filter(|(_, e)| e.probes_to_return.is_none() && e.silent(now, max_silence));
-        let silent: Vec<EngineId> = silent.map(|(id, _)| *id).collect();
+        let is_live = |e: &Engine| e.status == EngineStatus::Live;
+        let silent = self
+            .engines_in_flight()
+            .filter(|(_, e)| is_live(e) && e.probes_to_return.is_none() && e.silent(now, max_silence));
+        let silent: Vec<EngineId> = silent.map(|(id, _)| id).collect();
         if silent.is_empty() {
             return;
         }
-        let allowed =
-            (live().count() / 2).saturating_sub(live().filter(|(_, e)| e.probes_to_return.is_some()).count());
+        let set_aside =
+            self.engine_sets.set_aside.iter().filter(|id| self.engines.get(id).is_some_and(is_live));
+        let allowed = (self.engine_sets.live / 2).saturating_sub(set_aside.count());
         for id in silent.into_iter().take(allowed) {
             self.set_aside(id, SetAsideReason::Silent);
         }
@@ -736,6 +785,8 @@
         let in_flight =
             InFlight { at: now, type_id: job.type_id, group: job.group, work: job.work, threads: t.threads };
         engine.in_flight.insert((id, number), in_flight);
+        self.engine_sets.in_flight.insert(to);
+        self.engine_sets.expiring.insert(to);
         let (zone, cell) = (engine.zone, engine.cell);
         let dispatch = Dispatch { engine: to, zone, cell, sent: now, warm, grant, ..Dispatch::default() };
         job.dispatches.push(dispatch);
@@ -804,8 +855,14 @@
         let needs_probe =
             |e: &Engine| e.status != EngineStatus::Gone && (e.probes_to_return.is_some() || suspect(e));
         let healthy = self.healthy_until.is_some_and(|until| now <= until);
-        let first_due = || self.engines.iter().find(|(_, e)| due(e) && needs_probe(e));
-        let mut pick = if healthy { None } else { first_due().map(|(id, _)| *id) };
+        let sets = &self.engine_sets;
+        let first_due = |set: &BTreeSet<EngineId>| {
+            let is_due = |id: &&EngineId| self.engines.get(id).is_some_and(|e| due(e) && needs_probe(e));
+            set.iter().find(is_due).copied()
+        };
+        let any_first_due =
+            || [&sets.set_aside, &sets.suspected, &sets.in_flight].into_iter().filter_map(first_due).min();
+        let mut pick = if healthy { None } else { any_first_due() };
         if pick.is_none()
             && self.monitoring.reports_with_probes_only
             && self.dispatches_since_probe >= DISPATCHES_PER_PROBE
@@ -823,10 +880,7 @@
     /// Requests the next call of `next_decision`. The one timer serves all purposes: its period is short
     /// while there are jobs, and long while only set-aside engines or the engine list have to be checked.
     fn wake(&mut self, now: Moment) -> Option<Decision> {
-        if self.jobs.is_empty()
-            && self.receives_list_changes
-            && self.engines.values().all(|e| e.probes_to_return.is_none())
-        {
+        if self.jobs.is_empty() && self.receives_list_changes && self.engine_sets.set_aside.is_empty() {
             return None;
         }
         let after = if self.jobs.is_empty() {
--- a/src/records.rs
+++ b/src/records.rs
@@ -187,6 +187,14 @@
         self.peer_suspicions.retain(|_, (_, at)| now.since(*at) <= derived.max_silence);
     }
 
+    /// Whether the record holds entries that [`remove_expired`](Self::remove_expired) removes in time.
+    pub(crate) fn has_expiring_entries(&self) -> bool {
+        !self.recent_work.is_empty()
+            || !self.group_sent_at.is_empty()
+            || !self.locked_until.is_empty()
+            || !self.peer_suspicions.is_empty()
+    }
+
     /// Whether the engine has had dispatches in flight and sent nothing for longer than `span`.
     pub(crate) fn silent(&self, now: Moment, span: Span) -> bool {
         self.silent_since().is_some_and(|since| now.since(since) > span)
