--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,6 +22,7 @@
 
 mod placement;
 mod rules;
+mod working_set;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -38,6 +39,8 @@
 use crate::slow_start::SlowStart;
 use crate::time::{Moment, Span};
 
+use self::working_set::WorkingSet;
+
 /// Fraction of the SLA time that a good dispatch may take; the rest is left for waiting in the router.
 const GOOD_SLA_FRACTION: f64 = 0.75;
 /// Number of good answers that compensate for a bad one.
@@ -116,6 +119,8 @@
     swept_at: Moment,
     /// The engines that checks other than the choice of an engine look at.
     engine_sets: EngineSets,
+    /// The engines that are considered for jobs, if the list is long.
+    working_set: WorkingSet,
     /// No engine needs a health check before this time (see `all_healthy`); `None` if unknown.
     healthy_until: Option<Moment>,
     /// Dispatches since the last probe that only requested a load report.
@@ -164,6 +169,7 @@
             engines: BTreeMap::new(),
             swept_at: now,
             engine_sets: EngineSets::default(),
+            working_set: WorkingSet::default(),
             healthy_until: None,
             dispatches_since_probe: 0,
             wake_at: None,
@@ -353,6 +359,7 @@
         if engine.probes_to_return.is_none() {
             engine.cold_since = Some(now);
             self.engine_sets.set_aside.remove(&id);
+            self.working_set.engines_changed();
             self.engine_notices.push_back(Decision::Back { engine: id });
         }
     }
@@ -363,6 +370,7 @@
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.probes_to_return.is_none()) {
             engine.probes_to_return = Some(PROBES_TO_RETURN);
             self.engine_sets.set_aside.insert(id);
+            self.working_set.engines_changed();
             self.healthy_until = None;
             self.engine_notices.push_back(Decision::SetAside { engine: id, why });
         }
@@ -417,6 +425,7 @@
         let record = Engine { stable_hash, start: stamp, cold_since, last_contact: now, ..Engine::default() };
         let status_before = self.engines.get(&id).map(|engine| engine.status);
         self.engine_sets.status_changed(id, status_before, status);
+        self.working_set.engines_changed();
         let engine = self.engines.entry(id).or_insert(record);
         (engine.zone, engine.kind, engine.cell, engine.status) = (zone, kind, cell, status);
         // Any other stamp is another start, even an earlier one: the engine's clock may have stepped back.
@@ -440,6 +449,7 @@
 
     /// A change of the engine list, or the whole list, has arrived.
     pub fn list_changed(&mut self) {
+        self.working_set.engines_changed();
         self.receives_list_changes |= self.list_requested_at.is_some();
     }
 
@@ -460,19 +470,10 @@
         if within { 1.0 } else { self.answer_policy.over_share_factor }
     }
 
-    /// Live engines that are not set aside, or all live engines if every one is set aside.
-    fn usable(&self) -> Vec<(EngineId, &Engine)> {
-        let live =
-            || self.engines.iter().filter(|(_, e)| e.status == EngineStatus::Live).map(|(id, e)| (*id, e));
-        let in_use: Vec<_> = live().filter(|(_, e)| e.probes_to_return.is_none()).collect();
-        if in_use.is_empty() { live().collect() } else { in_use }
-    }
-
     /// The initial value and the minimum of the in-flight limit: this router's part of the usable cores, with
     /// and without an allowance for bursts. Cold engines count at their present capacity.
     fn initial_limit(&self, usable: &[(EngineId, &Engine)], now: Moment) -> (f64, f64) {
-        let cores: f64 = usable.iter().map(|(_, e)| self.effective_cores(e, now)).sum();
-        let cores_share = (cores * self.share()).max(1.0);
+        let cores_share = (self.usable_cores(usable, now) * self.share()).max(1.0);
         (cores_share + BURST_SQRT_FACTOR * cores_share.sqrt(), cores_share)
     }
 
@@ -531,6 +532,7 @@
     pub fn next_decision(&mut self, now: Moment) -> Option<Decision> {
         self.remove_expired(now);
         self.set_aside_silent(now);
+        self.refresh_working_set(now);
         self.request_list(now)
             .or_else(|| self.give_up(now))
             .or_else(|| if self.retry_limits.can_cancel { self.cancel_lost(now) } else { None })
@@ -703,10 +705,12 @@
         let mut engines = self.usable();
         let (in_flight, limit) =
             (self.threads_in_flight(&engines, now), self.limit_factor * self.initial_limit(&engines, now).0);
-        engines.shuffle(&mut Pcg32::seed_from_u64(shuffle_seed));
+        let mut rng = Pcg32::seed_from_u64(shuffle_seed);
         let any_cold = engines.iter().any(|(_, e)| self.is_cold(e, now));
+        engines.extend(self.extra_candidates(waiting.iter().map(|(_, id)| *id), any_cold, &mut rng));
+        engines.shuffle(&mut rng);
         let weighted_work = |e: &Engine| Some((self.other_routers_work(e)?, self.report_weight(e, now)));
-        let reported = self.engines.values().filter_map(weighted_work);
+        let reported = self.report_sources(&engines).into_iter().filter_map(weighted_work);
         let reported = reported
             .fold((0.0, 1e-9), |(sum, weights), (work, weight)| (sum + work * weight, weights + weight));
         // Engines without a recent load report are assumed to have the average work of other routers.
@@ -867,8 +871,8 @@
             && self.monitoring.reports_with_probes_only
             && self.dispatches_since_probe >= DISPATCHES_PER_PROBE
         {
-            let live = self.engines.iter().filter(|(_, e)| e.status == EngineStatus::Live && due(e));
-            let live: Vec<EngineId> = live.map(|(id, _)| *id).collect();
+            let live = self.probe_sources().into_iter().filter(|(_, e)| due(e));
+            let live: Vec<EngineId> = live.map(|(id, _)| id).collect();
             pick = live.get(self.rng.random_range(0..live.len().max(1))).copied();
             self.dispatches_since_probe = 0;
         }
--- /dev/null
+++ b/src/logic/working_set.rs
@@ -0,0 +1,218 @@
+//! The working set: which of very many engines this router considers for its jobs. Below
+//! [`MAX_SCANNED_ENGINES`] listed engines, a job is placed by comparing all of them, as in the underlying
+//! paper (Index/Load). Above it, the cost of a job would grow with the engine list, so each router compares
+//! the engines of a set of bounded size. The set is drawn by rendezvous hashing, so that an engine that
+//! comes or goes changes the sets only by itself, and stays the same otherwise: a router finds its table
+//! groups warm and its connections open. All routers together spread over all engines.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use rand_pcg::Pcg32;
+
+use crate::interface::*;
+use crate::records::Engine;
+use crate::time::{Moment, Span};
+
+use super::Router;
+
+/// Number of listed engines up to which all of them are considered for each job.
+pub(super) const MAX_SCANNED_ENGINES: usize = 128;
+/// Number of engines of the set that are drawn from all zones, and from the router's own.
+const DRAWN_FROM_ALL: usize = MAX_SCANNED_ENGINES / 2;
+const DRAWN_FROM_OWN_ZONE: usize = MAX_SCANNED_ENGINES / 2;
+/// Minimum number of engines of each zone and kind, since some jobs may run nowhere else.
+const MIN_PER_CLASS: usize = 4;
+/// Number of engines of a cell that are considered for a job that may be repeated only there.
+const MAX_OF_CELL: usize = 16;
+/// Number of engines outside the set that are considered while engines of the set are cold: this router has
+/// its turn at a few of all cold engines only.
+const MAX_COLD_EXTRAS: usize = 128;
+/// The set is drawn again at the earliest after this time, although engines were listed, set aside or came
+/// back.
+const MIN_DRAW_INTERVAL: Span = Span::from_micros(100_000);
+/// The set is drawn again at the latest after this time, since the capacity of cold engines grows.
+const MAX_DRAW_INTERVAL: Span = Span::from_micros(1_000_000);
+
+/// The engines of a zone and kind, or of a cell, by the value that was drawn for each.
+type DrawnEngines = Vec<(u32, EngineId)>;
+
+/// The last draw. Engines may have drained or been set aside since; their records tell.
+#[derive(Default)]
+pub(crate) struct WorkingSet {
+    drawn_at: Option<Moment>,
+    /// Whether engines were listed, set aside or came back since the draw.
+    outdated: bool,
+    /// The engines of the set in the order of their indices.
+    members: Vec<EngineId>,
+    /// All other usable engines.
+    others: Vec<EngineId>,
+    /// Engines of each cell, if some jobs may be repeated only within one.
+    by_cell: BTreeMap<CellId, Vec<EngineId>>,
+    /// The cores of all usable engines, at their capacity at the time of the draw.
+    cores: f64,
+}
+
+impl WorkingSet {
+    /// Records that engines were listed, set aside or came back.
+    pub(crate) fn engines_changed(&mut self) {
+        self.outdated = true;
+    }
+
+    fn is_due(&self, now: Moment) -> bool {
+        let interval = if self.outdated { MIN_DRAW_INTERVAL } else { MAX_DRAW_INTERVAL };
+        self.drawn_at.is_none_or(|at| now.since(at) >= interval)
+    }
+}
+
+impl Router {
+    /// Whether the list is too long to compare all engines for each job.
+    pub(super) fn uses_working_set(&self) -> bool {
+        self.engines.len() > MAX_SCANNED_ENGINES
+    }
+
+    /// Draws the working set if it is due. The cost grows with the engine list, the frequency does not.
+    pub(super) fn refresh_working_set(&mut self, now: Moment) {
+        if self.uses_working_set() && self.working_set.is_due(now) {
+            self.working_set = self.draw_working_set(now);
+        }
+    }
+
+    fn draw_working_set(&self, now: Moment) -> WorkingSet {
+        self.engine_sets.count_examined(self.engines.len());
+        let usable = self.all_usable();
+        let has_cells =
+            self.types.iter().any(|t| matches!(t.effect, Effect::Keyed { scope: Scope::Cell, .. }));
+        let mut classes: BTreeMap<(ZoneId, KindId), DrawnEngines> = BTreeMap::new();
+        let mut cells: BTreeMap<CellId, DrawnEngines> = BTreeMap::new();
+        for (id, engine) in &usable {
+            let drawn = (self.draw(engine), *id);
+            classes.entry((engine.zone, engine.kind)).or_default().push(drawn);
+            if has_cells {
+                cells.entry(engine.cell).or_default().push(drawn);
+            }
+        }
+        let own_zone = classes.iter().filter(|((zone, _), _)| *zone == self.fleet.zone);
+        let own_zone_size = own_zone.map(|(_, engines)| engines.len()).sum::<usize>();
+        let quota = |zone: ZoneId, size: usize| {
+            let from_all = (DRAWN_FROM_ALL * size).div_ceil(usable.len());
+            let is_own = zone == self.fleet.zone;
+            let from_own = if is_own { (DRAWN_FROM_OWN_ZONE * size).div_ceil(own_zone_size) } else { 0 };
+            (from_all + from_own).max(MIN_PER_CLASS)
+        };
+        let (mut members, mut others) = (Vec::new(), Vec::new());
+        for ((zone, _), mut engines) in classes {
+            let count = quota(zone, engines.len());
+            let rest = split_lowest(&mut engines, count);
+            members.extend(engines.into_iter().map(|(_, id)| id));
+            others.extend(rest.into_iter().map(|(_, id)| id));
+        }
+        members.sort_unstable();
+        let lowest = |(cell, mut engines): (CellId, DrawnEngines)| {
+            split_lowest(&mut engines, MAX_OF_CELL);
+            (cell, engines.into_iter().map(|(_, id)| id).collect())
+        };
+        WorkingSet {
+            drawn_at: Some(now),
+            outdated: false,
+            members,
+            others,
+            by_cell: cells.into_iter().map(lowest).collect(),
+            cores: usable.iter().map(|(_, engine)| self.effective_cores(engine, now)).sum(),
+        }
+    }
+
+    /// The value that this router draws for an engine; the engines with the lowest values form the set.
+    fn draw(&self, engine: &Engine) -> u32 {
+        Pcg32::new(self.fleet.router_index as u64, engine.stable_hash).random()
+    }
+
+    /// All live engines that are not set aside, or all live engines if every one is set aside.
+    fn all_usable(&self) -> Vec<(EngineId, &Engine)> {
+        let live = || self.engines.iter().filter(|(_, e)| e.status == EngineStatus::Live);
+        let live = || live().map(|(id, e)| (*id, e));
+        let in_use: Vec<_> = live().filter(|(_, e)| e.probes_to_return.is_none()).collect();
+        if in_use.is_empty() { live().collect() } else { in_use }
+    }
+
+    /// The usable engines that are considered for jobs.
+    pub(super) fn usable(&self) -> Vec<(EngineId, &Engine)> {
+        let usable = if self.uses_working_set() {
+            let all_set_aside = self.engine_sets.set_aside.len() >= self.engine_sets.live;
+            let is_usable = |engine: &Engine| {
+                engine.status == EngineStatus::Live && (all_set_aside || engine.probes_to_return.is_none())
+            };
+            self.records(&self.working_set.members).filter(|(_, engine)| is_usable(engine)).collect()
+        } else {
+            self.all_usable()
+        };
+        self.engine_sets.count_examined(usable.len());
+        usable
+    }
+
+    /// The cores of all usable engines. Cold engines count at their present capacity. `considered` are the
+    /// engines that are considered for jobs.
+    pub(super) fn usable_cores(&self, considered: &[(EngineId, &Engine)], now: Moment) -> f64 {
+        if self.uses_working_set() {
+            return self.working_set.cores;
+        }
+        considered.iter().map(|(_, e)| self.effective_cores(e, now)).sum()
+    }
+
+    /// Further engines for the waiting jobs: others than the members of the set while some of these are cold,
+    /// and the engines of the cells to which repeats are bound.
+    pub(super) fn extra_candidates<'a>(
+        &'a self, jobs: impl Iterator<Item = JobId>, any_cold: bool, rng: &mut Pcg32,
+    ) -> Vec<(EngineId, &'a Engine)> {
+        if !self.uses_working_set() {
+            return Vec::new();
+        }
+        let set = &self.working_set;
+        let mut extras: Vec<EngineId> = Vec::new();
+        if any_cold {
+            extras.extend(set.others.sample(rng, MAX_COLD_EXTRAS));
+        }
+        let is_repeat = |job: &&crate::records::Job| !job.dispatches.is_empty();
+        let repeats = jobs.filter_map(|id| self.jobs.get(&id)).filter(is_repeat);
+        let cells = repeats.filter_map(|job| job.may_have_run().next()).map(|dispatch| dispatch.cell);
+        extras.extend(cells.filter_map(|cell| set.by_cell.get(&cell)).flatten());
+        extras.sort_unstable();
+        extras.dedup();
+        extras.retain(|id| set.members.binary_search(id).is_err());
+        self.engine_sets.count_examined(extras.len());
+        self.records(&extras)
+            .filter(|(_, e)| e.status == EngineStatus::Live && e.probes_to_return.is_none())
+            .collect()
+    }
+
+    /// The engines whose load reports are averaged: all, or those that are considered for jobs.
+    pub(super) fn report_sources<'a>(&'a self, considered: &[(EngineId, &'a Engine)]) -> Vec<&'a Engine> {
+        if self.uses_working_set() {
+            return considered.iter().map(|(_, engine)| *engine).collect();
+        }
+        self.engines.values().collect()
+    }
+
+    /// The live engines that may be asked for a load report: all, or the members of the set.
+    pub(super) fn probe_sources(&self) -> Vec<(EngineId, &Engine)> {
+        let is_live = |(_, engine): &(EngineId, &Engine)| engine.status == EngineStatus::Live;
+        if self.uses_working_set() {
+            return self.records(&self.working_set.members).filter(is_live).collect();
+        }
+        self.engines.iter().map(|(id, engine)| (*id, engine)).filter(is_live).collect()
+    }
+
+    fn records<'a>(&'a self, ids: &[EngineId]) -> impl Iterator<Item = (EngineId, &'a Engine)> {
+        ids.iter().filter_map(|id| Some((*id, self.engines.get(id)?)))
+    }
+}
+
+/// Keeps the engines with the lowest values and returns the others.
+fn split_lowest(engines: &mut DrawnEngines, count: usize) -> DrawnEngines {
+    if count >= engines.len() {
+        return Vec::new();
+    }
+    engines.select_nth_unstable(count);
+    engines.split_off(count)
+}
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -1,6 +1,7 @@
 //! Scenario tests of the decision module, one for each condition of a dispatch and each known failure.
 
 mod host;
+mod many_engines;
 
 use host::*;
 use woadhook::*;
--- /dev/null
+++ b/tests/scenarios/many_engines.rs
@@ -0,0 +1,90 @@
+//! Scenarios with more engines than are compared for each job.
+
+use woadhook::*;
+
+use crate::host::*;
+
+/// The largest number of engines that the operators name.
+const MANY: usize = 3_200;
+/// Maximum number of engines' records that the decisions on one job may look at.
+const MAX_EXAMINED_PER_JOB: u64 = 1_500;
+
+fn host_with(engines: usize, change: impl Fn(&mut Start)) -> Host {
+    let mut host = Host::new(change);
+    (2..engines).for_each(|engine| host.list_engine(engine, EngineStatus::Live, None));
+    host
+}
+
+/// Runs jobs one after another; every tenth fails to connect, so that its engine is set aside.
+fn run_jobs(host: &mut Host, count: usize) {
+    for number in 0..count {
+        let job = host.job(LOOKUP, number % 10);
+        host.pull();
+        let outcome = if number % 10 == 0 { Outcome::NotConnected } else { Outcome::Done };
+        host.end(job, 0, outcome, 50);
+        host.now = host.now + ms(5);
+    }
+}
+
+/// Guards against decisions on a job that look at every listed engine.
+#[test]
+fn decisions_on_a_job_look_at_a_bounded_number_of_engines() {
+    let mut host = host_with(MANY, |_| ());
+    host.pull();
+    let (jobs, before) = (400, host.router.engines_examined());
+    run_jobs(&mut host, jobs);
+    // The set is drawn anew for changes, at most ten times a second.
+    let draws = jobs as u64 * 5 / 100 + 1;
+    let examined = host.router.engines_examined() - before - draws * MANY as u64;
+    assert!(examined <= jobs as u64 * MAX_EXAMINED_PER_JOB, "{examined} for {jobs} jobs");
+    assert!(host.sent.len() >= jobs, "{} of {jobs}", host.sent.len());
+}
+
+/// Guards against pulls that look at every engine that is gone until its work there has ended.
+#[test]
+fn engines_that_leave_together_are_removed_in_bounded_steps() {
+    let mut host = host_with(MANY, |_| ());
+    run_jobs(&mut host, 20);
+    let staying: Vec<EngineId> = (0..MANY / 2).map(EngineId).collect();
+    host.router.list_complete(&staying);
+    let before = host.router.engines_examined();
+    host.pull();
+    let engines = host.forgotten.iter().filter(|index| matches!(index, Forgotten::Engine(_))).count();
+    let probed = host.probed.iter().filter(|engine| engine.0 >= MANY / 2).count();
+    assert_eq!(engines + probed, MANY - MANY / 2);
+    let examined = host.router.engines_examined() - before;
+    assert!(examined <= 2 * MANY as u64, "{examined} looked at");
+}
+
+/// Guards against jobs that find no engine because the few that they may run on are not considered.
+#[test]
+fn jobs_bound_to_a_zone_kind_or_cell_find_their_engines_among_thousands() {
+    let keyed = Effect::Keyed { scope: Scope::Cell, window: ms(5_000) };
+    let mut host = host_with(MANY, |start| {
+        start.types[0].zones = Some(vec![ZoneId(1)]);
+        start.types[0].kinds = Some(vec![KindId(1)]);
+        start.types[0].effect = keyed;
+    });
+    for number in 0..40 {
+        let job = host.job(LOOKUP, number);
+        host.pull();
+        host.end(job, 0, Outcome::TimedOut, 50);
+        let engines = host.engines_of(job);
+        assert!(engines.len() == 2 && engines[0] == engines[1], "{engines:?}");
+        assert_eq!(engines[0].0 % 2, 1);
+        host.end(job, 1, Outcome::Done, 50);
+    }
+}
+
+/// Guards against a set that keeps engines that drain or were set aside.
+#[test]
+fn engines_that_drain_get_nothing_more_although_the_set_was_drawn_before() {
+    let mut host = host_with(MANY, |_| ());
+    run_jobs(&mut host, 5);
+    (0..MANY - 1).for_each(|engine| host.list_engine(engine, EngineStatus::Draining, None));
+    let before = host.sent.len();
+    let job = host.job(LOOKUP, 1);
+    host.advance(200);
+    assert_eq!(host.sent[before..].iter().map(|sent| sent.1).collect::<Vec<_>>(), [EngineId(MANY - 1)]);
+    assert_eq!(host.engines_of(job), [EngineId(MANY - 1)]);
+}
