--- a/crates/flow-control/src/engine_rates.rs
+++ b/crates/flow-control/src/engine_rates.rs
@@ -22,6 +22,9 @@
     samples: f64,
 }
 
+/// The median is found again after one transfer for each this many engines, so that a transfer costs the same
+/// however many engines there are.
+const ENGINES_PER_TRANSFER: usize = 64;
 /// Number of results over which the moving mean of the result size is taken.
 const RESULT_SIZE_WINDOW: f64 = 32.0;
 
@@ -32,6 +35,8 @@
     mean_result_bytes: f64,
     /// Seconds per byte of the median engine; `None` until at least two engines have enough transfers.
     median: Option<f64>,
+    /// Number of transfers since the median was found.
+    transfers_since_median: usize,
     engines: BTreeMap<usize, TransferMeans>,
 }
 
@@ -53,7 +58,11 @@
         means.samples = (means.samples + 1.0).min(MAX_SAMPLES);
         means.seconds_per_byte += (seconds_per_byte - means.seconds_per_byte) / means.samples;
         means.first_byte_seconds += (time_to_first_byte.secs() - means.first_byte_seconds) / means.samples;
-        self.median = self.find_median();
+        self.transfers_since_median += 1;
+        if self.transfers_since_median > self.engines.len() / ENGINES_PER_TRANSFER {
+            self.transfers_since_median = 0;
+            self.median = self.find_median();
+        }
     }
 
     /// Records the size of a complete result.
@@ -62,7 +71,8 @@
     }
 
     pub fn remove(&mut self, engine: usize) {
-        if self.engines.remove(&engine).is_some() {
+        let was_known = self.engines.remove(&engine).is_some();
+        if was_known && self.engines.len() < ENGINES_PER_TRANSFER {
             self.median = self.find_median();
         }
     }
