--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -3,7 +3,7 @@
 //! decisions until there is none left.
 
 use std::cell::Cell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
@@ -96,7 +96,7 @@
     /// Sender for actors that report to the module.
     events: Sender<Event>,
     /// The jobs that await an answer, by connection and request number; removed when answered.
-    jobs_by_request: HashMap<(u64, u32), JobId>,
+    jobs_by_request: BTreeMap<(u64, u32), JobId>,
     /// A job is removed when the module returns `Decision::Forget` for it.
     jobs: HashMap<JobId, OpenJob>,
     /// An engine is removed when the module returns `Decision::Forget` for it.
@@ -141,7 +141,7 @@
             seed,
             context,
             events,
-            jobs_by_request: HashMap::new(),
+            jobs_by_request: BTreeMap::new(),
             jobs: HashMap::new(),
             engines: HashMap::new(),
             keys_in_flight: HashMap::new(),
@@ -236,8 +236,8 @@
                 }
             }
             Event::ClientGone { client } => {
-                let of_client = |open: &&JobId| self.jobs[*open].client == client;
-                for job in self.jobs.keys().filter(of_client).copied().collect::<Vec<_>>() {
+                let of_client = self.jobs_by_request.range((client, 0)..=(client, u32::MAX));
+                for job in of_client.map(|(_, job)| *job).collect::<Vec<_>>() {
                     self.withdraw(job);
                 }
             }
