--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -26,6 +26,7 @@
     Answer, Dispatch, Event, GossipEvent, GossipHandle, MALFORMED, Responder, Statement, parse_measurement,
 };
 use crate::guards::{EarlierDispatches, Refusal, Step};
+use crate::list_update::ListUpdate;
 use crate::starts::{EventTime, StartTime};
 use crate::unsettled_keys::UnsettledKeys;
 
@@ -106,6 +107,8 @@
     /// Keys with queries that may still run after their dispatches ended, and dispatches that were in flight
     /// when the module restarted.
     unsettled: UnsettledKeys,
+    /// The engine list that is being applied.
+    list_update: Option<ListUpdate<ListLine>>,
     /// Whether the complete engine list has been received once.
     list_received: bool,
     /// Counter that numbers the engine handles.
@@ -146,6 +149,7 @@
             engines: HashMap::new(),
             keys_in_flight: HashMap::new(),
             unsettled: UnsettledKeys::default(),
+            list_update: None,
             list_received: false,
             serial: 0,
             wake_at: None,
@@ -192,11 +196,14 @@
         for event in events {
             self.handle_event(now, event);
         }
+        self.continue_list_update(now);
         if self.wake_at.is_some_and(|wake_at| wake_at <= now) {
             self.wake_at = None;
         }
         for _ in 0..MAX_DECISIONS_PER_TURN {
-            let Some(decision) = self.instance.router.next_decision(now) else { return false };
+            let Some(decision) = self.instance.router.next_decision(now) else {
+                return self.list_update.is_some();
+            };
             self.execute(now, decision);
         }
         true
@@ -308,8 +315,10 @@
                 self.handle_peer_report(now, &engine, reservation_type.as_deref(), suspicion)
             }
             Event::ListReceived { list, event_time, skip_malformed, result } => {
-                let _ = result.try_send(self.apply_list(now, &list, event_time, skip_malformed));
-                self.send_list_to_gossip();
+                while self.list_update.is_some() {
+                    self.continue_list_update(now);
+                }
+                self.list_update = ListUpdate::begin(list, event_time, skip_malformed, result);
             }
             Event::Stopping { last_answer_due } => {
                 self.last_answer_due = Some(last_answer_due);
@@ -447,33 +456,40 @@
         });
     }
 
-    /// Applies all lines of the list, or none if one of them is malformed; with `skip_malformed`, applies the
-    /// well-formed ones. Discovery calls the engines `members`.
-    fn apply_list(
-        &mut self, now: Moment, list: &Value, event_time: EventTime, skip_malformed: bool,
-    ) -> Result<()> {
-        let lines = array(list, "members")?.iter().map(|member| self.parse_line(member));
-        let warn_skipped = |error: &String| log::warn!("skipping a line of the engine list: {error}");
-        let usable = |line: &Result<_>| {
-            !skip_malformed || line.as_ref().inspect_err(|error| warn_skipped(error)).is_ok()
-        };
-        let lines = lines.filter(usable).collect::<Result<Vec<_>>>()?;
-        let mut named = Vec::with_capacity(lines.len());
-        for (name, line) in lines {
+    /// Parses or applies some lines of the list that is being applied, if there is one. Applies all lines of
+    /// the list, or none if one of them is malformed; if these are to be skipped, applies the well-formed
+    /// ones. Discovery calls the engines `members`.
+    fn continue_list_update(&mut self, now: Moment) {
+        let Some(mut update) = self.list_update.take() else { return };
+        if let Err(error) = update.parse_step(|member| self.parse_line(member)) {
+            return update.finish(Err(error));
+        }
+        for (name, line) in update.next_lines() {
             let engine = EngineId(self.instance.engines.intern(&name));
-            self.apply_line(now, engine, line, event_time);
-            named.push(engine);
+            self.apply_line(now, engine, line, update.event_time);
+            update.named.insert(engine);
         }
-        if flag(list, "complete") {
+        if update.is_applied() {
+            self.finish_list_update(update);
+        } else {
+            self.list_update = Some(update);
+        }
+    }
+
+    fn finish_list_update(&mut self, update: ListUpdate<ListLine>) {
+        if update.is_complete {
             self.list_received = true;
+            let named: Vec<EngineId> = update.named.iter().copied().collect();
             self.instance.router.list_complete(&named);
-            for (_, known) in self.engines.iter_mut().filter(|(engine, _)| !named.contains(engine)) {
+            for (_, known) in self.engines.iter_mut().filter(|(engine, _)| !update.named.contains(engine)) {
                 known.update(ListLine { status: EngineStatus::Gone, ..known.line }, known.latest_start);
             }
         } else {
             self.instance.router.list_changed();
         }
-        Ok(())
+        log::debug!(event = "list_applied", lines = update.named.len(), complete = update.is_complete, engines = self.engines.len(); "engine list applied");
+        self.send_list_to_gossip();
+        update.finish(Ok(()));
     }
 
     fn parse_line(&self, member: &Value) -> Result<(String, ListLine)> {
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -199,10 +199,9 @@
     async fn handle_answer(&mut self, bulletin: Value, connection: Option<Connection>) -> Result<()> {
         let skip_malformed = self.unreadable_answers >= MAX_READ_FAILURES;
         let forwarded = if self.last == 0 {
-            forward_first(&bulletin, &mut self.last, skip_malformed, &self.events).await
+            forward_first(bulletin, &mut self.last, skip_malformed, &self.events).await
         } else {
-            forward(&bulletin, EventTime::SinceLastContact, &mut self.last, skip_malformed, &self.events)
-                .await
+            forward(bulletin, EventTime::SinceLastContact, &mut self.last, skip_malformed, &self.events).await
         };
         if forwarded.is_ok() {
             self.unreadable_answers = 0;
@@ -220,7 +219,7 @@
         self.calls.moved();
         self.retry_at = None;
         if known_events.is_object() {
-            forward(&known_events, EventTime::SinceLastContact, &mut self.last, false, &self.events).await
+            forward(known_events, EventTime::SinceLastContact, &mut self.last, false, &self.events).await
         } else {
             Ok(())
         }
@@ -289,35 +288,37 @@
 }
 
 /// Forwards the events in the configuration at the start, if there are any.
-pub async fn forward_known_events(known: &Value, last: &mut u64, events: &Sender<Event>) -> Result<()> {
+pub async fn forward_known_events(known: Value, last: &mut u64, events: &Sender<Event>) -> Result<()> {
     if known.is_object() { forward_first(known, last, false, events).await } else { Ok(()) }
 }
 
 /// Forwards the first events that this router receives, which may have happened at any time before.
 async fn forward_first(
-    bulletin: &Value, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
+    bulletin: Value, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
 ) -> Result<()> {
-    let event_time = EventTime::before_first_contact(array(bulletin, "items")?);
+    let event_time = EventTime::before_first_contact(array(&bulletin, "items")?);
     forward(bulletin, event_time, last, skip_malformed, events).await
 }
 
 /// Forwards the events after `last`; with `skip_malformed`, only those lines that can be read. After a gap,
 /// only a complete list is accepted.
 async fn forward(
-    bulletin: &Value, event_time: EventTime, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
+    mut bulletin: Value, event_time: EventTime, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
 ) -> Result<()> {
-    for item in array(bulletin, "items")? {
-        let number = integer(item, "no")?;
+    array(&bulletin, "items")?;
+    let Value::Array(items) = bulletin["items"].take() else { return Ok(()) };
+    for mut item in items {
+        let number = integer(&item, "no")?;
         if number <= *last {
             continue;
         }
-        if let Some(roster) = item.get("roster") {
-            if number != *last + 1 && !flag(roster, "complete") {
+        if let Some(roster) = item.get_mut("roster").map(Value::take) {
+            if number != *last + 1 && !flag(&roster, "complete") {
                 return Err(format!("event {} is missing", *last + 1));
             }
             let (read, answer) = async_channel::bounded(1);
             let _ = events
-                .send(Event::ListReceived { list: roster.clone(), event_time, skip_malformed, result: read })
+                .send(Event::ListReceived { list: roster, event_time, skip_malformed, result: read })
                 .await;
             answer.recv().await.map_err(|_| "the dispatcher has ended".to_owned())??;
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -30,6 +30,7 @@
 mod http;
 mod interrupted_calls;
 pub mod keyfiles;
+mod list_update;
 pub mod log_queue;
 pub mod memory;
 mod pool;
@@ -145,7 +146,7 @@
     tasks.spawn(dispatcher.run(urgent_events, mailbox));
     let mut last_event = 0;
     // The router starts even if the list can't be read, as discovery sends it again.
-    if let Err(error) = poll::forward_known_events(&config.known_events, &mut last_event, &urgent).await {
+    if let Err(error) = poll::forward_known_events(config.known_events, &mut last_event, &urgent).await {
         log::warn!("known: {error}");
     }
     let (moves, received_moves) = async_channel::bounded(1);
--- /dev/null
+++ b/crates/router/src/list_update.rs
@@ -0,0 +1,85 @@
+//! An engine list that is being applied in steps. A list may name thousands of engines; between two steps the
+//! thread handles deadlines, withdrawals and closed connections.
+
+use std::collections::HashSet;
+use std::vec;
+
+use async_channel::Sender;
+use serde_json::Value;
+use woadhook::EngineId;
+use woadhook_host::fields::{Result, array, flag};
+
+use crate::starts::EventTime;
+
+/// Maximum number of lines that are parsed or applied in one step.
+pub const MAX_LINES_PER_STEP: usize = 128;
+
+/// A list whose lines are parsed first, all of them, and then applied: either all lines take effect or none.
+pub struct ListUpdate<L> {
+    unparsed: vec::IntoIter<Value>,
+    parsed: Vec<(String, L)>,
+    unapplied: vec::IntoIter<(String, L)>,
+    pub event_time: EventTime,
+    skip_malformed: bool,
+    /// Whether the list names every engine that is not gone.
+    pub is_complete: bool,
+    /// The engines of the lines applied so far.
+    pub named: HashSet<EngineId>,
+    result: Sender<Result<()>>,
+}
+
+impl<L> ListUpdate<L> {
+    /// Begins to apply a list in discovery's format. An error goes to `result` at once.
+    pub fn begin(
+        mut list: Value, event_time: EventTime, skip_malformed: bool, result: Sender<Result<()>>,
+    ) -> Option<Self> {
+        if let Err(error) = array(&list, "members") {
+            let _ = result.try_send(Err(error));
+            return None;
+        }
+        let is_complete = flag(&list, "complete");
+        let Value::Array(members) = list["members"].take() else { return None };
+        Some(Self {
+            parsed: Vec::with_capacity(members.len()),
+            unparsed: members.into_iter(),
+            unapplied: Vec::new().into_iter(),
+            event_time,
+            skip_malformed,
+            is_complete,
+            named: HashSet::new(),
+            result,
+        })
+    }
+
+    /// Parses the next lines, if any are left. An error is final unless malformed lines are skipped.
+    pub fn parse_step(&mut self, parse: impl Fn(&Value) -> Result<(String, L)>) -> Result<()> {
+        for member in self.unparsed.by_ref().take(MAX_LINES_PER_STEP) {
+            match parse(&member) {
+                Ok(line) => self.parsed.push(line),
+                Err(error) if self.skip_malformed => {
+                    log::warn!("skipping a line of the engine list: {error}");
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        if self.unparsed.len() == 0 && !self.parsed.is_empty() {
+            self.unapplied = std::mem::take(&mut self.parsed).into_iter();
+        }
+        Ok(())
+    }
+
+    /// Takes the next lines to apply; none before all lines are parsed.
+    pub fn next_lines(&mut self) -> Vec<(String, L)> {
+        self.unapplied.by_ref().take(MAX_LINES_PER_STEP).collect()
+    }
+
+    /// Whether all lines were applied.
+    pub fn is_applied(&self) -> bool {
+        self.unparsed.len() == 0 && self.parsed.is_empty() && self.unapplied.len() == 0
+    }
+
+    /// Reports the outcome to whoever sent the list.
+    pub fn finish(self, outcome: Result<()>) {
+        let _ = self.result.try_send(outcome);
+    }
+}
