--- a/crates/router/src/arrivals.rs
+++ b/crates/router/src/arrivals.rs
@@ -16,6 +16,10 @@
 
 /// Interval of the ticks, at which the event loop records that it runs and polls its sockets.
 const TICK_INTERVAL: Span = Span::from_micros(25_000);
+/// An answer passes through this many rounds of the event loop: the decision and the write.
+const ROUNDS_PER_ANSWER: f64 = 2.0;
+/// An event loop that is late by less than this counts as in time.
+const MIN_LATENESS: Span = Span::from_micros(50_000);
 /// If the lower bound for the arrival of bytes is at most this long before they were read, they count as
 /// having arrived when they were read.
 const ARRIVAL_TOLERANCE: Span = Span::from_micros(100_000);
@@ -67,6 +71,17 @@
         stalled
     }
 
+    /// Returns how long an answer takes from its decision to its write because the event loop is busy or
+    /// starved: zero while the loop is in time. The median of the last gaps counts, so that a single stall
+    /// that is over is not taken for lateness.
+    pub fn response_delay(&self, now: Moment) -> Span {
+        let [first, second, third] = self.0.last_three.each_ref().map(Cell::get);
+        let mut gaps = [second.since(first), third.since(second), now.since(third)];
+        gaps.sort_unstable();
+        let lateness = gaps[1].saturating_sub(TICK_INTERVAL);
+        if lateness < MIN_LATENESS { Span::ZERO } else { lateness.mul_f64(ROUNDS_PER_ANSWER) }
+    }
+
     /// Returns the first of the last three ticks. Bytes that a waiting reader reads now arrived after it.
     fn oldest_tick(&self) -> Moment {
         self.0.last_three[0].get()
--- a/crates/router/src/backends/sql/engine.rs
+++ b/crates/router/src/backends/sql/engine.rs
@@ -8,6 +8,7 @@
 use woadhook::{Moment, Span};
 use woadhook_flow_control::min_rate::MinRate;
 
+use crate::arrivals::LoopTicks;
 use crate::clock::Clock;
 use crate::exchange::Event;
 use crate::faults::CallError;
@@ -41,6 +42,7 @@
     pub urgent: Sender<Event>,
     pub guards: Guards,
     pub freshness: ListFreshness,
+    pub loop_ticks: LoopTicks,
 }
 
 /// What the queries at one engine share.
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -36,6 +36,8 @@
 /// before other tasks run, so that messages from clients and discovery are read soon.
 const MAX_EVENTS_PER_TURN: usize = 512;
 const MAX_DECISIONS_PER_TURN: usize = 32;
+/// While the router is late, this is logged at most once per this interval.
+const LATENESS_LOG_INTERVAL: Span = Span::from_micros(1_000_000);
 /// Capacity of a query's queue of changed priorities that have not been sent to its engine yet.
 const PRIORITY_QUEUE_CAPACITY: usize = 4;
 
@@ -111,6 +113,8 @@
     list_update: Option<ListUpdate<ListLine>>,
     /// Whether the complete engine list has been received once.
     list_received: bool,
+    /// When it was last logged that the router is late.
+    lateness_logged_at: Option<Moment>,
     /// Counter that numbers the engine handles.
     serial: u64,
     wake_at: Option<Moment>,
@@ -151,6 +155,7 @@
             unsettled: UnsettledKeys::default(),
             list_update: None,
             list_received: false,
+            lateness_logged_at: None,
             serial: 0,
             wake_at: None,
             last_answer_due: None,
@@ -193,6 +198,7 @@
     /// Returns whether there may be more decisions.
     fn run_turn(&mut self, events: impl Iterator<Item = Event>) -> bool {
         let now = self.clock.now();
+        self.measure_response_delay(now);
         for event in events {
             self.handle_event(now, event);
         }
@@ -209,6 +215,18 @@
         true
     }
 
+    /// Passes to the module how late this thread is, and logs it.
+    fn measure_response_delay(&mut self, now: Moment) {
+        let delay = self.context.loop_ticks.response_delay(now);
+        self.instance.router.response_delay_measured(delay);
+        let is_due = self.lateness_logged_at.is_none_or(|at| now.since(at) >= LATENESS_LOG_INTERVAL);
+        if delay > Span::ZERO && is_due {
+            self.lateness_logged_at = Some(now);
+            let (jobs, engines) = (self.jobs.len(), self.engines.len());
+            log::info!(event = "router_late", delay_us = delay.micros(), jobs, engines, engines_examined = self.instance.router.engines_examined(); "answers take {} us from their decision", delay.micros());
+        }
+    }
+
     fn handle_event(&mut self, now: Moment, event: Event) {
         match event {
             Event::JobArrived {
@@ -551,6 +569,7 @@
                 }
             }
             Decision::Throttle { job, come_back, why } => {
+                self.context.guards.record_give_up(why);
                 log::debug!(event = "job_throttled", job = self.instance.jobs.name(job.0), why:? = why; "job throttled: {why:?}");
                 let answer = match self.check_rejection(job) {
                     Ok(()) => Answer::Overloaded(come_back),
@@ -567,6 +586,7 @@
                 self.answer(job, answer);
             }
             Decision::CancelForGood { job, why } => {
+                self.context.guards.record_give_up(why);
                 log::debug!(event = "job_cancelled", job = self.instance.jobs.name(job.0), why:? = why; "job cancelled for good: {why:?}");
                 self.answer(job, Answer::Failed("Internal"));
             }
--- a/crates/router/src/guards.rs
+++ b/crates/router/src/guards.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use woadhook::Moment;
+use woadhook::{GiveUpReason, Moment};
 
 use crate::log_queue::dropped_lines;
 
@@ -124,6 +124,8 @@
 #[derive(Default)]
 struct Counts {
     refused: RefCell<BTreeMap<(Step, Refusal), u64>>,
+    /// Jobs that got no result, by the reason for giving them up.
+    given_up: RefCell<BTreeMap<GiveUpReason, u64>>,
     violations: Cell<u64>,
 }
 
@@ -134,6 +136,11 @@
         log::debug!(event = "step_refused", step:? = step, why:? = why, job = request; "{step:?} refused: {why:?}");
     }
 
+    /// Records that a job was given up.
+    pub fn record_give_up(&self, why: GiveUpReason) {
+        *self.0.given_up.borrow_mut().entry(why).or_default() += 1;
+    }
+
     /// Records a step that was taken, or was about to be, in spite of its guard.
     pub fn record_violation(&self, step: Step, why: Refusal, request: &str) {
         self.0.violations.set(self.0.violations.get() + 1);
@@ -146,7 +153,9 @@
         let lines: Vec<String> =
             refused.iter().map(|((step, why), count)| format!("{step:?}/{why:?}={count}")).collect();
         let (refused, violations) = (lines.join(" "), self.0.violations.get());
-        let log_lines_dropped = dropped_lines();
-        log::info!(event = "counters", violations, refused = refused.as_str(), log_lines_dropped; "violations {violations}, refused: {refused}, log lines dropped {log_lines_dropped}");
+        let given_up = self.0.given_up.borrow();
+        let reasons: Vec<String> = given_up.iter().map(|(why, count)| format!("{why:?}={count}")).collect();
+        let (given_up, log_lines_dropped) = (reasons.join(" "), dropped_lines());
+        log::info!(event = "counters", violations, refused = refused.as_str(), given_up = given_up.as_str(), log_lines_dropped; "violations {violations}, refused: {refused}, given up: {given_up}, log lines dropped {log_lines_dropped}");
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -130,6 +130,7 @@
         urgent: urgent.clone(),
         guards: guards.clone(),
         freshness: freshness.clone(),
+        loop_ticks: loop_ticks.clone(),
     });
     let gossip_handle = gossip_setup
         .map(|gossip_setup| gossip::start(gossip_setup, clock, config.seed, tasks, events.clone()))
--- a/crates/standins/examples/many_engines.rs
+++ b/crates/standins/examples/many_engines.rs
@@ -33,6 +33,9 @@
     /// Seed of the requests
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Prints the router's log
+    #[arg(long)]
+    log: bool,
     /// The built program
     #[arg(long, default_value = "target/release/woadhook")]
     program: PathBuf,
@@ -72,5 +75,8 @@
             report.engine_connections,
             report.cpu.as_secs_f64() * 1e6 / report.requests as f64
         );
+        if arguments.log {
+            println!("{}", report.log);
+        }
     }
 }
--- a/crates/standins/src/many_engines.rs
+++ b/crates/standins/src/many_engines.rs
@@ -55,6 +55,8 @@
     pub engine_connections: u64,
     /// The router's processor time.
     pub cpu: Duration,
+    /// The router's log.
+    pub log: String,
 }
 
 impl Scenario<'_> {
@@ -82,14 +84,20 @@
         let records = callers.finish();
         drop(limit);
         let cpu = cpu_time(id) - cpu_before;
+        let log = router.log_text();
         drop(router);
         let _ = fs::remove_dir_all(folder);
-        Report::new(&records, &engines.attempts(), engines.connections(), cpu)
+        Report {
+            engine_connections: engines.connections(),
+            cpu,
+            log,
+            ..Report::new(&records, &engines.attempts())
+        }
     }
 }
 
 impl Report {
-    fn new(records: &RequestRecords, attempts: &[Attempt], engine_connections: u64, cpu: Duration) -> Self {
+    fn new(records: &RequestRecords, attempts: &[Attempt]) -> Self {
         let count = |kind| {
             let is_kind =
                 |record: &&RequestRecord| record.answers.first().is_some_and(|(_, own)| *own == kind);
@@ -111,8 +119,9 @@
             late: lateness.iter().filter(|late| **late > LOST_AFTER).count(),
             worst_lateness: lateness.into_iter().max().unwrap_or_default(),
             attempts_after_withdrawal: attempts.iter().filter(is_after_withdrawal).count(),
-            engine_connections,
-            cpu,
+            engine_connections: 0,
+            cpu: Duration::ZERO,
+            log: String::new(),
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -201,7 +201,7 @@
 }
 
 /// Why the module gives up a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum GiveUpReason {
     /// The time that its client allows has passed.
     TimeOver,
@@ -213,6 +213,8 @@
     TooLateToEarn,
     /// An answer would come after the time that its client allows.
     NoTimeLeft,
+    /// The router itself is so late that a later answer would not reach the client in time.
+    RouterLate,
 }
 
 /// Why an engine was set aside.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -125,6 +125,8 @@
     healthy_until: Option<Moment>,
     /// Dispatches since the last probe that only requested a load report.
     dispatches_since_probe: u32,
+    /// How long an answer takes from its decision to its write.
+    response_delay: Span,
     /// When the wake-up that was last requested by `Decision::Wake` is due.
     wake_at: Option<Moment>,
     /// Indices whose records were removed and for which `Decision::Forget` has yet to be returned, unless
@@ -172,6 +174,7 @@
             working_set: WorkingSet::default(),
             healthy_until: None,
             dispatches_since_probe: 0,
+            response_delay: Span::ZERO,
             wake_at: None,
             unused_indices: Vec::new(),
             engine_notices: VecDeque::new(),
@@ -223,6 +226,12 @@
         self.remove_if_finished(job);
     }
 
+    /// Records how long an answer takes now from its decision to its write, because the host is busy; zero if
+    /// it is in time.
+    pub fn response_delay_measured(&mut self, delay: Span) {
+        self.response_delay = delay;
+    }
+
     /// The host stops at `by`: no job gets more time than that.
     pub fn stop_by(&mut self, by: Moment) {
         self.jobs.values_mut().for_each(|job| job.deadline = job.deadline.min(by));
--- a/src/logic/rules.rs
+++ b/src/logic/rules.rs
@@ -18,6 +18,12 @@
         if now >= job.deadline {
             return Some(GiveUpReason::TimeOver);
         }
+        // Threat: this router has too little processor time, and an answer that is decided at the deadline
+        // is written long after it. The defence costs the results that would have come in the meantime.
+        let answered = now + self.response_delay;
+        if answered >= job.deadline {
+            return Some(GiveUpReason::RouterLate);
+        }
         if job.dispatches_in_flight() > 0 {
             return None;
         }
@@ -31,7 +37,10 @@
         if now + run_time(t, job.work) > job.sla_due && t.late_value_share < MIN_LATE_VALUE_SHARE {
             return Some(GiveUpReason::TooLateToEarn);
         }
-        (now + self.expected_run(job) > job.deadline).then_some(GiveUpReason::NoTimeLeft)
+        if now + self.expected_run(job) > job.deadline {
+            return Some(GiveUpReason::NoTimeLeft);
+        }
+        (answered + self.expected_run(job) > job.deadline).then_some(GiveUpReason::RouterLate)
     }
 
     /// Whether the client may send the job again, so that the job may be throttled: no effect may occur
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -1098,3 +1098,20 @@
     assert!(!first.5.is_empty() && !first.4.is_empty(), "the run has probes and cancelled dispatches");
     assert_eq!(first, second);
 }
+
+/// Guards against a router without processor time that decides on an answer in time and writes it too late.
+#[test]
+fn a_late_router_gives_up_a_job_while_the_answer_can_still_reach_its_client() {
+    for (delay, answered_after) in [(0, 20_000), (1_500, 18_500)] {
+        let mut host = Host::new(|start| start.types[0].late_value_share = 1.0);
+        host.list_engine(0, EngineStatus::Draining, None);
+        host.list_engine(1, EngineStatus::Draining, None);
+        host.router.response_delay_measured(ms(delay));
+        let (job, arrived) = (host.job(LOOKUP, 1), host.now);
+        while host.throttled.is_empty() && host.now.since(arrived) < ms(30_000) {
+            host.advance(20);
+        }
+        assert_eq!(host.throttled, [job]);
+        assert!(host.now.since(arrived) <= ms(answered_after), "{:?}", host.now.since(arrived));
+    }
+}
