--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -35,7 +35,9 @@
 /// Maximum number of events that are handled before decisions are pulled, and of decisions that are pulled
 /// before other tasks run, so that messages from clients and discovery are read soon.
 const MAX_EVENTS_PER_TURN: usize = 512;
-const MAX_DECISIONS_PER_TURN: usize = 32;
+const MAX_DECISIONS_PER_TURN: usize = 512;
+/// Maximum number of those decisions that start work at engines, each of which costs much more than an answer.
+const MAX_ENGINE_CALLS_PER_TURN: usize = 32;
 /// While the router is late, this is logged at most once per this interval.
 const LATENESS_LOG_INTERVAL: Span = Span::from_micros(1_000_000);
 /// Capacity of a query's queue of changed priorities that have not been sent to its engine yet.
@@ -206,11 +208,17 @@
         if self.wake_at.is_some_and(|wake_at| wake_at <= now) {
             self.wake_at = None;
         }
+        let mut engine_calls = 0;
         for _ in 0..MAX_DECISIONS_PER_TURN {
             let Some(decision) = self.instance.router.next_decision(now) else {
                 return self.list_update.is_some();
             };
+            let calls_engine = matches!(decision, Decision::Dispatch { .. } | Decision::Probe { .. });
             self.execute(now, decision);
+            engine_calls += usize::from(calls_engine);
+            if engine_calls == MAX_ENGINE_CALLS_PER_TURN {
+                return true;
+            }
         }
         true
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -127,6 +127,8 @@
     dispatches_since_probe: u32,
     /// How long an answer takes from its decision to its write.
     response_delay: Span,
+    /// When no job had to be given up, cancelled or dispatched; `None` once anything changed since.
+    jobs_settled_at: Option<Moment>,
     /// When the wake-up that was last requested by `Decision::Wake` is due.
     wake_at: Option<Moment>,
     /// Indices whose records were removed and for which `Decision::Forget` has yet to be returned, unless
@@ -175,6 +177,7 @@
             healthy_until: None,
             dispatches_since_probe: 0,
             response_delay: Span::ZERO,
+            jobs_settled_at: None,
             wake_at: None,
             unused_indices: Vec::new(),
             engine_notices: VecDeque::new(),
@@ -187,6 +190,7 @@
         &mut self, now: Moment, job: JobId, type_id: TypeId, tenant: Option<TenantId>, group: GroupId,
         key: Option<KeyId>, estimate: Option<Span>, memory: f64, expires: Span,
     ) {
+        self.jobs_settled_at = None;
         let value_factor = self.tenant_value_factor(tenant, now);
         let t = &self.types[type_id.0];
         let learned = (self.estimates.work[type_id.0].value, self.estimates.work_bias[type_id.0].value);
@@ -220,6 +224,7 @@
 
     /// The client has left, or the job has ended in another way; it gets no further dispatch or answer.
     pub fn job_closed(&mut self, job: JobId) {
+        self.jobs_settled_at = None;
         if let Some(record) = self.jobs.get_mut(&job) {
             record.closed = true;
         }
@@ -229,11 +234,15 @@
     /// Records how long an answer takes now from its decision to its write, because the host is busy; zero if
     /// it is in time.
     pub fn response_delay_measured(&mut self, delay: Span) {
+        if delay != self.response_delay {
+            self.jobs_settled_at = None;
+        }
         self.response_delay = delay;
     }
 
     /// The host stops at `by`: no job gets more time than that.
     pub fn stop_by(&mut self, by: Moment) {
+        self.jobs_settled_at = None;
         self.jobs.values_mut().for_each(|job| job.deadline = job.deadline.min(by));
     }
 
@@ -243,6 +252,7 @@
         &mut self, now: Moment, job: JobId, number: usize, outcome: Outcome, took: Span,
         true_cost: Option<(Span, f64)>, closes_job: bool,
     ) {
+        self.jobs_settled_at = None;
         let Some(record) = self.jobs.get_mut(&job) else { return };
         let Some(dispatch) = record.dispatches.get_mut(number) else { return };
         dispatch.outcome = Some(outcome);
@@ -294,6 +304,7 @@
     /// query. No job of the key is dispatched for the first time until `key_settled` is called for that
     /// dispatch.
     pub fn key_in_doubt(&mut self, key: KeyId) {
+        self.jobs_settled_at = None;
         self.keys.entry(key).or_default().in_doubt += 1;
     }
 
@@ -301,6 +312,7 @@
     /// hangs keeps its job for as long as it hangs, so no waiting time chosen by this router would be safe;
     /// the key stays in doubt until this call.
     pub fn key_settled(&mut self, now: Moment, key: KeyId) {
+        self.jobs_settled_at = None;
         if let Some(queue) = self.keys.get_mut(&key) {
             queue.in_doubt = queue.in_doubt.saturating_sub(1);
             queue.paused_until = queue.paused_until.max(now + self.retry_limits.key_pause);
@@ -309,6 +321,7 @@
 
     /// A progress notification for a dispatch in flight.
     pub fn progress_reported(&mut self, now: Moment, job: JobId, number: usize, progress: Progress) {
+        self.jobs_settled_at = None;
         let locked_until = now + self.derived.max_load_time;
         let Some(record) = self.jobs.get_mut(&job) else { return };
         let Some(dispatch) = record.dispatches.get_mut(number) else { return };
@@ -345,6 +358,7 @@
         &mut self, now: Moment, engine: EngineId, active: Option<f64>, waiting: Option<f64>,
         cpu: Option<f64>, disks: Option<f64>,
     ) {
+        self.jobs_settled_at = None;
         if let Some(engine) = self.engines.get_mut(&engine) {
             let utilization = cpu.unwrap_or(0.0).max(disks.unwrap_or(0.0));
             engine.report = Some(Report { at: now, active, waiting: waiting.unwrap_or(0.0), utilization });
@@ -353,6 +367,7 @@
 
     /// A probe has ended.
     pub fn probe_ended(&mut self, now: Moment, id: EngineId, outcome: Outcome) {
+        self.jobs_settled_at = None;
         let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.probe_in_flight = false;
         if outcome == Outcome::NotIssued {
@@ -376,6 +391,7 @@
     /// Sets an engine aside: it gets no dispatches until it has answered `PROBES_TO_RETURN` consecutive
     /// probes, unless every live engine is set aside.
     fn set_aside(&mut self, id: EngineId, why: SetAsideReason) {
+        self.jobs_settled_at = None;
         if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.probes_to_return.is_none()) {
             engine.probes_to_return = Some(PROBES_TO_RETURN);
             self.engine_sets.set_aside.insert(id);
@@ -388,6 +404,7 @@
     /// Records that the host measured how much longer the transfer of a result of mean size takes from this
     /// engine than from other engines (`extra`).
     pub fn transfer_delay_measured(&mut self, id: EngineId, extra: Span) {
+        self.jobs_settled_at = None;
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.extra_transfer_time = extra;
         }
@@ -398,6 +415,7 @@
     pub fn peer_reported(
         &mut self, now: Moment, id: EngineId, reservation_type: Option<TypeId>, suspicion: f64,
     ) {
+        self.jobs_settled_at = None;
         if let Some(engine) = self.engines.get_mut(&id) {
             engine.peer_suspicions.insert(reservation_type, (suspicion.clamp(0.0, 1.0), now));
             self.engine_sets.suspected.insert(id);
@@ -429,6 +447,7 @@
         &mut self, now: Moment, id: EngineId, zone: ZoneId, kind: KindId, cell: CellId, status: EngineStatus,
         start: Option<EngineStart>, stable_hash: u64,
     ) {
+        self.jobs_settled_at = None;
         let cold_since = start.map(|start| now.saturating_sub(start.age));
         let stamp = start.map(|start| start.stamp);
         let record = Engine { stable_hash, start: stamp, cold_since, last_contact: now, ..Engine::default() };
@@ -458,12 +477,14 @@
 
     /// A change of the engine list, or the whole list, has arrived.
     pub fn list_changed(&mut self) {
+        self.jobs_settled_at = None;
         self.working_set.engines_changed();
         self.receives_list_changes |= self.list_requested_at.is_some();
     }
 
     /// A request for the engine list has failed.
     pub fn list_unavailable(&mut self) {
+        self.jobs_settled_at = None;
         self.receives_list_changes = self.monitoring.max_list_age.is_none();
     }
 
@@ -543,15 +564,29 @@
         self.set_aside_silent(now);
         self.refresh_working_set(now);
         self.request_list(now)
-            .or_else(|| self.give_up(now))
-            .or_else(|| if self.retry_limits.can_cancel { self.cancel_lost(now) } else { None })
-            .or_else(|| self.dispatch(now))
+            .or_else(|| self.decide_on_jobs(now))
             .or_else(|| if self.monitoring.may_probe { self.probe(now) } else { None })
             .or_else(|| self.engine_notices.pop_front())
             .or_else(|| self.next_unused_index().map(Decision::Forget))
             .or_else(|| self.wake(now))
     }
 
+    /// Gives up, cancels or dispatches one job. Once nothing is left to do, the jobs are not looked at again
+    /// until time has advanced or something has changed, while notices and unused indices are returned.
+    fn decide_on_jobs(&mut self, now: Moment) -> Option<Decision> {
+        if self.jobs_settled_at == Some(now) {
+            // Equal seeds and events give equal decisions, however often decisions are pulled.
+            let _: u64 = self.rng.random();
+            return None;
+        }
+        let cancelled = |router: &mut Self| {
+            if router.retry_limits.can_cancel { router.cancel_lost(now) } else { None }
+        };
+        let decision = self.give_up(now).or_else(|| cancelled(self)).or_else(|| self.dispatch(now));
+        self.jobs_settled_at = decision.is_none().then_some(now);
+        decision
+    }
+
     /// The next index that the host may release. Threat: while other decisions come first, a job of a key or
     /// a line of an engine arrives whose record was removed, and the index is in use again. If the host
     /// released it, the next job of the key would get another index and run beside this one, and dispatches
