--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -487,7 +487,8 @@
     /// ones. Discovery calls the engines `members`.
     fn continue_list_update(&mut self, now: Moment) {
         let Some(mut update) = self.list_update.take() else { return };
-        if let Err(error) = update.parse_step(|member| self.parse_line(member)) {
+        let is_closed = |line: &ListLine| line.status != EngineStatus::Live;
+        if let Err(error) = update.parse_step(|member| self.parse_line(member), is_closed) {
             return update.finish(Err(error));
         }
         for (name, line) in update.next_lines() {
--- a/crates/router/src/list_update.rs
+++ b/crates/router/src/list_update.rs
@@ -11,8 +11,9 @@
 
 use crate::starts::EventTime;
 
-/// Maximum number of lines that are parsed or applied in one step.
-pub const MAX_LINES_PER_STEP: usize = 128;
+/// Maximum number of lines that are parsed, and that are applied, in one step. Between two steps a late event
+/// loop makes a whole round, and the drain grace runs on.
+pub const MAX_LINES_PER_STEP: usize = 1_024;
 
 /// A list whose lines are parsed first, all of them, and then applied: either all lines take effect or none.
 pub struct ListUpdate<L> {
@@ -28,7 +29,7 @@
     result: Sender<Result<()>>,
 }
 
-impl<L> ListUpdate<L> {
+impl<L: Clone> ListUpdate<L> {
     /// Begins to apply a list in discovery's format. An error goes to `result` at once.
     pub fn begin(
         mut list: Value, event_time: EventTime, skip_malformed: bool, result: Sender<Result<()>>,
@@ -52,7 +53,11 @@
     }
 
     /// Parses the next lines, if any are left. An error is final unless malformed lines are skipped.
-    pub fn parse_step(&mut self, parse: impl Fn(&Value) -> Result<(String, L)>) -> Result<()> {
+    /// Lines for which `is_urgent` returns true are applied first, and once more in the order of the list, as
+    /// an engine's last line counts.
+    pub fn parse_step(
+        &mut self, parse: impl Fn(&Value) -> Result<(String, L)>, is_urgent: impl Fn(&L) -> bool,
+    ) -> Result<()> {
         for member in self.unparsed.by_ref().take(MAX_LINES_PER_STEP) {
             match parse(&member) {
                 Ok(line) => self.parsed.push(line),
@@ -63,7 +68,9 @@
             }
         }
         if self.unparsed.len() == 0 && !self.parsed.is_empty() {
-            self.unapplied = std::mem::take(&mut self.parsed).into_iter();
+            let mut lines: Vec<_> = self.parsed.iter().filter(|(_, line)| is_urgent(line)).cloned().collect();
+            lines.append(&mut self.parsed);
+            self.unapplied = lines.into_iter();
         }
         Ok(())
     }
