--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod lightweight;
 pub mod log_reader;
 pub mod many_engines;
+pub mod many_engines_soak;
 pub mod net;
 pub mod ports;
 pub mod preload;
--- a/crates/standins/src/many_engines.rs
+++ b/crates/standins/src/many_engines.rs
@@ -132,7 +132,7 @@
 }
 
 /// The configuration of a router with these engines and this deadline of its jobs.
-fn config(engines: &LightweightEngines, count: usize, discovery: SocketAddr, wait: Duration) -> Value {
+pub fn config(engines: &LightweightEngines, count: usize, discovery: SocketAddr, wait: Duration) -> Value {
     let addresses: Vec<SocketAddr> = (0..count).map(|engine| engines.address(engine)).collect();
     let text = router_config(&addresses, discovery, DESCRIPTORS);
     let mut config: Value = serde_json::from_str(&text).expect("a configuration");
