--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -5,7 +5,10 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use std::collections::BTreeMap;
+
 use serde_json::Value;
+use serde_json::value::RawValue;
 use woadhook_host::fields::*;
 
 use crate::files;
@@ -23,7 +26,7 @@
     /// The address of discovery, the field `bulletin`.
     pub discovery_address: SocketAddr,
     /// The bulletin's events so far, in the format of the bulletin.
-    pub known_events: Value,
+    pub known_events: Option<Box<RawValue>>,
     /// The settings object that all hosts of the module share.
     pub settings: Value,
 }
@@ -43,7 +46,12 @@
 
 /// Parses a configuration; `listen` replaces the address in it.
 pub fn parse(json: &str, listen: Option<String>) -> Result<RouterConfig> {
-    let mut config: Value = serde_json::from_str(json).map_err(|error| error.to_string())?;
+    let invalid = |error: serde_json::Error| error.to_string();
+    let mut fields: BTreeMap<String, Box<RawValue>> = serde_json::from_str(json).map_err(invalid)?;
+    // The engine list so far may be long, and is seldom needed: it stays unparsed.
+    let known_events = fields.remove("known");
+    let parsed = fields.into_iter().map(|(name, value)| Ok((name, serde_json::from_str(value.get())?)));
+    let mut config = Value::Object(parsed.collect::<std::result::Result<_, _>>().map_err(invalid)?);
     let limits = required(&config, "limits")?;
     let listen = listen.map_or_else(|| text(&config, "listen").map(str::to_owned), Ok)?;
     Ok(RouterConfig {
@@ -52,7 +60,7 @@
         memory_mb: number(limits, "memory_mb")?,
         max_descriptors: integer(limits, "sockets")? as usize,
         discovery_address: parse_address(text(&config, "bulletin")?)?,
-        known_events: config["known"].take(),
+        known_events: known_events.filter(|events| events.get().starts_with('{')),
         settings: config["settings"].take(),
     })
 }
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -11,6 +11,7 @@
 use async_channel::{Receiver, Sender};
 use futures_lite::{FutureExt, future};
 use serde_json::Value;
+use serde_json::value::RawValue;
 use woadhook::*;
 use woadhook_flow_control::engine_rates::EngineRates;
 use woadhook_flow_control::min_rate::MinRate;
@@ -22,6 +23,7 @@
 use crate::backends::sql::handle::{EngineCall, EngineHandle};
 use crate::clock::Clock;
 use crate::config::parse_address;
+use crate::engine_list::Member;
 use crate::exchange::{
     Answer, Dispatch, Event, GossipEvent, GossipHandle, MALFORMED, Responder, Statement, parse_measurement,
 };
@@ -344,7 +346,7 @@
                 while self.list_update.is_some() {
                     self.continue_list_update(now);
                 }
-                self.list_update = ListUpdate::begin(list, event_time, skip_malformed, result);
+                self.list_update = Some(ListUpdate::begin(list, event_time, skip_malformed, result));
             }
             Event::Stopping { last_answer_due } => {
                 self.last_answer_due = Some(last_answer_due);
@@ -519,22 +521,23 @@
         update.finish(Ok(()));
     }
 
-    fn parse_line(&self, member: &Value) -> Result<(String, ListLine)> {
-        let status = match text(member, "phase")? {
+    fn parse_line(&self, line: &RawValue) -> Result<(String, ListLine)> {
+        let member = Member::parse(line)?;
+        let status = match &*member.phase {
             "SERVING" => EngineStatus::Live,
             "DRAINING" => EngineStatus::Draining,
             "DELETED" => EngineStatus::Gone,
             other => return Err(format!("phase: unknown {other}")),
         };
         let line = ListLine {
-            address: parse_address(text(member, "host_port")?)?,
-            zone: ZoneId(index_of(&self.instance.zones, text(member, "locality")?, "locality")?),
-            kind: KindId(index_of(&self.instance.kinds, text(member, "flavor")?, "flavor")?),
-            cell: CellId(integer(member, "cell").unwrap_or(0) as usize),
+            address: parse_address(&member.address)?,
+            zone: ZoneId(index_of(&self.instance.zones, &member.zone, "locality")?),
+            kind: KindId(index_of(&self.instance.kinds, &member.kind, "flavor")?),
+            cell: CellId(member.cell()),
             status,
-            start: StartTime::from_line(member),
+            start: member.start(),
         };
-        Ok((text(member, "id")?.to_owned(), line))
+        Ok((member.id.into_owned(), line))
     }
 
     fn apply_line(&mut self, now: Moment, engine: EngineId, line: ListLine, event_time: EventTime) {
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -7,12 +7,13 @@
 use async_channel::{Receiver, Sender};
 use async_lock::Semaphore;
 use futures_lite::{FutureExt, future};
-use serde_json::Value;
+use serde_json::value::RawValue;
 use woadhook::{Moment, Span};
 use woadhook_host::fields::*;
 
 use crate::clock::Clock;
 use crate::discovery::calls::{CallPacing, Calls, EndedCall, MAX_CALLS, MAX_FORMER_CALLS, RequestWritten};
+use crate::engine_list::Bulletin;
 use crate::exchange::Event;
 use crate::faults::CallError;
 use crate::freshness::ListFreshness;
@@ -46,11 +47,11 @@
 /// The new address of discovery, and the events that were known with it.
 pub struct DiscoveryMove {
     pub address: SocketAddr,
-    pub known_events: Value,
+    pub known_events: Option<Box<RawValue>>,
 }
 
 /// The events in an answer of discovery, and its connection if that can carry another call.
-type Answer = (Value, Option<Connection>);
+type Answer = (Bulletin, Option<Connection>);
 
 enum Input {
     Due,
@@ -196,7 +197,7 @@
         self.calls.start(now, is_written, Box::pin(call));
     }
 
-    async fn handle_answer(&mut self, bulletin: Value, connection: Option<Connection>) -> Result<()> {
+    async fn handle_answer(&mut self, bulletin: Bulletin, connection: Option<Connection>) -> Result<()> {
         let skip_malformed = self.unreadable_answers >= MAX_READ_FAILURES;
         let forwarded = if self.last == 0 {
             forward_first(bulletin, &mut self.last, skip_malformed, &self.events).await
@@ -218,11 +219,9 @@
         self.idle_connection = None;
         self.calls.moved();
         self.retry_at = None;
-        if known_events.is_object() {
-            forward(known_events, EventTime::SinceLastContact, &mut self.last, false, &self.events).await
-        } else {
-            Ok(())
-        }
+        let Some(known_events) = known_events else { return Ok(()) };
+        let bulletin = Bulletin::parse(known_events.get())?;
+        forward(bulletin, EventTime::SinceLastContact, &mut self.last, false, &self.events).await
     }
 
     /// Schedules another call soon, on a new connection.
@@ -288,32 +287,34 @@
 }
 
 /// Forwards the events in the configuration at the start, if there are any.
-pub async fn forward_known_events(known: Value, last: &mut u64, events: &Sender<Event>) -> Result<()> {
-    if known.is_object() { forward_first(known, last, false, events).await } else { Ok(()) }
+pub async fn forward_known_events(
+    known: Option<Box<RawValue>>, last: &mut u64, events: &Sender<Event>,
+) -> Result<()> {
+    let Some(known) = known else { return Ok(()) };
+    forward_first(Bulletin::parse(known.get())?, last, false, events).await
 }
 
 /// Forwards the first events that this router receives, which may have happened at any time before.
 async fn forward_first(
-    bulletin: Value, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
+    bulletin: Bulletin, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
 ) -> Result<()> {
-    let event_time = EventTime::before_first_contact(array(&bulletin, "items")?);
+    let event_time = EventTime::BeforeFirstContact(bulletin.newest_start());
     forward(bulletin, event_time, last, skip_malformed, events).await
 }
 
 /// Forwards the events after `last`; with `skip_malformed`, only those lines that can be read. After a gap,
 /// only a complete list is accepted.
 async fn forward(
-    mut bulletin: Value, event_time: EventTime, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
+    bulletin: Bulletin, event_time: EventTime, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
 ) -> Result<()> {
-    array(&bulletin, "items")?;
-    let Value::Array(items) = bulletin["items"].take() else { return Ok(()) };
-    for mut item in items {
-        let number = integer(&item, "no")?;
+    for item in bulletin.into_items() {
+        let item = item?;
+        let number = item.number()?;
         if number <= *last {
             continue;
         }
-        if let Some(roster) = item.get_mut("roster").map(Value::take) {
-            if number != *last + 1 && !flag(&roster, "complete") {
+        if let Some(roster) = item.roster {
+            if number != *last + 1 && !roster.is_complete() {
                 return Err(format!("event {} is missing", *last + 1));
             }
             let (read, answer) = async_channel::bounded(1);
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -5,11 +5,11 @@
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
-use serde_json::Value;
 use woadhook::*;
 use woadhook_gossip::EngineCondition;
 use woadhook_host::fields::Result;
 
+use crate::engine_list::Roster;
 use crate::keyfiles::Keys;
 use crate::memory::{Holder, MemoryPermit};
 use crate::starts::EventTime;
@@ -65,7 +65,7 @@
     ProbeEnded { engine: EngineId, outcome: Outcome },
     /// Changes of the engine list, or the whole list, in discovery's format. `result` receives the outcome of
     /// reading them. With `skip_malformed`, malformed lines are skipped.
-    ListReceived { list: Value, event_time: EventTime, skip_malformed: bool, result: Sender<Result<()>> },
+    ListReceived { list: Roster, event_time: EventTime, skip_malformed: bool, result: Sender<Result<()>> },
     /// An engine sent `bytes` bytes of an answer. `time_to_first_byte` ends with the first of them, and
     /// `transfer_time` is the time from there until the last one.
     PageReceived { engine: EngineId, bytes: usize, time_to_first_byte: Span, transfer_time: Span },
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod config;
 mod decide;
 mod discovery;
+mod engine_list;
 mod exchange;
 mod faults;
 pub mod file_reads;
--- a/crates/router/src/list_update.rs
+++ b/crates/router/src/list_update.rs
@@ -5,10 +5,11 @@
 use std::vec;
 
 use async_channel::Sender;
-use serde_json::Value;
+use serde_json::value::RawValue;
 use woadhook::EngineId;
-use woadhook_host::fields::{Result, array, flag};
+use woadhook_host::fields::Result;
 
+use crate::engine_list::Roster;
 use crate::starts::EventTime;
 
 /// Maximum number of lines that are parsed, and that are applied, in one step. Between two steps a late event
@@ -17,7 +18,7 @@
 
 /// A list whose lines are parsed first, all of them, and then applied: either all lines take effect or none.
 pub struct ListUpdate<L> {
-    unparsed: vec::IntoIter<Value>,
+    unparsed: vec::IntoIter<Box<RawValue>>,
     parsed: Vec<(String, L)>,
     unapplied: vec::IntoIter<(String, L)>,
     pub event_time: EventTime,
@@ -30,33 +31,27 @@
 }
 
 impl<L: Clone> ListUpdate<L> {
-    /// Begins to apply a list in discovery's format. An error goes to `result` at once.
+    /// Begins to apply a list.
     pub fn begin(
-        mut list: Value, event_time: EventTime, skip_malformed: bool, result: Sender<Result<()>>,
-    ) -> Option<Self> {
-        if let Err(error) = array(&list, "members") {
-            let _ = result.try_send(Err(error));
-            return None;
-        }
-        let is_complete = flag(&list, "complete");
-        let Value::Array(members) = list["members"].take() else { return None };
-        Some(Self {
-            parsed: Vec::with_capacity(members.len()),
-            unparsed: members.into_iter(),
+        list: Roster, event_time: EventTime, skip_malformed: bool, result: Sender<Result<()>>,
+    ) -> Self {
+        Self {
+            is_complete: list.is_complete(),
+            parsed: Vec::with_capacity(list.members.len()),
+            unparsed: list.members.into_iter(),
             unapplied: Vec::new().into_iter(),
             event_time,
             skip_malformed,
-            is_complete,
             named: HashSet::new(),
             result,
-        })
+        }
     }
 
     /// Parses the next lines, if any are left. An error is final unless malformed lines are skipped.
     /// Lines for which `is_urgent` returns true are applied first, and once more in the order of the list, as
     /// an engine's last line counts.
     pub fn parse_step(
-        &mut self, parse: impl Fn(&Value) -> Result<(String, L)>, is_urgent: impl Fn(&L) -> bool,
+        &mut self, parse: impl Fn(&RawValue) -> Result<(String, L)>, is_urgent: impl Fn(&L) -> bool,
     ) -> Result<()> {
         for member in self.unparsed.by_ref().take(MAX_LINES_PER_STEP) {
             match parse(&member) {
--- a/crates/router/src/starts.rs
+++ b/crates/router/src/starts.rs
@@ -2,31 +2,17 @@
 //! receipt. No wall clock is trusted for this conversion, neither this router's nor discovery's nor an
 //! engine's: the span is the shortest that all received values allow.
 
-use serde_json::Value;
 use woadhook::{Moment, Span};
-use woadhook_host::fields::{array, integer};
 
 /// When an engine started, in Unix milliseconds by the clock of whoever recorded it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StartTime(pub u64);
 
 impl StartTime {
-    /// The start time in a line of the list; `None` if the engine started long ago.
-    pub fn from_line(member: &Value) -> Option<Self> {
-        integer(member, "up_since_ms").ok().filter(|&at| at > 0).map(Self)
-    }
-
     /// The moment on a clock that counts Unix time.
     pub fn moment(self) -> Moment {
         Moment::from_micros(self.0.saturating_mul(1000))
     }
-
-    /// The newest start time in all lists of these events.
-    fn newest(items: &[Value]) -> Option<Self> {
-        let lists = items.iter().filter_map(|item| item.get("roster"));
-        let members = lists.filter_map(|list| array(list, "members").ok()).flatten();
-        members.filter_map(Self::from_line).max()
-    }
 }
 
 /// When the events of a list happened.
@@ -40,11 +26,6 @@
 }
 
 impl EventTime {
-    /// Returns the time of events that make up everything known so far.
-    pub fn before_first_contact(items: &[Value]) -> Self {
-        Self::BeforeFirstContact(StartTime::newest(items))
-    }
-
     /// The minimum age of a start that these events report. For events from before the first request it is
     /// the span from this start to the newest one, or to the present by this router's wall clock, whichever
     /// is shorter: it is too long only if all clocks are wrong in the same way.
