--- a/crates/standins/examples/many_engines_soak.rs
+++ b/crates/standins/examples/many_engines_soak.rs
@@ -29,6 +29,9 @@
     /// Factor of all shares of a core
     #[arg(long, default_value_t = 1.0)]
     share_factor: f64,
+    /// Folder in which the logs of the last seed stay
+    #[arg(long, value_name = "DIR")]
+    logs: Option<PathBuf>,
     /// The built program
     #[arg(long, default_value = "target/release/woadhook")]
     program: PathBuf,
@@ -41,7 +44,8 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let folder = env::temp_dir().join(format!("many-engines-soak-{}", std::process::id()));
+    let own_folder = env::temp_dir().join(format!("many-engines-soak-{}", std::process::id()));
+    let folder = arguments.logs.clone().unwrap_or_else(|| own_folder.clone());
     let (processes, length_ms) = (arguments.processes as usize, arguments.seconds * 1_000);
     let program = arguments.program.display().to_string();
     let mut broken = Vec::new();
@@ -55,7 +59,7 @@
             }
         }
     }
-    let _ = std::fs::remove_dir_all(&folder);
+    let _ = std::fs::remove_dir_all(&own_folder);
     println!(
         "{} of {} seeds broke a rule: {broken:?}",
         broken.len(),
