--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -342,11 +342,11 @@
             Event::PeerReport { engine, reservation_type, suspicion } => {
                 self.handle_peer_report(now, &engine, reservation_type.as_deref(), suspicion)
             }
-            Event::ListReceived { list, event_time, skip_malformed, result } => {
+            Event::ListReceived { events, event_time, skip_malformed, result } => {
                 while self.list_update.is_some() {
                     self.continue_list_update(now);
                 }
-                self.list_update = Some(ListUpdate::begin(list, event_time, skip_malformed, result));
+                self.list_update = Some(ListUpdate::begin(events, event_time, skip_malformed, result));
             }
             Event::Stopping { last_answer_due } => {
                 self.last_answer_due = Some(last_answer_due);
@@ -484,15 +484,12 @@
         });
     }
 
-    /// Parses or applies some lines of the list that is being applied, if there is one. Applies all lines of
-    /// the list, or none if one of them is malformed; if these are to be skipped, applies the well-formed
-    /// ones. Discovery calls the engines `members`.
+    /// Parses or applies some lines of the list that is being applied, if there is one. Discovery calls the
+    /// engines `members`.
     fn continue_list_update(&mut self, now: Moment) {
         let Some(mut update) = self.list_update.take() else { return };
         let is_closed = |line: &ListLine| line.status != EngineStatus::Live;
-        if let Err(error) = update.parse_step(|member| self.parse_line(member), is_closed) {
-            return update.finish(Err(error));
-        }
+        update.parse_step(|line| self.parse_line(line), is_closed);
         for (name, line) in update.next_lines() {
             let engine = EngineId(self.instance.engines.intern(&name));
             self.apply_line(now, engine, line, update.event_time);
@@ -506,6 +503,9 @@
     }
 
     fn finish_list_update(&mut self, update: ListUpdate<ListLine>) {
+        if !update.has_effect() {
+            return update.finish();
+        }
         if update.is_complete {
             self.list_received = true;
             let named: Vec<EngineId> = update.named.iter().copied().collect();
@@ -518,7 +518,7 @@
         }
         log::debug!(event = "list_applied", lines = update.named.len(), complete = update.is_complete, engines = self.engines.len(); "engine list applied");
         self.send_list_to_gossip();
-        update.finish(Ok(()));
+        update.finish();
     }
 
     fn parse_line(&self, line: &RawValue) -> Result<(String, ListLine)> {
--- a/crates/router/src/discovery/poll.rs
+++ b/crates/router/src/discovery/poll.rs
@@ -13,7 +13,7 @@
 
 use crate::clock::Clock;
 use crate::discovery::calls::{CallPacing, Calls, EndedCall, MAX_CALLS, MAX_FORMER_CALLS, RequestWritten};
-use crate::engine_list::Bulletin;
+use crate::engine_list::{Bulletin, EventGroups, ListOutcome};
 use crate::exchange::Event;
 use crate::faults::CallError;
 use crate::freshness::ListFreshness;
@@ -307,23 +307,14 @@
 async fn forward(
     bulletin: Bulletin, event_time: EventTime, last: &mut u64, skip_malformed: bool, events: &Sender<Event>,
 ) -> Result<()> {
-    for item in bulletin.into_items() {
-        let item = item?;
-        let number = item.number()?;
-        if number <= *last {
-            continue;
-        }
-        if let Some(roster) = item.roster {
-            if number != *last + 1 && !roster.is_complete() {
-                return Err(format!("event {} is missing", *last + 1));
-            }
-            let (read, answer) = async_channel::bounded(1);
-            let _ = events
-                .send(Event::ListReceived { list: roster, event_time, skip_malformed, result: read })
-                .await;
-            answer.recv().await.map_err(|_| "the dispatcher has ended".to_owned())??;
-        }
-        *last = number;
+    let EventGroups { groups, error } = bulletin.into_groups(*last);
+    for group in groups {
+        let (result, outcome) = async_channel::bounded(1);
+        let received = Event::ListReceived { events: group, event_time, skip_malformed, result };
+        let _ = events.send(received).await;
+        let outcome: ListOutcome = outcome.recv().await.map_err(|_| "the dispatcher has ended".to_owned())?;
+        *last = outcome.last_applied.unwrap_or(*last);
+        outcome.error.map_or(Ok(()), Err)?;
     }
-    Ok(())
+    error.map_or(Ok(()), Err)
 }
--- a/crates/router/src/engine_list.rs
+++ b/crates/router/src/engine_list.rs
@@ -17,16 +17,37 @@
     items: Vec<Box<RawValue>>,
 }
 
-/// An event.
+/// An event as discovery publishes it.
 #[derive(Deserialize)]
-pub struct BulletinItem {
+struct BulletinItem {
     #[serde(rename = "no")]
     number: Value,
-    pub roster: Option<Roster>,
+    roster: Option<Roster>,
+}
+
+/// An event with its number. One that says nothing about engines has an empty roster.
+pub struct ListEvent {
+    pub number: u64,
+    pub roster: Roster,
+}
+
+/// The events of a bulletin. A group is either one complete list or any number of changes.
+pub struct EventGroups {
+    pub groups: Vec<Vec<ListEvent>>,
+    /// Why the event after the last group can't be used.
+    pub error: Option<String>,
+}
+
+/// What became of a group of events.
+pub struct ListOutcome {
+    /// The number of the last event that was applied; `None` if none was.
+    pub last_applied: Option<u64>,
+    /// Why the event after it was not applied.
+    pub error: Option<String>,
 }
 
 /// Changes of the engine list, or the whole list if `complete` is true.
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 pub struct Roster {
     #[serde(default)]
     complete: Value,
@@ -58,9 +79,24 @@
         serde_json::from_str(text).map_err(|error| error.to_string())
     }
 
-    /// The events in their order, each parsed when it is reached.
-    pub fn into_items(self) -> impl Iterator<Item = Result<BulletinItem>> {
-        self.items.into_iter().map(|item| parse_item(&item))
+    /// The events after `last` up to the first one that can't be read, in groups that are applied together.
+    /// After a gap, only a complete list can be used.
+    pub fn into_groups(self, last: u64) -> EventGroups {
+        let (mut groups, mut last) = (Vec::<Vec<ListEvent>>::new(), last);
+        for item in self.items {
+            let event = match read_event(&item, last) {
+                Ok(Some(event)) => event,
+                Ok(None) => continue,
+                Err(error) => return EventGroups { groups, error: Some(error) },
+            };
+            last = event.number;
+            let open_group = groups.last_mut().filter(|group| !group[0].roster.is_complete());
+            match open_group.filter(|_| !event.roster.is_complete()) {
+                Some(group) => group.push(event),
+                None => groups.push(vec![event]),
+            }
+        }
+        EventGroups { groups, error: None }
     }
 
     /// The newest start of an engine in all events. Events and lines that can't be read have none.
@@ -76,11 +112,17 @@
     serde_json::from_str(item.get()).map_err(|error| error.to_string())
 }
 
-impl BulletinItem {
-    /// The number of the event.
-    pub fn number(&self) -> Result<u64> {
-        unsigned(&self.number).ok_or_else(|| "no is malformed".to_owned())
+/// Reads an event; `None` if it does not come after `last`.
+fn read_event(item: &RawValue, last: u64) -> Result<Option<ListEvent>> {
+    let item = parse_item(item)?;
+    let number = unsigned(&item.number).ok_or_else(|| "no is malformed".to_owned())?;
+    if number <= last {
+        return Ok(None);
+    }
+    if item.roster.as_ref().is_some_and(|roster| number != last + 1 && !roster.is_complete()) {
+        return Err(format!("event {} is missing", last + 1));
     }
+    Ok(Some(ListEvent { number, roster: item.roster.unwrap_or_default() }))
 }
 
 impl Roster {
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -7,9 +7,8 @@
 use async_channel::{Receiver, Sender};
 use woadhook::*;
 use woadhook_gossip::EngineCondition;
-use woadhook_host::fields::Result;
 
-use crate::engine_list::Roster;
+use crate::engine_list::{ListEvent, ListOutcome};
 use crate::keyfiles::Keys;
 use crate::memory::{Holder, MemoryPermit};
 use crate::starts::EventTime;
@@ -63,9 +62,14 @@
     LoadReported { engine: EngineId, stats: String },
     /// A probe of an engine ended.
     ProbeEnded { engine: EngineId, outcome: Outcome },
-    /// Changes of the engine list, or the whole list, in discovery's format. `result` receives the outcome of
-    /// reading them. With `skip_malformed`, malformed lines are skipped.
-    ListReceived { list: Roster, event_time: EventTime, skip_malformed: bool, result: Sender<Result<()>> },
+    /// A group of events that change the engine list. `result` receives the outcome of reading them. With
+    /// `skip_malformed`, malformed lines are skipped.
+    ListReceived {
+        events: Vec<ListEvent>,
+        event_time: EventTime,
+        skip_malformed: bool,
+        result: Sender<ListOutcome>,
+    },
     /// An engine sent `bytes` bytes of an answer. `time_to_first_byte` ends with the first of them, and
     /// `transfer_time` is the time from there until the last one.
     PageReceived { engine: EngineId, bytes: usize, time_to_first_byte: Span, transfer_time: Span },
