--- a/src/engine_sets.rs
+++ b/src/engine_sets.rs
@@ -6,7 +6,6 @@
 use std::collections::BTreeSet;
 
 use crate::interface::{EngineId, EngineStatus};
-use crate::records::Engine;
 
 /// Sets of engines by a property of their records. A set may hold an engine that no longer has the property,
 /// until the next sweep, but never lacks one that has it.
@@ -22,19 +21,13 @@
     pub(crate) expiring: BTreeSet<EngineId>,
     /// Engines that are gone.
     pub(crate) gone: BTreeSet<EngineId>,
-    /// Number of live engines.
-    pub(crate) live: usize,
     /// How many records of engines were looked at.
     examined: Cell<u64>,
 }
 
 impl EngineSets {
-    /// Records the status of an engine, which had the status `before` if it was listed before.
-    pub(crate) fn status_changed(
-        &mut self, id: EngineId, before: Option<EngineStatus>, status: EngineStatus,
-    ) {
-        let is_live = |status| usize::from(status == EngineStatus::Live);
-        self.live = self.live + is_live(status) - before.map_or(0, is_live);
+    /// Records the status of an engine.
+    pub(crate) fn status_changed(&mut self, id: EngineId, status: EngineStatus) {
         if status == EngineStatus::Gone {
             self.gone.insert(id);
         } else {
@@ -48,8 +41,7 @@
     }
 
     /// Removes an engine whose record was removed.
-    pub(crate) fn remove(&mut self, id: EngineId, engine: &Engine) {
-        self.live -= usize::from(engine.status == EngineStatus::Live);
+    pub(crate) fn remove(&mut self, id: EngineId) {
         for set in [
             &mut self.in_flight,
             &mut self.set_aside,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine_sets;
 mod estimates;
 pub mod interface;
+mod live_engines;
 pub mod logic;
 mod records;
 mod slow_start;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,7 @@
 use crate::engine_sets::EngineSets;
 use crate::estimates::{Estimates, MEAN_SAMPLES};
 use crate::interface::*;
+use crate::live_engines::{LiveEngine, LiveEngines};
 use crate::records::{
     DerivedSettings, Dispatch, Engine, InFlight, Job, KeyQueue, Report, RunningMean, run_time, sla_time,
 };
@@ -119,6 +120,8 @@
     swept_at: Moment,
     /// The engines that checks other than the choice of an engine look at.
     engine_sets: EngineSets,
+    /// The engines that are neither draining nor gone.
+    live_engines: LiveEngines,
     /// The engines that are considered for jobs, if the list is long.
     working_set: WorkingSet,
     /// No engine needs a health check before this time (see `all_healthy`); `None` if unknown.
@@ -173,6 +176,7 @@
             engines: BTreeMap::new(),
             swept_at: now,
             engine_sets: EngineSets::default(),
+            live_engines: LiveEngines::default(),
             working_set: WorkingSet::default(),
             healthy_until: None,
             dispatches_since_probe: 0,
@@ -451,8 +455,13 @@
         let cold_since = start.map(|start| now.saturating_sub(start.age));
         let stamp = start.map(|start| start.stamp);
         let record = Engine { stable_hash, start: stamp, cold_since, last_contact: now, ..Engine::default() };
-        let status_before = self.engines.get(&id).map(|engine| engine.status);
-        self.engine_sets.status_changed(id, status_before, status);
+        self.engine_sets.status_changed(id, status);
+        if status == EngineStatus::Live {
+            let drawn = self.draw(stable_hash);
+            self.live_engines.insert(id, LiveEngine { drawn, zone, kind, cell });
+        } else {
+            self.live_engines.remove(id);
+        }
         self.working_set.engines_changed();
         let engine = self.engines.entry(id).or_insert(record);
         (engine.zone, engine.kind, engine.cell, engine.status) = (zone, kind, cell, status);
@@ -470,7 +479,8 @@
         self.list_changed();
         let named: BTreeSet<EngineId> = named.iter().copied().collect();
         for (id, engine) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
-            self.engine_sets.status_changed(*id, Some(engine.status), EngineStatus::Gone);
+            self.engine_sets.status_changed(*id, EngineStatus::Gone);
+            self.live_engines.remove(*id);
             engine.status = EngineStatus::Gone;
         }
     }
@@ -644,8 +654,8 @@
         let gone = gone.filter(|id| self.engines.get(id).is_some_and(is_idle));
         let removed: Vec<EngineId> = gone.take(MAX_REMOVED_ENGINES).copied().collect();
         for id in removed {
-            if let Some(engine) = self.engines.remove(&id) {
-                self.engine_sets.remove(id, &engine);
+            if self.engines.remove(&id).is_some() {
+                self.engine_sets.remove(id);
                 self.unused_indices.push(Forgotten::Engine(id));
             }
         }
@@ -695,7 +705,7 @@
         }
         let set_aside =
             self.engine_sets.set_aside.iter().filter(|id| self.engines.get(id).is_some_and(is_live));
-        let allowed = (self.engine_sets.live / 2).saturating_sub(set_aside.count());
+        let allowed = (self.live_engines.len() / 2).saturating_sub(set_aside.count());
         for id in silent.into_iter().take(allowed) {
             self.set_aside(id, SetAsideReason::Silent);
         }
--- a/src/logic/working_set.rs
+++ b/src/logic/working_set.rs
@@ -5,13 +5,12 @@
 //! comes or goes changes the sets only by itself, and stays the same otherwise: a router finds its table
 //! groups warm and its connections open. All routers together spread over all engines.
 
-use std::collections::BTreeMap;
-
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_pcg::Pcg32;
 
 use crate::interface::*;
+use crate::live_engines::DrawnEngines;
 use crate::records::Engine;
 use crate::time::{Moment, Span};
 
@@ -32,11 +31,9 @@
 /// The set is drawn again at the earliest after this time, although engines were listed, set aside or came
 /// back.
 const MIN_DRAW_INTERVAL: Span = Span::from_micros(100_000);
-/// The set is drawn again at the latest after this time, since the capacity of cold engines grows.
-const MAX_DRAW_INTERVAL: Span = Span::from_micros(1_000_000);
-
-/// The engines of a zone and kind, or of a cell, by the value that was drawn for each.
-type DrawnEngines = Vec<(u32, EngineId)>;
+/// The cores of the usable engines are summed up again after this time, since the capacity of cold engines
+/// grows.
+const CORES_INTERVAL: Span = Span::from_micros(1_000_000);
 
 /// The last draw. Engines may have drained or been set aside since; their records tell.
 #[derive(Default)]
@@ -46,12 +43,10 @@
     outdated: bool,
     /// The engines of the set in the order of their indices.
     members: Vec<EngineId>,
-    /// All other usable engines.
-    others: Vec<EngineId>,
-    /// Engines of each cell, if some jobs may be repeated only within one.
-    by_cell: BTreeMap<CellId, Vec<EngineId>>,
-    /// The cores of all usable engines, at their capacity at the time of the draw.
-    cores: f64,
+    /// Number of usable engines at the time of the draw.
+    usable: usize,
+    /// The mean cores of a usable engine at its capacity at the given time.
+    mean_cores: Option<(f64, Moment)>,
 }
 
 impl WorkingSet {
@@ -61,8 +56,7 @@
     }
 
     fn is_due(&self, now: Moment) -> bool {
-        let interval = if self.outdated { MIN_DRAW_INTERVAL } else { MAX_DRAW_INTERVAL };
-        self.drawn_at.is_none_or(|at| now.since(at) >= interval)
+        self.drawn_at.is_none_or(|at| self.outdated && now.since(at) >= MIN_DRAW_INTERVAL)
     }
 }
 
@@ -72,60 +66,68 @@
         self.engines.len() > MAX_SCANNED_ENGINES
     }
 
-    /// Draws the working set if it is due. The cost grows with the engine list, the frequency does not.
+    /// Draws the working set if it is due.
     pub(super) fn refresh_working_set(&mut self, now: Moment) {
-        if self.uses_working_set() && self.working_set.is_due(now) {
-            self.working_set = self.draw_working_set(now);
+        if !self.uses_working_set() {
+            return;
+        }
+        if self.working_set.is_due(now) {
+            self.draw_working_set(now);
+        }
+        if self.working_set.mean_cores.is_none_or(|(_, at)| now.since(at) >= CORES_INTERVAL) {
+            self.working_set.mean_cores = Some((self.mean_cores(now), now));
         }
     }
 
-    fn draw_working_set(&self, now: Moment) -> WorkingSet {
-        self.engine_sets.count_examined(self.engines.len());
-        let usable = self.all_usable();
-        let has_cells =
-            self.types.iter().any(|t| matches!(t.effect, Effect::Keyed { scope: Scope::Cell, .. }));
-        let mut classes: BTreeMap<(ZoneId, KindId), DrawnEngines> = BTreeMap::new();
-        let mut cells: BTreeMap<CellId, DrawnEngines> = BTreeMap::new();
-        for (id, engine) in &usable {
-            let drawn = (self.draw(engine), *id);
-            classes.entry((engine.zone, engine.kind)).or_default().push(drawn);
-            if has_cells {
-                cells.entry(engine.cell).or_default().push(drawn);
-            }
+    /// Draws the engines with the lowest values of each zone and kind. The cost grows with the set and with
+    /// the engines that are set aside.
+    fn draw_working_set(&mut self, now: Moment) {
+        let is_set_aside = |id: &EngineId| self.engine_sets.set_aside.contains(id);
+        let mut members = self.lowest_drawn(|id| !is_set_aside(id));
+        if members.is_empty() {
+            members = self.lowest_drawn(|_| true);
         }
-        let own_zone = classes.iter().filter(|((zone, _), _)| *zone == self.fleet.zone);
-        let own_zone_size = own_zone.map(|(_, engines)| engines.len()).sum::<usize>();
+        members.sort_unstable();
+        let live_engines = &self.live_engines;
+        let set_aside = self.engine_sets.set_aside.iter().filter(|id| live_engines.contains(**id));
+        let usable = match live_engines.len() - set_aside.count() {
+            0 => live_engines.len(),
+            usable => usable,
+        };
+        let mean_cores = self.working_set.mean_cores;
+        self.working_set = WorkingSet { drawn_at: Some(now), outdated: false, members, usable, mean_cores };
+    }
+
+    /// The engines of each zone and kind with the lowest drawn values for which `is_usable` returns true.
+    fn lowest_drawn(&self, is_usable: impl Fn(&EngineId) -> bool) -> Vec<EngineId> {
+        let live = self.live_engines.len();
+        let of_own_zone = self.live_engines.classes().filter(|(zone, _)| *zone == self.fleet.zone);
+        let own_zone_size = of_own_zone.map(|(_, engines)| engines.len()).sum::<usize>();
         let quota = |zone: ZoneId, size: usize| {
-            let from_all = (DRAWN_FROM_ALL * size).div_ceil(usable.len());
+            let from_all = (DRAWN_FROM_ALL * size).div_ceil(live);
             let is_own = zone == self.fleet.zone;
             let from_own = if is_own { (DRAWN_FROM_OWN_ZONE * size).div_ceil(own_zone_size) } else { 0 };
             (from_all + from_own).max(MIN_PER_CLASS)
         };
-        let (mut members, mut others) = (Vec::new(), Vec::new());
-        for ((zone, _), mut engines) in classes {
-            let count = quota(zone, engines.len());
-            let rest = split_lowest(&mut engines, count);
-            members.extend(engines.into_iter().map(|(_, id)| id));
-            others.extend(rest.into_iter().map(|(_, id)| id));
-        }
-        members.sort_unstable();
-        let lowest = |(cell, mut engines): (CellId, DrawnEngines)| {
-            split_lowest(&mut engines, MAX_OF_CELL);
-            (cell, engines.into_iter().map(|(_, id)| id).collect())
+        let lowest = |(zone, engines): (ZoneId, &DrawnEngines)| {
+            let looked_at = engines.iter().inspect(|_| self.engine_sets.count_examined(1));
+            let usable = looked_at.map(|(_, id)| *id).filter(|id| is_usable(id));
+            usable.take(quota(zone, engines.len())).collect::<Vec<_>>()
         };
-        WorkingSet {
-            drawn_at: Some(now),
-            outdated: false,
-            members,
-            others,
-            by_cell: cells.into_iter().map(lowest).collect(),
-            cores: usable.iter().map(|(_, engine)| self.effective_cores(engine, now)).sum(),
-        }
+        self.live_engines.classes().flat_map(lowest).collect()
+    }
+
+    /// The mean cores of all usable engines. Cold engines count at their present capacity.
+    fn mean_cores(&self, now: Moment) -> f64 {
+        let usable = self.all_usable();
+        self.engine_sets.count_examined(usable.len());
+        let cores = usable.iter().map(|(_, engine)| self.effective_cores(engine, now)).sum::<f64>();
+        cores / usable.len().max(1) as f64
     }
 
     /// The value that this router draws for an engine; the engines with the lowest values form the set.
-    fn draw(&self, engine: &Engine) -> u32 {
-        Pcg32::new(self.fleet.router_index as u64, engine.stable_hash).random()
+    pub(super) fn draw(&self, stable_hash: u64) -> u32 {
+        Pcg32::new(self.fleet.router_index as u64, stable_hash).random()
     }
 
     /// All live engines that are not set aside, or all live engines if every one is set aside.
@@ -139,7 +141,7 @@
     /// The usable engines that are considered for jobs.
     pub(super) fn usable(&self) -> Vec<(EngineId, &Engine)> {
         let usable = if self.uses_working_set() {
-            let all_set_aside = self.engine_sets.set_aside.len() >= self.engine_sets.live;
+            let all_set_aside = self.engine_sets.set_aside.len() >= self.live_engines.len();
             let is_usable = |engine: &Engine| {
                 engine.status == EngineStatus::Live && (all_set_aside || engine.probes_to_return.is_none())
             };
@@ -155,7 +157,8 @@
     /// engines that are considered for jobs.
     pub(super) fn usable_cores(&self, considered: &[(EngineId, &Engine)], now: Moment) -> f64 {
         if self.uses_working_set() {
-            return self.working_set.cores;
+            let mean_cores = self.working_set.mean_cores.map_or(0.0, |(mean_cores, _)| mean_cores);
+            return mean_cores * self.working_set.usable as f64;
         }
         considered.iter().map(|(_, e)| self.effective_cores(e, now)).sum()
     }
@@ -168,18 +171,20 @@
         if !self.uses_working_set() {
             return Vec::new();
         }
-        let set = &self.working_set;
+        let members = &self.working_set.members;
         let mut extras: Vec<EngineId> = Vec::new();
         if any_cold {
-            extras.extend(set.others.sample(rng, MAX_COLD_EXTRAS));
+            extras.extend(self.live_engines.ids().sample(rng, MAX_COLD_EXTRAS));
         }
         let is_repeat = |job: &&crate::records::Job| !job.dispatches.is_empty();
         let repeats = jobs.filter_map(|id| self.jobs.get(&id)).filter(is_repeat);
         let cells = repeats.filter_map(|job| job.may_have_run().next()).map(|dispatch| dispatch.cell);
-        extras.extend(cells.filter_map(|cell| set.by_cell.get(&cell)).flatten());
+        let is_set_aside = |id: &EngineId| self.engine_sets.set_aside.contains(id);
+        let of_cell = |cell| self.live_engines.of_cell(cell).filter(|id| !is_set_aside(id)).take(MAX_OF_CELL);
+        extras.extend(cells.flat_map(of_cell));
         extras.sort_unstable();
         extras.dedup();
-        extras.retain(|id| set.members.binary_search(id).is_err());
+        extras.retain(|id| members.binary_search(id).is_err());
         self.engine_sets.count_examined(extras.len());
         self.records(&extras)
             .filter(|(_, e)| e.status == EngineStatus::Live && e.probes_to_return.is_none())
@@ -207,12 +212,3 @@
         ids.iter().filter_map(|id| Some((*id, self.engines.get(id)?)))
     }
 }
-
-/// Keeps the engines with the lowest values and returns the others.
-fn split_lowest(engines: &mut DrawnEngines, count: usize) -> DrawnEngines {
-    if count >= engines.len() {
-        return Vec::new();
-    }
-    engines.select_nth_unstable(count);
-    engines.split_off(count)
-}
--- a/tests/scenarios/many_engines.rs
+++ b/tests/scenarios/many_engines.rs
@@ -10,6 +10,8 @@
 const PULLS_WITHOUT_REMOVAL: usize = 50;
 /// Maximum number of engines' records that the decisions on one job may look at.
 const MAX_EXAMINED_PER_JOB: u64 = 1_500;
+/// Time between two changes, in which the working set is drawn again.
+const MS_BETWEEN_CHANGES: u64 = 150;
 
 fn host_with(engines: usize, change: impl Fn(&mut Start)) -> Host {
     let mut host = Host::new(change);
@@ -35,10 +37,11 @@
     host.pull();
     let (jobs, before) = (400, host.router.engines_examined());
     run_jobs(&mut host, jobs);
-    // The set is drawn anew for changes, at most ten times a second.
-    let draws = jobs as u64 * 5 / 100 + 1;
-    let examined = host.router.engines_examined() - before - draws * MANY as u64;
-    assert!(examined <= jobs as u64 * MAX_EXAMINED_PER_JOB, "{examined} for {jobs} jobs");
+    // The cores of all engines are summed up once a second.
+    let scans = jobs as u64 * 5 / 1_000 + 1;
+    let allowed = jobs as u64 * MAX_EXAMINED_PER_JOB + scans * MANY as u64;
+    let examined = host.router.engines_examined() - before;
+    assert!(examined <= allowed, "{examined} for {jobs} jobs");
     assert!(host.sent.len() >= jobs, "{} of {jobs}", host.sent.len());
 }
 
@@ -55,7 +58,7 @@
     let engines = host.forgotten.iter().filter(|index| matches!(index, Forgotten::Engine(_))).count();
     let probed = host.probed.iter().filter(|engine| engine.0 >= MANY / 2).count();
     assert_eq!(engines + probed, MANY - MANY / 2);
-    // The set is drawn once, each engine that left is looked at once, and each one with a probe or a dispatch
+    // The cores are summed up once, each engine that left is looked at once, and each one with a probe or a dispatch
     // in flight again in each pull.
     let examined = host.router.engines_examined() - before;
     let pulls = host.forgotten.len() + PULLS_WITHOUT_REMOVAL;
@@ -96,3 +99,19 @@
     assert_eq!(host.sent[before..].iter().map(|sent| sent.1).collect::<Vec<_>>(), [EngineId(MANY - 1)]);
     assert_eq!(host.engines_of(job), [EngineId(MANY - 1)]);
 }
+
+/// Guards against a router that looks at every listed engine whenever engines are set aside or listed.
+#[test]
+fn changes_of_few_engines_cost_no_look_at_all_of_them() {
+    let mut host = host_with(MANY, |_| ());
+    host.pull();
+    let (before, changes) = (host.router.engines_examined(), 20);
+    for engine in 0..changes {
+        host.list_engine(engine, EngineStatus::Draining, None);
+        host.advance(MS_BETWEEN_CHANGES);
+    }
+    let scans = changes as u64 * MS_BETWEEN_CHANGES / 1_000 + 1;
+    let allowed = scans * MANY as u64 + changes as u64 * MAX_EXAMINED_PER_JOB;
+    let examined = host.router.engines_examined() - before;
+    assert!(examined <= allowed, "{examined} for {changes} changes");
+}
