--- a/src/logic.rs
+++ b/src/logic.rs
@@ -80,6 +80,19 @@
 /// Maximum number of records of engines that are gone that one pull removes.
 const MAX_REMOVED_ENGINES: usize = 128;
 
+/// The load of the engines that are considered for jobs, in threads, and the limits on it.
+struct PoolLoad {
+    in_flight: f64,
+    limit: f64,
+    /// The limit of one engine.
+    engine_limit: f64,
+    /// Whether any of the engines is cold.
+    any_cold: bool,
+    /// The work of other routers, in seconds of one thread, that is assumed at an engine without a recent load
+    /// report: the average of the others.
+    reported_work: f64,
+}
+
 /// The decisions of one router.
 pub struct Router {
     rng: Pcg32,
@@ -528,9 +541,10 @@
         if self.engines.get(&engine_id).is_some_and(|engine| self.is_cold(engine, now)) {
             return;
         }
-        let (usable, threads) = (self.usable(), self.types[type_id.0].threads);
-        let ((initial, min), in_flight) =
-            (self.initial_limit(&usable, now), self.threads_in_flight(&usable, now));
+        let threads = self.types[type_id.0].threads;
+        // The cores of a long list were summed up before.
+        let summed_up = if self.uses_working_set() { Vec::new() } else { self.all_usable() };
+        let ((initial, min), in_flight) = (self.initial_limit(&summed_up, now), self.threads_in_flight(now));
         if !good {
             self.limit_was_cut = true;
             self.limit_factor = (self.limit_factor - threads / initial).max(min / initial);
@@ -542,8 +556,8 @@
 
     /// This router's threads in flight at usable engines that count towards the limit: cold engines have a
     /// budget instead.
-    fn threads_in_flight(&self, usable: &[(EngineId, &Engine)], now: Moment) -> f64 {
-        let all_set_aside = usable.first().is_some_and(|(_, e)| e.probes_to_return.is_some());
+    fn threads_in_flight(&self, now: Moment) -> f64 {
+        let all_set_aside = self.all_set_aside();
         let is_usable =
             |e: &Engine| e.status == EngineStatus::Live && (all_set_aside || e.probes_to_return.is_none());
         let counted = self.engines_in_flight().filter(|(_, e)| is_usable(e) && !self.is_cold(e, now));
@@ -766,9 +780,27 @@
     }
 
     /// Dispatches the first job in rank order that may go to any engine. It goes to the engine with the
-    /// lowest cost; the engines are shuffled so that equal costs are decided at random.
+    /// lowest cost; the engines are shuffled so that equal costs are decided at random. Further engines are
+    /// considered only if no job may go to one of the usual ones.
     fn dispatch(&mut self, now: Moment) -> Option<Decision> {
-        let shuffle_seed: u64 = self.rng.random();
+        let mut rng = Pcg32::seed_from_u64(self.rng.random());
+        let waiting = self.waiting_jobs(now);
+        if waiting.is_empty() {
+            return None;
+        }
+        let mut engines = self.usable();
+        let load = self.pool_load(&engines, now);
+        engines.shuffle(&mut rng);
+        let placement = self.place_first(&waiting, &engines, &load, now).or_else(|| {
+            let further = self.extra_candidates(&waiting, load.any_cold, &mut rng);
+            self.place_first(&waiting, &further, &load, now)
+        });
+        let (job, engine) = placement?;
+        self.send(now, job, engine)
+    }
+
+    /// The jobs that wait for a dispatch, in rank order.
+    fn waiting_jobs(&self, now: Moment) -> Vec<JobId> {
         let undispatched_waiting = self.jobs.values().any(|job| !job.closed && job.dispatches.is_empty());
         let second_dispatch_allowed = |job: &Job| {
             self.types[job.type_id.0].effect == Effect::Restartable && job.dispatches_in_flight() == 1
@@ -782,46 +814,55 @@
         };
         let waiting = self.jobs.iter().filter(|(_, job)| waits(job));
         let mut waiting: Vec<_> = waiting.map(|(id, job)| (self.rank(job, now), *id)).collect();
-        if waiting.is_empty() {
-            return None;
-        }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let mut engines = self.usable();
-        let (in_flight, limit) =
-            (self.threads_in_flight(&engines, now), self.limit_factor * self.initial_limit(&engines, now).0);
-        let mut rng = Pcg32::seed_from_u64(shuffle_seed);
-        let any_cold = engines.iter().any(|(_, e)| self.is_cold(e, now));
-        engines.extend(self.extra_candidates(waiting.iter().map(|(_, id)| *id), any_cold, &mut rng));
-        engines.shuffle(&mut rng);
+        waiting.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// The load of the engines that are considered for jobs.
+    fn pool_load(&self, engines: &[(EngineId, &Engine)], now: Moment) -> PoolLoad {
+        let limit = self.limit_factor * self.initial_limit(engines, now).0;
+        PoolLoad {
+            in_flight: self.threads_in_flight(now),
+            limit,
+            engine_limit: limit * ENGINE_LIMIT_FACTOR / engines.len() as f64,
+            any_cold: engines.iter().any(|(_, engine)| self.is_cold(engine, now)),
+            reported_work: self.average_reported_work(engines, now),
+        }
+    }
+
+    /// The work of other routers at an engine, averaged over those with a recent load report.
+    fn average_reported_work(&self, engines: &[(EngineId, &Engine)], now: Moment) -> f64 {
         let weighted_work = |e: &Engine| Some((self.other_routers_work(e)?, self.report_weight(e, now)));
-        let reported = self.report_sources(&engines).into_iter().filter_map(weighted_work);
-        let reported = reported
+        let reported = self.report_sources(engines).into_iter().filter_map(weighted_work);
+        let (sum, weights) = reported
             .fold((0.0, 1e-9), |(sum, weights), (work, weight)| (sum + work * weight, weights + weight));
-        // Engines without a recent load report are assumed to have the average work of other routers.
-        let (average_other_work, load_wait) = (
-            reported.0 / reported.1,
-            self.derived.max_load_time.secs() * LOAD_WAIT_SLA_FRACTION * (1.0 - self.share()),
-        );
-        let (engine_limit, mean) =
-            (limit * ENGINE_LIMIT_FACTOR / engines.len() as f64, self.estimates.mean_work.value);
-        let (job, engine) = waiting.iter().find_map(|(_, id)| {
+        sum / weights
+    }
+
+    /// The first of the jobs that may go to any of the engines, and the engine with the lowest cost for it.
+    fn place_first(
+        &self, waiting: &[JobId], engines: &[(EngineId, &Engine)], load: &PoolLoad, now: Moment,
+    ) -> Option<(JobId, EngineId)> {
+        let load_wait = self.derived.max_load_time.secs() * LOAD_WAIT_SLA_FRACTION * (1.0 - self.share());
+        let mean = self.estimates.mean_work.value;
+        waiting.iter().find_map(|id| {
             let job = &self.jobs[id];
             let already_at =
                 |e: EngineId| job.dispatches.iter().any(|d| d.outcome.is_none() && d.engine == e);
             let t = &self.types[job.type_id.0];
-            let job_limit = limit * if job.work < mean { SHORT_JOB_LIMIT_FACTOR } else { 1.0 };
-            let has_room = in_flight == 0.0 || in_flight + t.threads <= job_limit;
-            if !has_room && !any_cold {
+            let job_limit = load.limit * if job.work < mean { SHORT_JOB_LIMIT_FACTOR } else { 1.0 };
+            let has_room = load.in_flight == 0.0 || load.in_flight + t.threads <= job_limit;
+            if !has_room && !load.any_cold {
                 return None;
             }
             let fits = |e: &Engine| {
-                has_room && (e.in_flight.is_empty() || e.threads_in_flight() + t.threads <= engine_limit)
+                has_room && (e.in_flight.is_empty() || e.threads_in_flight() + t.threads <= load.engine_limit)
             };
             let may_go =
                 |e: &Engine| (self.is_cold(e, now) || fits(e)) && self.is_permitted(*id, job, e, now);
             let affected_by_loads = t.is_load || t.waits_for_loads;
             let takes_loads = if affected_by_loads {
-                Self::load_engines(job.group, &engines)
+                Self::load_engines(job.group, engines)
             } else {
                 vec![false; engines.len()]
             };
@@ -834,12 +875,11 @@
             let extra_wait =
                 |takes_loads: bool| if t.waits_for_loads && takes_loads { load_wait } else { 0.0 };
             let cost = |id, e, takes_loads| {
-                extra_wait(takes_loads) + self.wait_and_run(job, id, e, average_other_work, now)
+                extra_wait(takes_loads) + self.wait_and_run(job, id, e, load.reported_work, now)
             };
             let costs = allowed.map(|((id, e), takes_loads)| (cost(*id, e, takes_loads), *id));
             costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, engine)| (*id, engine))
-        })?;
-        self.send(now, job, engine)
+        })
     }
 
     /// Records a dispatch and sets its memory grant, priority and timeout.
--- a/src/logic/working_set.rs
+++ b/src/logic/working_set.rs
@@ -131,17 +131,24 @@
     }
 
     /// All live engines that are not set aside, or all live engines if every one is set aside.
-    fn all_usable(&self) -> Vec<(EngineId, &Engine)> {
+    pub(super) fn all_usable(&self) -> Vec<(EngineId, &Engine)> {
         let live = || self.engines.iter().filter(|(_, e)| e.status == EngineStatus::Live);
         let live = || live().map(|(id, e)| (*id, e));
         let in_use: Vec<_> = live().filter(|(_, e)| e.probes_to_return.is_none()).collect();
         if in_use.is_empty() { live().collect() } else { in_use }
     }
 
+    /// Whether every live engine is set aside.
+    pub(super) fn all_set_aside(&self) -> bool {
+        let set_aside = &self.engine_sets.set_aside;
+        let live = self.live_engines.ids();
+        set_aside.len() >= live.len() && live.iter().all(|id| set_aside.contains(id))
+    }
+
     /// The usable engines that are considered for jobs.
     pub(super) fn usable(&self) -> Vec<(EngineId, &Engine)> {
         let usable = if self.uses_working_set() {
-            let all_set_aside = self.engine_sets.set_aside.len() >= self.live_engines.len();
+            let all_set_aside = self.all_set_aside();
             let is_usable = |engine: &Engine| {
                 engine.status == EngineStatus::Live && (all_set_aside || engine.probes_to_return.is_none())
             };
@@ -166,7 +173,7 @@
     /// Further engines for the waiting jobs: others than the members of the set while some of these are cold,
     /// and the engines of the cells to which repeats are bound.
     pub(super) fn extra_candidates<'a>(
-        &'a self, jobs: impl Iterator<Item = JobId>, any_cold: bool, rng: &mut Pcg32,
+        &'a self, jobs: &[JobId], any_cold: bool, rng: &mut Pcg32,
     ) -> Vec<(EngineId, &'a Engine)> {
         if !self.uses_working_set() {
             return Vec::new();
@@ -177,7 +184,7 @@
             extras.extend(self.live_engines.ids().sample(rng, MAX_COLD_EXTRAS));
         }
         let is_repeat = |job: &&crate::records::Job| !job.dispatches.is_empty();
-        let repeats = jobs.filter_map(|id| self.jobs.get(&id)).filter(is_repeat);
+        let repeats = jobs.iter().filter_map(|id| self.jobs.get(id)).filter(is_repeat);
         let cells = repeats.filter_map(|job| job.may_have_run().next()).map(|dispatch| dispatch.cell);
         let is_set_aside = |id: &EngineId| self.engine_sets.set_aside.contains(id);
         let of_cell = |cell| self.live_engines.of_cell(cell).filter(|id| !is_set_aside(id)).take(MAX_OF_CELL);
