--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! A comment that begins with `Threat:` names the fault that the code below it guards against, and the case
 //! in which this defence costs something.
 
+mod engine_records;
 mod engine_sets;
 mod estimates;
 pub mod interface;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,6 +30,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
+use crate::engine_records::EngineRecords;
 use crate::engine_sets::EngineSets;
 use crate::estimates::{Estimates, MEAN_SAMPLES};
 use crate::interface::*;
@@ -128,7 +129,7 @@
     /// The record of a key is removed when the key has no job left, its pause is over and no query of it may
     /// still run.
     keys: BTreeMap<KeyId, KeyQueue>,
-    engines: BTreeMap<EngineId, Engine>,
+    engines: EngineRecords,
     /// When expired entries were last removed from the records of engines.
     swept_at: Moment,
     /// The engines that checks other than the choice of an engine look at.
@@ -188,7 +189,7 @@
             receives_list_changes,
             jobs: BTreeMap::new(),
             keys: BTreeMap::new(),
-            engines: BTreeMap::new(),
+            engines: EngineRecords::default(),
             swept_at: now,
             engine_sets: EngineSets::default(),
             live_engines: LiveEngines::default(),
@@ -295,7 +296,7 @@
         if (good || !not_counted_as_bad) && !miss_predicted {
             self.adjust_limit(now, type_id, id, good);
         }
-        if let Some(engine) = self.engines.get_mut(&id) {
+        if let Some(engine) = self.engines.get_mut(id) {
             engine.in_flight.remove(&(job, number));
             if engine.in_flight.is_empty() {
                 self.engine_sets.in_flight.remove(&id);
@@ -345,7 +346,7 @@
         let locked_until = now + self.derived.max_load_time;
         let Some(record) = self.jobs.get_mut(&job) else { return };
         let Some(dispatch) = record.dispatches.get_mut(number) else { return };
-        let Some(engine) = self.engines.get_mut(&dispatch.engine) else { return };
+        let Some(engine) = self.engines.get_mut(dispatch.engine) else { return };
         engine.last_contact = now;
         match progress {
             Progress::Fraction(fraction) => {
@@ -379,7 +380,7 @@
         cpu: Option<f64>, disks: Option<f64>,
     ) {
         self.record_change();
-        if let Some(engine) = self.engines.get_mut(&engine) {
+        if let Some(engine) = self.engines.get_mut(engine) {
             let utilization = cpu.unwrap_or(0.0).max(disks.unwrap_or(0.0));
             engine.report = Some(Report { at: now, active, waiting: waiting.unwrap_or(0.0), utilization });
         }
@@ -388,7 +389,7 @@
     /// A probe has ended.
     pub fn probe_ended(&mut self, now: Moment, id: EngineId, outcome: Outcome) {
         self.record_change();
-        let Some(engine) = self.engines.get_mut(&id) else { return };
+        let Some(engine) = self.engines.get_mut(id) else { return };
         engine.probe_in_flight = false;
         if outcome == Outcome::NotIssued {
             return;
@@ -412,7 +413,7 @@
     /// probes, unless every live engine is set aside.
     fn set_aside(&mut self, id: EngineId, why: SetAsideReason) {
         self.record_change();
-        if let Some(engine) = self.engines.get_mut(&id).filter(|engine| engine.probes_to_return.is_none()) {
+        if let Some(engine) = self.engines.get_mut(id).filter(|engine| engine.probes_to_return.is_none()) {
             engine.probes_to_return = Some(PROBES_TO_RETURN);
             self.engine_sets.set_aside.insert(id);
             self.working_set.engines_changed();
@@ -425,7 +426,7 @@
     /// engine than from other engines (`extra`).
     pub fn transfer_delay_measured(&mut self, id: EngineId, extra: Span) {
         self.record_change();
-        if let Some(engine) = self.engines.get_mut(&id) {
+        if let Some(engine) = self.engines.get_mut(id) {
             engine.extra_transfer_time = extra;
         }
     }
@@ -436,7 +437,7 @@
         &mut self, now: Moment, id: EngineId, reservation_type: Option<TypeId>, suspicion: f64,
     ) {
         self.record_change();
-        if let Some(engine) = self.engines.get_mut(&id) {
+        if let Some(engine) = self.engines.get_mut(id) {
             engine.peer_suspicions.insert(reservation_type, (suspicion.clamp(0.0, 1.0), now));
             self.engine_sets.suspected.insert(id);
             self.engine_sets.expiring.insert(id);
@@ -479,7 +480,7 @@
             self.live_engines.remove(id);
         }
         self.working_set.engines_changed();
-        let engine = self.engines.entry(id).or_insert(record);
+        let engine = self.engines.get_or_insert(id, record);
         (engine.zone, engine.kind, engine.cell, engine.status) = (zone, kind, cell, status);
         // Any other stamp is another start, even an earlier one: the engine's clock may have stepped back.
         if stamp.is_some() && stamp != engine.start {
@@ -495,8 +496,8 @@
         self.list_changed();
         let named: BTreeSet<EngineId> = named.iter().copied().collect();
         for (id, engine) in self.engines.iter_mut().filter(|(id, _)| !named.contains(id)) {
-            self.engine_sets.status_changed(*id, EngineStatus::Gone);
-            self.live_engines.remove(*id);
+            self.engine_sets.status_changed(id, EngineStatus::Gone);
+            self.live_engines.remove(id);
             engine.status = EngineStatus::Gone;
         }
     }
@@ -538,7 +539,7 @@
     /// divided by `GOOD_ANSWERS_PER_BAD` after it. A bad answer lowers it by the job's threads. Answers of
     /// cold engines are ignored, because threads in flight at cold engines do not count towards the limit.
     fn adjust_limit(&mut self, now: Moment, type_id: TypeId, engine_id: EngineId, good: bool) {
-        if self.engines.get(&engine_id).is_some_and(|engine| self.is_cold(engine, now)) {
+        if self.engines.get(engine_id).is_some_and(|engine| self.is_cold(engine, now)) {
             return;
         }
         let threads = self.types[type_id.0].threads;
@@ -649,7 +650,7 @@
         let is_in_use = |index: &Forgotten| match index {
             Forgotten::Job(job) => jobs.contains_key(job),
             Forgotten::Key(key) => keys.contains_key(key),
-            Forgotten::Engine(engine) => engines.contains_key(engine),
+            Forgotten::Engine(engine) => engines.contains(*engine),
         };
         std::iter::from_fn(|| self.unused_indices.pop()).find(|index| !is_in_use(index))
     }
@@ -681,23 +682,23 @@
         let (window, derived, engines) = (self.slow_start.window(), self.derived, &mut self.engines);
         self.engine_sets.count_examined(self.engine_sets.expiring.len());
         self.engine_sets.expiring.retain(|id| {
-            let Some(engine) = engines.get_mut(id) else { return false };
+            let Some(engine) = engines.get_mut(*id) else { return false };
             engine.remove_expired(now, window, derived);
             engine.has_expiring_entries()
         });
         self.engine_sets
             .suspected
-            .retain(|id| engines.get(id).is_some_and(|engine| !engine.peer_suspicions.is_empty()));
+            .retain(|id| engines.get(*id).is_some_and(|engine| !engine.peer_suspicions.is_empty()));
     }
 
     /// Removes the records of engines that are gone and idle.
     fn remove_gone_engines(&mut self) {
         let is_idle = |engine: &Engine| engine.in_flight.is_empty() && !engine.probe_in_flight;
         let gone = self.engine_sets.gone.iter().inspect(|_| self.engine_sets.count_examined(1));
-        let gone = gone.filter(|id| self.engines.get(id).is_some_and(is_idle));
+        let gone = gone.filter(|id| self.engines.get(**id).is_some_and(is_idle));
         let removed: Vec<EngineId> = gone.take(MAX_REMOVED_ENGINES).copied().collect();
         for id in removed {
-            if self.engines.remove(&id).is_some() {
+            if self.engines.remove(id) {
                 self.engine_sets.remove(id);
                 self.unused_indices.push(Forgotten::Engine(id));
             }
@@ -706,7 +707,7 @@
 
     /// The engines with dispatches in flight, with their records.
     fn engines_in_flight(&self) -> impl Iterator<Item = (EngineId, &Engine)> {
-        let records = self.engine_sets.in_flight.iter().filter_map(|id| Some((*id, self.engines.get(id)?)));
+        let records = self.engine_sets.in_flight.iter().filter_map(|id| Some((*id, self.engines.get(*id)?)));
         records.inspect(|_| self.engine_sets.count_examined(1))
     }
 
@@ -747,7 +748,7 @@
             return;
         }
         let set_aside =
-            self.engine_sets.set_aside.iter().filter(|id| self.engines.get(id).is_some_and(is_live));
+            self.engine_sets.set_aside.iter().filter(|id| self.engines.get(**id).is_some_and(is_live));
         let allowed = (self.live_engines.len() / 2).saturating_sub(set_aside.count());
         for id in silent.into_iter().take(allowed) {
             self.set_aside(id, SetAsideReason::Silent);
@@ -890,7 +891,7 @@
         let relative_value_density = self.value_density(&self.jobs[&id], now) / (mean_value / mean_work);
         let shorten_timeout = !self.retry_limits.can_cancel && !self.retry_limits.concurrent_dispatches;
         let repeat_deadline = self.repeat_deadline(&self.jobs[&id]);
-        let (job, engine) = (self.jobs.get_mut(&id)?, self.engines.get_mut(&to)?);
+        let (job, engine) = (self.jobs.get_mut(&id)?, self.engines.get_mut(to)?);
         let t = &self.types[job.type_id.0];
         let max_grant = self.memory_grants.max_grant_share
             * self.fleet.memory_mb_by_kind.get(engine.kind.0).copied().unwrap_or(0.0);
@@ -938,7 +939,7 @@
             return false;
         }
         let t = &self.types[job.type_id.0];
-        let set_aside = self.engines.get(&dispatch.engine).is_none_or(|e| e.probes_to_return.is_some());
+        let set_aside = self.engines.get(dispatch.engine).is_none_or(|e| e.probes_to_return.is_some());
         let new_run = self.expected_run(job);
         let elapsed = now.since(dispatch.sent);
         let valid_for = self.monitoring.progress_period.mul_f64(PROGRESS_VALID_PERIODS);
@@ -985,7 +986,7 @@
         let healthy = self.healthy_until.is_some_and(|until| now <= until);
         let sets = &self.engine_sets;
         let first_due = |set: &BTreeSet<EngineId>| {
-            let is_due = |id: &&EngineId| self.engines.get(id).is_some_and(|e| due(e) && needs_probe(e));
+            let is_due = |id: &&EngineId| self.engines.get(**id).is_some_and(|e| due(e) && needs_probe(e));
             let looked_at = set.iter().inspect(|_| sets.count_examined(1));
             looked_at.copied().find(|id| is_due(&id))
         };
@@ -1001,7 +1002,7 @@
             pick = live.get(self.rng.random_range(0..live.len().max(1))).copied();
             self.dispatches_since_probe = 0;
         }
-        let engine = self.engines.get_mut(&pick?)?;
+        let engine = self.engines.get_mut(pick?)?;
         (engine.probe_in_flight, engine.probed_at) = (true, Some(now));
         Some(Decision::Probe { engine: pick? })
     }
--- a/src/logic/working_set.rs
+++ b/src/logic/working_set.rs
@@ -133,7 +133,6 @@
     /// All live engines that are not set aside, or all live engines if every one is set aside.
     pub(super) fn all_usable(&self) -> Vec<(EngineId, &Engine)> {
         let live = || self.engines.iter().filter(|(_, e)| e.status == EngineStatus::Live);
-        let live = || live().map(|(id, e)| (*id, e));
         let in_use: Vec<_> = live().filter(|(_, e)| e.probes_to_return.is_none()).collect();
         if in_use.is_empty() { live().collect() } else { in_use }
     }
@@ -203,7 +202,7 @@
         if self.uses_working_set() {
             return considered.iter().map(|(_, engine)| *engine).collect();
         }
-        self.engines.values().collect()
+        self.engines.iter().map(|(_, engine)| engine).collect()
     }
 
     /// The live engines that may be asked for a load report: all, or the members of the set.
@@ -212,10 +211,10 @@
         if self.uses_working_set() {
             return self.records(&self.working_set.members).filter(is_live).collect();
         }
-        self.engines.iter().map(|(id, engine)| (*id, engine)).filter(is_live).collect()
+        self.engines.iter().filter(is_live).collect()
     }
 
     fn records<'a>(&'a self, ids: &[EngineId]) -> impl Iterator<Item = (EngineId, &'a Engine)> {
-        ids.iter().filter_map(|id| Some((*id, self.engines.get(id)?)))
+        ids.iter().filter_map(|id| Some((*id, self.engines.get(*id)?)))
     }
 }
