--- a/crates/router/src/engine_list.rs
+++ b/crates/router/src/engine_list.rs
@@ -17,12 +17,13 @@
     items: Vec<Box<RawValue>>,
 }
 
-/// An event as discovery publishes it.
+/// An event as discovery publishes it. The roster of one that is known already is never read.
 #[derive(Deserialize)]
-struct BulletinItem {
+struct BulletinItem<'a> {
     #[serde(rename = "no")]
     number: Value,
-    roster: Option<Roster>,
+    #[serde(borrow)]
+    roster: Option<&'a RawValue>,
 }
 
 /// An event with its number. One that says nothing about engines has an empty roster.
@@ -101,17 +102,24 @@
 
     /// The newest start of an engine in all events. Events and lines that can't be read have none.
     pub fn newest_start(&self) -> Option<StartTime> {
-        let rosters = self.items.iter().filter_map(|item| parse_item(item).ok()?.roster);
+        let rosters = self.items.iter().filter_map(|item| parse_item(item).ok()?.roster().ok()?);
         let newest =
             |roster: Roster| roster.members.iter().filter_map(|line| Member::parse(line).ok()?.start()).max();
         rosters.filter_map(newest).max()
     }
 }
 
-fn parse_item(item: &RawValue) -> Result<BulletinItem> {
+fn parse_item(item: &RawValue) -> Result<BulletinItem<'_>> {
     serde_json::from_str(item.get()).map_err(|error| error.to_string())
 }
 
+impl BulletinItem<'_> {
+    fn roster(&self) -> Result<Option<Roster>> {
+        let parse = |roster: &RawValue| serde_json::from_str(roster.get()).map_err(|error| error.to_string());
+        self.roster.map(parse).transpose()
+    }
+}
+
 /// Reads an event; `None` if it does not come after `last`.
 fn read_event(item: &RawValue, last: u64) -> Result<Option<ListEvent>> {
     let item = parse_item(item)?;
@@ -119,10 +127,11 @@
     if number <= last {
         return Ok(None);
     }
-    if item.roster.as_ref().is_some_and(|roster| number != last + 1 && !roster.is_complete()) {
+    let roster = item.roster()?;
+    if roster.as_ref().is_some_and(|roster| number != last + 1 && !roster.is_complete()) {
         return Err(format!("event {} is missing", last + 1));
     }
-    Ok(Some(ListEvent { number, roster: item.roster.unwrap_or_default() }))
+    Ok(Some(ListEvent { number, roster: roster.unwrap_or_default() }))
 }
 
 impl Roster {
