--- a/src/logic.rs
+++ b/src/logic.rs
@@ -89,8 +89,8 @@
     engine_limit: f64,
     /// Whether any of the engines is cold.
     any_cold: bool,
-    /// The work of other routers, in seconds of one thread, that is assumed at an engine without a recent load
-    /// report: the average of the others.
+    /// The work of other routers, in seconds of one thread, that is assumed at an engine without a recent
+    /// load report: the average of the others.
     reported_work: f64,
 }
 
--- a/src/logic/working_set.rs
+++ b/src/logic/working_set.rs
@@ -25,8 +25,8 @@
 const MIN_PER_CLASS: usize = 4;
 /// Number of engines of a cell that are considered for a job that may be repeated only there.
 const MAX_OF_CELL: usize = 16;
-/// Number of engines outside the set that are considered while engines of the set are cold: this router has
-/// its turn at a few of all cold engines only.
+/// Number of engines outside the set that are considered if no job may go to the set while engines of it are
+/// cold: this router has its turn at a few of all cold engines only.
 const MAX_COLD_EXTRAS: usize = 128;
 /// The set is drawn again at the earliest after this time, although engines were listed, set aside or came
 /// back.
