--- /dev/null
+++ b/review/rig-2/src/engine.rs
@@ -0,0 +1,235 @@
+//! A stand-in for a sql engine, by the page on the protocol: a query runs until it ends, is deleted, or has
+//! not been asked for in 2 s. How long it runs stands in a comment of its statement (`/* 800 ms */`).
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::record::Record;
+
+const NEWS_WAIT: Duration = Duration::from_millis(250);
+const EXPIRY: Duration = Duration::from_secs(2);
+/// How often a note tells how far a query is, as the settings say.
+const NOTE_PERIOD: Duration = Duration::from_secs(1);
+const STEP: Duration = Duration::from_millis(5);
+
+struct Query {
+    started: Instant,
+    ends_at: Instant,
+    last_asked: Instant,
+    last_note: Instant,
+    is_over: bool,
+    /// Whether it ended well.
+    is_done: bool,
+    page: String,
+}
+
+#[derive(Default)]
+struct State {
+    queries: HashMap<String, Query>,
+}
+
+#[derive(Clone)]
+pub struct Engine {
+    pub name: String,
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    record: Record,
+}
+
+struct Call {
+    method: String,
+    path: String,
+    fields: HashMap<String, String>,
+    body: Vec<u8>,
+}
+
+/// The result of a statement: the same for the same id and text.
+pub fn result_of(id: &str, statement: &str) -> String {
+    format!("{id}\t{}\tend\n", statement.len())
+}
+
+fn run_time(statement: &str) -> Duration {
+    let ms = statement.split("/* ").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
+    Duration::from_millis(ms.unwrap_or(20))
+}
+
+impl Engine {
+    pub fn start(name: &str, record: &Record) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let engine = Self { name: name.to_owned(), address, state: Arc::default(), record: record.clone() };
+        let accepting = engine.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let engine = accepting.clone();
+                thread::spawn(move || engine.serve(stream));
+            }
+        });
+        let sweeping = engine.clone();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(STEP);
+                sweeping.sweep();
+            }
+        });
+        engine
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let mut reader = BufReader::new(stream);
+        while let Some(call) = read_call(&mut reader) {
+            let answer = self.answer(&call);
+            if reader.get_mut().write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, call: &Call) -> String {
+        let parts: Vec<&str> = call.path.trim_start_matches('/').split('/').collect();
+        match (call.method.as_str(), parts.as_slice()) {
+            ("GET", ["-", "ok"]) => head(200, "", ""),
+            ("GET", ["load"]) => head(200, "X-Stats: waiting:0;cpu:0.2\r\n", ""),
+            ("POST", ["v2", "q"]) => {
+                let id = call.fields.get("x-trace").cloned().unwrap_or_default();
+                self.begin(&id, &String::from_utf8_lossy(&call.body));
+                self.news(&id)
+            }
+            ("GET", ["v2", "q", id, "0"]) => self.news(id),
+            ("PUT", ["v2", "q", _]) => head(204, "", ""),
+            ("DELETE", ["v2", "q", id]) => {
+                self.end(id, false, "given up");
+                head(204, "", "")
+            }
+            _ => head(500, "", ""),
+        }
+    }
+
+    fn begin(&self, id: &str, statement: &str) {
+        let now = Instant::now();
+        let mut state = self.state.lock().unwrap();
+        if state.queries.get(id).is_some_and(|query| !query.is_over) {
+            return;
+        }
+        let query = Query {
+            started: now,
+            ends_at: now + run_time(statement),
+            last_asked: now,
+            last_note: now,
+            is_over: false,
+            is_done: false,
+            page: result_of(id, statement),
+        };
+        state.queries.insert(id.to_owned(), query);
+        drop(state);
+        self.record.line(&format!("engine {}: {id} begins", self.name));
+    }
+
+    fn end(&self, id: &str, is_done: bool, how: &str) {
+        let mut state = self.state.lock().unwrap();
+        let Some(query) = state.queries.get_mut(id).filter(|query| !query.is_over) else { return };
+        (query.is_over, query.is_done) = (true, is_done);
+        drop(state);
+        self.record.line(&format!("engine {}: {id} {how}", self.name));
+    }
+
+    fn sweep(&self) {
+        let now = Instant::now();
+        let over = |(id, query): (&String, &Query)| match () {
+            _ if query.is_over => None,
+            _ if now >= query.ends_at => Some((id.clone(), true, "ends")),
+            _ if now >= query.last_asked + EXPIRY => Some((id.clone(), false, "ends, not asked for in 2 s")),
+            _ => None,
+        };
+        let ended: Vec<_> = self.state.lock().unwrap().queries.iter().filter_map(over).collect();
+        for (id, is_done, how) in ended {
+            self.end(&id, is_done, how);
+        }
+    }
+
+    /// The news of a query: its end, or after 250 ms that it runs.
+    fn news(&self, id: &str) -> String {
+        let until = Instant::now() + NEWS_WAIT;
+        loop {
+            let now = Instant::now();
+            let mut state = self.state.lock().unwrap();
+            let Some(query) = state.queries.get_mut(id) else { return head(500, "", "") };
+            query.last_asked = now;
+            match (query.is_over, query.is_done) {
+                (true, true) => {
+                    return head(200, "X-Batches: 1\r\nX-Spent: 200.0\r\nX-Wanted: 64\r\n", &query.page);
+                }
+                (true, false) => return head(500, "", ""),
+                _ if now >= query.last_note + NOTE_PERIOD => {
+                    query.last_note = now;
+                    let started = query.started;
+                    let share = (now - started).as_secs_f64() / (query.ends_at - started).as_secs_f64();
+                    return head(202, &format!("X-Result: pct\r\nX-Num: {share:.3}\r\n"), "");
+                }
+                _ if now >= until => return head(202, "", ""),
+                _ => {}
+            }
+            drop(state);
+            thread::sleep(STEP);
+        }
+    }
+}
+
+fn head(status: u16, fields: &str, body: &str) -> String {
+    let length = if status == 204 { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    format!("HTTP/1.1 {status} x\r\n{fields}{length}\r\n{body}")
+}
+
+fn read_call(reader: &mut BufReader<TcpStream>) -> Option<Call> {
+    let mut first = String::new();
+    if reader.read_line(&mut first).ok()? == 0 {
+        return None;
+    }
+    let mut words = first.split_whitespace().map(str::to_owned);
+    let (method, path) = (words.next()?, words.next()?);
+    let mut fields = HashMap::new();
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            break;
+        }
+        let (name, value) = line.split_once(':')?;
+        fields.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = fields.get("content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Call { method, path, fields, body })
+}
+
+/// A bulletin without news: it keeps each call for the time that it asks for.
+pub fn start_bulletin(last: u64) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let _ = stream.set_nodelay(true);
+                let mut reader = BufReader::new(stream);
+                while let Some(call) = read_call(&mut reader) {
+                    let patience = call.path.split("patience=").nth(1).and_then(|ms| ms.parse().ok());
+                    thread::sleep(Duration::from_millis(patience.unwrap_or(0)));
+                    let body = format!("{{\"no\":{last},\"items\":[]}}");
+                    if reader.get_mut().write_all(head(200, "", &body).as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
