--- a/review/rig-2/src/client.rs
+++ b/review/rig-2/src/client.rs
@@ -104,9 +104,7 @@
 
 /// A request, encoded.
 /// `cost_ms` is the client's estimate of the work.
-pub fn request(
-    number: u64, class: &str, id: &str, wait: Duration, cost_ms: u64, statement: &str,
-) -> Vec<u8> {
+pub fn request(number: u64, class: &str, id: &str, wait: Duration, cost_ms: u64, statement: &str) -> Vec<u8> {
     let mut out = vec![0x94, 0x00];
     put_uint(&mut out, number);
     put_str(&mut out, class);
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -4,6 +4,7 @@
 mod check;
 mod client;
 mod engine;
+mod flood;
 mod record;
 mod router;
 mod slow_client;
@@ -42,6 +43,7 @@
     let play = thread::spawn(move || {
         catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
             "slow-client" => slow_client::play(&setup),
+            "flood" => flood::play(&setup),
             other => panic!("unknown case {other}"),
         }))
     });
