--- a/review/rig-2/src/engine.rs
+++ b/review/rig-2/src/engine.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -27,6 +28,18 @@
     page: String,
 }
 
+/// How often answers are spoilt, in parts of a thousand.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    /// Answers 202 that come twice, the second copy 5 ms after the first.
+    pub twice: u64,
+    /// Answers that come 300 ms late.
+    pub late: u64,
+}
+
+const SECOND_COPY_AFTER: Duration = Duration::from_millis(5);
+const LATE_BY: Duration = Duration::from_millis(300);
+
 #[derive(Default)]
 struct State {
     queries: HashMap<String, Query>,
@@ -37,6 +50,7 @@
     pub name: String,
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
+    faults: Faults,
     record: Record,
 }
 
@@ -52,6 +66,16 @@
     format!("{id}\t{}\tend\n", statement.len())
 }
 
+static DRAWS: AtomicU64 = AtomicU64::new(1);
+
+/// True in so many of a thousand draws, from a fixed sequence.
+fn draw(of_thousand: u64) -> bool {
+    let mut mixed = DRAWS.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    (mixed ^ (mixed >> 31)) % 1000 < of_thousand
+}
+
 fn run_time(statement: &str) -> Duration {
     let ms = statement.split("/* ").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
     Duration::from_millis(ms.unwrap_or(20))
@@ -59,9 +83,14 @@
 
 impl Engine {
     pub fn start(name: &str, record: &Record) -> Self {
+        Self::with_faults(name, Faults::default(), record)
+    }
+
+    pub fn with_faults(name: &str, faults: Faults, record: &Record) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let engine = Self { name: name.to_owned(), address, state: Arc::default(), record: record.clone() };
+        let engine =
+            Self { name: name.to_owned(), address, state: Arc::default(), faults, record: record.clone() };
         let accepting = engine.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -84,9 +113,23 @@
         let mut reader = BufReader::new(stream);
         while let Some(call) = read_call(&mut reader) {
             let answer = self.answer(&call);
+            let is_query_call = call.path.starts_with("/v2/q");
+            if is_query_call && draw(self.faults.late) {
+                self.record
+                    .line(&format!("engine {}: answers {} {} late", self.name, call.method, call.path));
+                thread::sleep(LATE_BY);
+            }
             if reader.get_mut().write_all(answer.as_bytes()).is_err() {
                 return;
             }
+            if is_query_call && answer.starts_with("HTTP/1.1 202") && draw(self.faults.twice) {
+                self.record
+                    .line(&format!("engine {}: answers {} {} twice", self.name, call.method, call.path));
+                thread::sleep(SECOND_COPY_AFTER);
+                if reader.get_mut().write_all(answer.as_bytes()).is_err() {
+                    return;
+                }
+            }
         }
     }
 
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod client;
+mod doubled;
 mod engine;
 mod flood;
 mod record;
@@ -43,6 +44,7 @@
     let play = thread::spawn(move || {
         catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
             "slow-client" => slow_client::play(&setup),
+            "doubled" => doubled::play(&setup),
             "flood" => flood::play(&setup),
             other => panic!("unknown case {other}"),
         }))
