--- a/review/rig-2/src/client.rs
+++ b/review/rig-2/src/client.rs
@@ -129,6 +129,15 @@
     out
 }
 
+/// Takes a request back.
+pub fn abort(number: u64) -> Vec<u8> {
+    let mut out = vec![0x93, 0x02];
+    put_str(&mut out, "abort");
+    out.push(0x91);
+    put_uint(&mut out, number);
+    out
+}
+
 fn put_uint(out: &mut Vec<u8>, value: u64) {
     match value {
         0..=0x7f => out.push(value as u8),
--- a/review/rig-2/src/engine.rs
+++ b/review/rig-2/src/engine.rs
@@ -43,6 +43,8 @@
 #[derive(Default)]
 struct State {
     queries: HashMap<String, Query>,
+    /// The id of each attempt, and when it came whole.
+    attempts: Vec<(String, Instant)>,
 }
 
 #[derive(Clone)]
@@ -108,6 +110,11 @@
         engine
     }
 
+    /// All attempts so far, each with the time at which it came whole.
+    pub fn attempts(&self) -> Vec<(String, Instant)> {
+        self.state.lock().unwrap().attempts.clone()
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream);
@@ -169,6 +176,7 @@
             page: result_of(id, statement),
         };
         state.queries.insert(id.to_owned(), query);
+        state.attempts.push((id.to_owned(), now));
         drop(state);
         self.record.line(&format!("engine {}: {id} begins", self.name));
     }
--- a/review/rig-2/src/main.rs
+++ b/review/rig-2/src/main.rs
@@ -9,6 +9,7 @@
 mod record;
 mod router;
 mod slow_client;
+mod taken_back;
 
 use std::env;
 use std::panic::catch_unwind;
@@ -45,6 +46,7 @@
         catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
             "slow-client" => slow_client::play(&setup),
             "doubled" => doubled::play(&setup),
+            "taken-back" => taken_back::play(&setup),
             "flood" => flood::play(&setup),
             other => panic!("unknown case {other}"),
         }))
