--- a/review/rig-2/src/client.rs
+++ b/review/rig-2/src/client.rs
@@ -80,6 +80,11 @@
         self.inbox.lock().unwrap().answers.get(&number).cloned().unwrap_or_default()
     }
 
+    /// How many answers have come.
+    pub fn answer_count(&self) -> usize {
+        self.inbox.lock().unwrap().answers.len()
+    }
+
     pub fn closed_at(&self) -> Option<Instant> {
         self.inbox.lock().unwrap().closed_at
     }
--- a/review/rig-2/src/engine.rs
+++ b/review/rig-2/src/engine.rs
@@ -15,6 +15,7 @@
 const EXPIRY: Duration = Duration::from_secs(2);
 /// How often a note tells how far a query is, as the settings say.
 const NOTE_PERIOD: Duration = Duration::from_secs(1);
+const CORES: f64 = 8.0;
 const STEP: Duration = Duration::from_millis(5);
 
 struct Query {
@@ -25,6 +26,7 @@
     is_over: bool,
     /// Whether it ended well.
     is_done: bool,
+    threads: u64,
     page: String,
 }
 
@@ -33,7 +35,8 @@
 pub struct Faults {
     /// Answers 202 that come twice, the second copy 5 ms after the first.
     pub twice: u64,
-    /// Answers that come 300 ms late.
+    /// Good answers (200) that come 300 ms late. "No further use can be made of a connection that stays open":
+    /// the connection stays open behind one, and nothing more is served on it.
     pub late: u64,
 }
 
@@ -78,6 +81,15 @@
     (mixed ^ (mixed >> 31)) % 1000 < of_thousand
 }
 
+/// The threads of a query, as the settings say.
+fn threads(class: &str) -> u64 {
+    match class {
+        "report" => 4,
+        "load" => 2,
+        _ => 1,
+    }
+}
+
 fn run_time(statement: &str) -> Duration {
     let ms = statement.split("/* ").nth(1).and_then(|rest| rest.split(' ').next()?.parse().ok());
     Duration::from_millis(ms.unwrap_or(20))
@@ -121,10 +133,13 @@
         while let Some(call) = read_call(&mut reader) {
             let answer = self.answer(&call);
             let is_query_call = call.path.starts_with("/v2/q");
-            if is_query_call && draw(self.faults.late) {
+            if is_query_call && answer.starts_with("HTTP/1.1 200") && draw(self.faults.late) {
                 self.record
                     .line(&format!("engine {}: answers {} {} late", self.name, call.method, call.path));
                 thread::sleep(LATE_BY);
+                let _ = reader.get_mut().write_all(answer.as_bytes());
+                let _ = reader.read_to_end(&mut Vec::new());
+                return;
             }
             if reader.get_mut().write_all(answer.as_bytes()).is_err() {
                 return;
@@ -144,10 +159,11 @@
         let parts: Vec<&str> = call.path.trim_start_matches('/').split('/').collect();
         match (call.method.as_str(), parts.as_slice()) {
             ("GET", ["-", "ok"]) => head(200, "", ""),
-            ("GET", ["load"]) => head(200, "X-Stats: waiting:0;cpu:0.2\r\n", ""),
+            ("GET", ["load"]) => head(200, &format!("X-Stats: waiting:0;cpu:{:.2}\r\n", self.load()), ""),
             ("POST", ["v2", "q"]) => {
                 let id = call.fields.get("x-trace").cloned().unwrap_or_default();
-                self.begin(&id, &String::from_utf8_lossy(&call.body));
+                let class = call.fields.get("x-profile").map_or("", String::as_str);
+                self.begin(&id, class, &String::from_utf8_lossy(&call.body));
                 self.news(&id)
             }
             ("GET", ["v2", "q", id, "0"]) => self.news(id),
@@ -160,7 +176,7 @@
         }
     }
 
-    fn begin(&self, id: &str, statement: &str) {
+    fn begin(&self, id: &str, class: &str, statement: &str) {
         let now = Instant::now();
         let mut state = self.state.lock().unwrap();
         if state.queries.get(id).is_some_and(|query| !query.is_over) {
@@ -173,6 +189,7 @@
             last_note: now,
             is_over: false,
             is_done: false,
+            threads: threads(class),
             page: result_of(id, statement),
         };
         state.queries.insert(id.to_owned(), query);
@@ -181,6 +198,13 @@
         self.record.line(&format!("engine {}: {id} begins", self.name));
     }
 
+    /// How busy the cores are.
+    fn load(&self) -> f64 {
+        let state = self.state.lock().unwrap();
+        let running = state.queries.values().filter(|query| !query.is_over);
+        (running.map(|query| query.threads).sum::<u64>() as f64 / CORES).min(1.0)
+    }
+
     fn end(&self, id: &str, is_done: bool, how: &str) {
         let mut state = self.state.lock().unwrap();
         let Some(query) = state.queries.get_mut(id).filter(|query| !query.is_over) else { return };
@@ -213,7 +237,9 @@
             query.last_asked = now;
             match (query.is_over, query.is_done) {
                 (true, true) => {
-                    return head(200, "X-Batches: 1\r\nX-Spent: 200.0\r\nX-Wanted: 64\r\n", &query.page);
+                    let work = (query.ends_at - query.started).as_millis() as u64 * query.threads;
+                    let fields = format!("X-Batches: 1\r\nX-Spent: {work}.0\r\nX-Wanted: 64\r\n");
+                    return head(200, &fields, &query.page);
                 }
                 (true, false) => return head(500, "", ""),
                 _ if now >= query.last_note + NOTE_PERIOD => {
--- a/review/rig-2/src/flood.rs
+++ b/review/rig-2/src/flood.rs
@@ -40,9 +40,9 @@
     }
     let mut asked = Vec::new();
     for number in 1..=BUSY_CLIENTS {
-        let statement = "select a, b, c from sales_17.orders /* 12000 ms */";
+        let statement = "select a, b, c from sales_17.orders /* 10000 ms */";
         let name = format!("busy-{number}");
-        asked.push(ask(&name, router.address, "report", REPORT_WAIT, 24_000, statement, record));
+        asked.push(ask(&name, router.address, "report", REPORT_WAIT, 40_000, statement, record));
         thread::sleep(Duration::from_millis(5));
     }
     thread::sleep(Duration::from_millis(500));
@@ -71,25 +71,29 @@
     (client, Taken { number: 1, name: format!("the {class}"), written, wait, result })
 }
 
-/// A bad client: a class that doesn't exist, hundreds of requests at once, and the same again. It reads all
-/// answers, and comes back if the router closes its connection.
+/// A bad client: hundreds of requests at once of a class that doesn't exist, and each again as soon as it is
+/// turned away. It reads all answers, and comes back if the router closes its connection.
 fn send_again_and_again(number: usize, to: SocketAddr, record: &Record, ends: &AtomicBool) {
     let name = format!("~bad-{number}");
     while !ends.load(Ordering::Relaxed) {
         let Ok(client) = Client::connect(&name, to, record) else { continue };
-        client.note("sends hundreds of requests of a class that doesn't exist, again and again");
-        let mut next = 1;
-        while !ends.load(Ordering::Relaxed) {
-            let many: Vec<u8> = (next..next + AT_ONCE as u64)
+        client.note("sends hundreds of requests of a class that doesn't exist, and each again");
+        let mut sent = 0;
+        while !ends.load(Ordering::Relaxed) && client.closed_at().is_none() {
+            let wanted = client.answer_count() + AT_ONCE;
+            let many: Vec<u8> = (sent + 1..=wanted)
                 .flat_map(|number| {
-                    request(number, "nothing", &new_id(), LOOKUP_WAIT, 20, "select a from sales_17.orders")
+                    let statement = "select a from sales_17.orders";
+                    request(number as u64, "nothing", &new_id(), LOOKUP_WAIT, 20, statement)
                 })
                 .collect();
-            next += AT_ONCE as u64;
+            sent = wanted;
             if client.write(&many).is_err() {
                 break;
             }
+            thread::sleep(Duration::from_millis(1));
         }
+        client.note(&format!("sent {sent} requests, {} were turned away", client.answer_count()));
         client.close();
     }
 }
--- a/review/rig-2/src/record.rs
+++ b/review/rig-2/src/record.rs
@@ -18,7 +18,7 @@
     }
 
     pub fn line(&self, text: &str) {
-        let at = self.started.elapsed().as_secs_f64();
-        let _ = writeln!(self.file.lock().unwrap(), "{at:8.3} {text}");
+        let at = self.started.elapsed().as_millis();
+        let _ = writeln!(self.file.lock().unwrap(), "{at:6} ms  {text}");
     }
 }
--- a/review/rig-2/src/taken_back.rs
+++ b/review/rig-2/src/taken_back.rs
@@ -13,6 +13,8 @@
 const HUNDREDS: u64 = 800;
 const FEW: u64 = 30;
 const ROUNDS: usize = 5;
+/// How long after the requests they are taken back.
+const PAUSE: Duration = Duration::from_millis(20);
 const WAIT: Duration = Duration::from_secs(10);
 /// "An attempt that begins more than 0.1 s later is a break", and "each time limit is 50 ms longer" on sockets.
 const LATEST_BEGIN: Duration = Duration::from_millis(100 + 50);
@@ -35,6 +37,7 @@
         // A router may end a bad client's connection.
         let _ = client.write(&requests);
         client.note(&format!("{count} requests are written at once"));
+        thread::sleep(PAUSE);
         let aborts: Vec<u8> = (1..=count).flat_map(abort).collect();
         let _ = client.write(&aborts);
         let at = Instant::now();
