--- a/crates/router/src/arrivals.rs
+++ b/crates/router/src/arrivals.rs
@@ -94,6 +94,8 @@
     loop_ticks: LoopTicks,
     /// When the socket was last found empty.
     empty_at: Cell<Moment>,
+    /// Whether everything that was read is processed and the reader waits for more.
+    is_reading: Cell<bool>,
     /// The lower bound for the bytes that were read last.
     earliest: Cell<Moment>,
     /// The lower bound for bytes that are still in the socket because the last call to read them failed.
@@ -104,13 +106,30 @@
     /// Creates the bounds for a socket on which nothing had arrived by `empty_at`.
     pub fn new(empty_at: Moment, clock: Clock, loop_ticks: LoopTicks) -> Self {
         let unread_since = Cell::new(None);
-        Self { clock, loop_ticks, empty_at: Cell::new(empty_at), earliest: Cell::new(empty_at), unread_since }
+        let (earliest, is_reading) = (Cell::new(empty_at), Cell::new(false));
+        Self { clock, loop_ticks, empty_at: Cell::new(empty_at), is_reading, earliest, unread_since }
     }
 
     /// Reads from the socket: `read` is pending while the socket is empty. It is called again if a signal
     /// interrupts it.
     pub async fn receive<T>(&self, mut read: impl AsyncFnMut() -> io::Result<T>) -> io::Result<T> {
-        retry_interrupted(async || self.receive_once(read()).await).await
+        self.is_reading.set(true);
+        let received = retry_interrupted(async || self.receive_once(read()).await).await;
+        self.is_reading.set(false);
+        received
+    }
+
+    /// How long bytes may have been in the socket, or read and unprocessed, by now. `is_empty` tells whether
+    /// the socket is empty.
+    pub fn unprocessed_for(&self, is_empty: impl FnOnce() -> bool) -> Span {
+        let now = self.clock.now();
+        if !self.is_reading.get() {
+            return now.since(self.empty_at.get());
+        }
+        if is_empty() {
+            return Span::ZERO;
+        }
+        now.since(self.empty_at.get().max(self.loop_ticks.oldest_tick()))
     }
 
     async fn receive_once<T>(&self, read: impl Future<Output = io::Result<T>>) -> io::Result<T> {
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -12,7 +12,7 @@
 use crate::backends::sql::doubt::{Cause, Doubt};
 use crate::backends::sql::engine::Engine;
 use crate::clock::sleep;
-use crate::exchange::{Dispatch, Event, QueryResult, parse_measurement};
+use crate::exchange::{ClientPresence, Dispatch, Event, QueryResult, parse_measurement};
 use crate::faults::CallError;
 use crate::guards::{Refusal, SendConditions, Step};
 use crate::http::request_head;
@@ -34,6 +34,10 @@
 /// thousands of jobs may wait for the same resource.
 const MIN_CONNECT_PAUSE: Span = Span::from_micros(5_000);
 const MAX_CONNECT_PAUSE: Span = Span::from_micros(40_000);
+/// Interval at which a client that is unheard is checked again, and the number of these checks after which its
+/// job is not sent. They are counted because a busy thread may make them late.
+const PRESENCE_CHECK_INTERVAL: Span = Span::from_micros(10_000);
+const MAX_PRESENCE_CHECKS: usize = 10;
 /// A call that gets no answer for this long is repeated on another connection.
 pub const ANSWER_TIMEOUT: Span = Span::from_micros(500_000);
 /// Number of times that a page is requested with the usual minimum rate. After that many answers that were
@@ -205,6 +209,12 @@
                 self.engine.context.freshness.wait_until_fresh().await;
                 continue;
             }
+            // What a client that is unheard has sent may be read soon. Wait for that, up to a maximum time.
+            if statement.client.presence() == ClientPresence::Unheard {
+                drop(connection);
+                self.wait_until_client_heard().await?;
+                continue;
+            }
             if let Err(why) = self.check_send() {
                 self.engine.context.guards.record_refusal(Step::Send, why, &self.dispatch.statement.id);
                 return Err(Outcome::NotIssued);
@@ -249,6 +259,20 @@
         }
     }
 
+    /// Waits until the client is heard. If that takes too long, reports it and returns `NotIssued`.
+    async fn wait_until_client_heard(&self) -> Result<(), Outcome> {
+        for _ in 0..MAX_PRESENCE_CHECKS {
+            sleep(PRESENCE_CHECK_INTERVAL).await;
+            if self.dispatch.statement.client.presence() != ClientPresence::Unheard {
+                return Ok(());
+            }
+        }
+        let (guards, statement) = (&self.engine.context.guards, &self.dispatch.statement);
+        guards.record_refusal(Step::Send, Refusal::ClientUnheard, &statement.id);
+        let _ = self.events.send(Event::ClientUnheard { job: self.dispatch.job }).await;
+        Err(Outcome::NotIssued)
+    }
+
     /// How long the POST waits for its answer. A POST that may repeat an earlier dispatch must not arrive
     /// after the time for that.
     fn post_timeout(&self) -> Span {
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -278,6 +278,7 @@
             }
             Event::KeySettled { order_key } => self.settle(now, order_key),
             Event::JobAbandoned { job } => self.withdraw(job),
+            Event::ClientUnheard { job } => self.instance.router.client_unheard(job),
             Event::Ping { responder } => {
                 let readiness = self.check_ready();
                 if let Err(why) = readiness {
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -39,6 +39,8 @@
     ClientGone { client: u64 },
     /// The client of this job was found to be gone right before a dispatch.
     JobAbandoned { job: JobId },
+    /// A dispatch of this job was not sent because its client may have withdrawn the job.
+    ClientUnheard { job: JobId },
     /// A client asks whether this router serves.
     Ping { responder: Responder },
     /// A dispatch ended, `took` after it was decided. `actual_cost` is the work and the memory of the query,
@@ -93,18 +95,30 @@
     pub client: WaitingClient,
 }
 
+/// What is known about a client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClientPresence {
+    /// The connection is open, and what arrived over it is processed, except for what arrived just now.
+    Present,
+    /// The connection seems to be open, but a withdrawal or the close may have been unprocessed in it for too
+    /// long.
+    Unheard,
+    /// The connection is closed.
+    Gone,
+}
+
 /// Whether the client still waits for its job. Threat: a client closes or cancels while its job waits behind
 /// a busy thread or a connection that is not established yet, and its message is still in a mailbox or unread
 /// in its socket. Therefore each dispatch checks this right before its first byte is sent.
 pub struct WaitingClient {
     is_withdrawn: Cell<bool>,
-    connected: Box<dyn Fn() -> bool>,
+    connection: Box<dyn Fn() -> ClientPresence>,
 }
 
 impl WaitingClient {
-    /// `connected` returns whether the client's connection is still open.
-    pub fn new(connected: impl Fn() -> bool + 'static) -> Self {
-        Self { is_withdrawn: Cell::new(false), connected: Box::new(connected) }
+    /// `connection` returns the state of the client's connection.
+    pub fn new(connection: impl Fn() -> ClientPresence + 'static) -> Self {
+        Self { is_withdrawn: Cell::new(false), connection: Box::new(connection) }
     }
 
     /// Records that the client no longer waits.
@@ -112,9 +126,14 @@
         self.is_withdrawn.set(true);
     }
 
-    /// Whether the client has neither withdrawn its request nor closed its connection.
+    /// Whether the client is known to wait for its job.
+    pub fn presence(&self) -> ClientPresence {
+        if self.is_withdrawn.get() { ClientPresence::Gone } else { (self.connection)() }
+    }
+
+    /// Whether the client is not known to have withdrawn its request or closed its connection.
     pub fn is_waiting(&self) -> bool {
-        !self.is_withdrawn.get() && (self.connected)()
+        self.presence() != ClientPresence::Gone
     }
 }
 
--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -18,7 +18,7 @@
 
 use crate::arrivals::{ArrivalTimes, LoopTicks};
 use crate::clock::{Clock, sleep};
-use crate::exchange::{Answer, Event, MALFORMED, Responder, Statement, WaitingClient};
+use crate::exchange::{Answer, ClientPresence, Event, MALFORMED, Responder, Statement, WaitingClient};
 use crate::frontends::rpc::codec::{self, Malformed, MessageScanner};
 use crate::frontends::rpc::connections::{ClientConnection, Registration};
 use crate::frontends::rpc::request::RequestLimits;
@@ -45,6 +45,9 @@
 /// cancellation or the close, has to be read soon.
 const REFUSAL_DELAY: Span = Span::from_micros(2_000);
 const REFUSAL_BURST: f64 = 512.0;
+/// How long a withdrawal or the close may be unprocessed before the client's jobs are no longer dispatched.
+/// The protocol allows a dispatch up to 100 ms after its client has left.
+const MAX_UNPROCESSED_TIME: Span = Span::from_micros(80_000);
 /// Interval at which a client that is not being read is checked for a close.
 const CLOSE_CHECK_INTERVAL: Span = Span::from_micros(50_000);
 /// How long a connection that the router closes waits for the client's close. Data written longer ago than
@@ -145,7 +148,7 @@
         outbox,
         connection: reader_connection,
         last_number: Cell::new(0),
-        arrivals: ArrivalTimes::new(arrived, clock, context.loop_ticks.clone()),
+        arrivals: Rc::new(ArrivalTimes::new(arrived, clock, context.loop_ticks.clone())),
         immediate_credit: Cell::new((REFUSAL_BURST, clock.now())),
         open_jobs,
         is_gone,
@@ -303,7 +306,7 @@
     connection: Rc<ClientConnection>,
     /// Number of the last request. Numbers must increase, so that no two answers can be confused.
     last_number: Cell<u32>,
-    arrivals: ArrivalTimes,
+    arrivals: Rc<ArrivalTimes>,
     /// How many immediate answers may be given before reading is delayed, and when that was computed.
     immediate_credit: Cell<(f64, Moment)>,
     open_jobs: OpenJobs,
@@ -500,6 +503,25 @@
         })
     }
 
+    /// Returns the state of this connection for the jobs of its client. Threat: the router does not read the
+    /// socket, as many refusals hold the reader back or a message has no memory, or it reads more slowly than
+    /// the client sends. A withdrawal or the close that is behind unread bytes is not noticed then, and may
+    /// not even have reached this machine. The defence costs such a client its jobs that are not dispatched
+    /// yet: they are rejected.
+    fn waiting_client(&self) -> WaitingClient {
+        // The connection itself belongs to its actor alone.
+        let (socket, is_gone) = (self.connection.socket.clone(), self.is_gone.clone());
+        let arrivals = self.arrivals.clone();
+        WaitingClient::new(move || {
+            let open_socket = socket.upgrade().filter(|socket| !is_gone.get() && !socket.is_closed_by_peer());
+            let Some(socket) = open_socket else { return ClientPresence::Gone };
+            if arrivals.unprocessed_for(|| socket.is_quiet()) > MAX_UNPROCESSED_TIME {
+                return ClientPresence::Unheard;
+            }
+            ClientPresence::Present
+        })
+    }
+
     /// Accepts a request, or returns the answer that refuses it. Every request with a number is answered,
     /// even if only with an error or a refusal.
     async fn accept_request(
@@ -514,10 +536,6 @@
             .job_memory
             .try_acquire(self.holder, request.text.len() + JOB_OVERHEAD_BYTES)
             .ok_or_else(full)?;
-        // The connection itself belongs to its actor alone.
-        let (socket, is_gone) = (self.connection.socket.clone(), self.is_gone.clone());
-        let connected =
-            move || !is_gone.get() && socket.upgrade().is_some_and(|socket| !socket.is_closed_by_peer());
         let statement = Rc::new(Statement {
             holder: self.holder,
             id: request.id.into(),
@@ -526,7 +544,7 @@
             idempotency_key: request.idempotency_key.map(str::to_owned),
             text: request.text.into(),
             memory: held,
-            client: WaitingClient::new(connected),
+            client: self.waiting_client(),
         });
         self.open_jobs.borrow_mut().insert(number, statement.clone());
         let open_job = OpenJob { open_jobs: self.open_jobs.clone(), number };
--- a/crates/router/src/guards.rs
+++ b/crates/router/src/guards.rs
@@ -37,6 +37,8 @@
     CalledOff,
     /// The client disconnected or withdrew the request.
     ClientGone,
+    /// The client may have withdrawn the request in what the router has not processed yet.
+    ClientUnheard,
     /// An earlier dispatch of a job that must not run twice may have run.
     MayHaveRun,
     /// Another dispatch of the job is in flight.
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -93,6 +93,26 @@
     drop(client);
 }
 
+/// Guards against dispatching a job whose withdrawal, or its client's close, is behind requests that the router
+/// has not read yet: it reads a client slowly after hundreds of refusals.
+#[test]
+fn a_job_is_not_dispatched_while_its_client_has_thousands_of_requests_unread() {
+    for departure in ["cancel", "half"] {
+        let engine = StandinServer::start(|call| result_page(call, &[ROWS]));
+        let (router, events) = router_with_waiting_loads(&engine);
+        let mut client = Client::connect(&router);
+        client.send_job(1, "load", 60_000);
+        client.0.write_all(&refused_requests(3_000)).unwrap();
+        match departure {
+            "cancel" => client.send_abort(1),
+            _ => client.0.shutdown(Shutdown::Write).unwrap(),
+        }
+        thread::sleep(MAX_DISPATCH_DELAY);
+        assert_only_other_client_is_served(&router, &events);
+        drop(client);
+    }
+}
+
 #[test]
 fn a_close_after_unread_bytes_is_seen_before_the_first_byte_is_sent() {
     let engine = StandinServer::start(|call| result_page(call, &[ROWS.repeat(900).as_str(); 8]));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -215,6 +215,8 @@
     NoTimeLeft,
     /// The router itself is so late that a later answer would not reach the client in time.
     RouterLate,
+    /// Its client may have withdrawn it in what the router has not processed yet.
+    ClientUnheard,
 }
 
 /// Why an engine was set aside.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -252,6 +252,16 @@
         self.remove_if_finished(job);
     }
 
+    /// The host did not send a dispatch of this job, because the client may have withdrawn the job. Threat: a
+    /// client that sends more than the router reads would keep places at engines for jobs that are never
+    /// sent. The defence costs such a client its job, which is given up once no dispatch is in flight.
+    pub fn client_unheard(&mut self, job: JobId) {
+        self.record_change();
+        if let Some(record) = self.jobs.get_mut(&job) {
+            record.client_unheard = true;
+        }
+    }
+
     /// Records how long an answer takes now from its decision to its write, because the host is busy; zero if
     /// it is in time.
     pub fn response_delay_measured(&mut self, delay: Span) {
--- a/src/logic/rules.rs
+++ b/src/logic/rules.rs
@@ -27,6 +27,9 @@
         if job.dispatches_in_flight() > 0 {
             return None;
         }
+        if job.client_unheard {
+            return Some(GiveUpReason::ClientUnheard);
+        }
         let t = &self.types[job.type_id.0];
         if job.dispatches.len() >= self.retry_limits.max_dispatches {
             return Some(GiveUpReason::TriesSpent);
--- a/src/records.rs
+++ b/src/records.rs
@@ -93,6 +93,8 @@
     pub(crate) billed_value: f64,
     /// Whether the job has its final answer or its client has left.
     pub(crate) closed: bool,
+    /// Whether a dispatch was not sent because the client may have withdrawn the job.
+    pub(crate) client_unheard: bool,
     pub(crate) dispatches: Vec<Dispatch>,
 }
 
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -51,6 +51,23 @@
     }
 }
 
+/// Guards against dispatching a job again and again whose client is not heard.
+#[test]
+fn job_of_an_unheard_client_is_given_up_once_its_dispatch_was_not_sent() {
+    for (earlier, throttled) in [(Outcome::TurnedAway, true), (Outcome::Error, false)] {
+        let mut host = Host::new(|start| {
+            start.types[LOAD.0].effect = Effect::Keyed { scope: Scope::Zone, window: ms(5_000) }
+        });
+        let job = host.job(LOAD, 1);
+        host.pull();
+        host.end(job, 0, earlier, 50);
+        host.router.client_unheard(job);
+        host.end(job, 1, Outcome::NotIssued, 100);
+        let given_up = (host.engines_of(job).len(), host.throttled.len(), host.cancelled_for_good.len());
+        assert_eq!(given_up, (2, usize::from(throttled), usize::from(!throttled)), "{earlier:?}");
+    }
+}
+
 #[test]
 fn repeat_of_a_keyed_job_states_the_time_before_which_it_must_begin() {
     let keyed = Effect::Keyed { scope: Scope::All, window: ms(500) };
