--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -19,8 +19,9 @@
 use crate::arrivals::{ArrivalTimes, LoopTicks};
 use crate::clock::{Clock, sleep};
 use crate::exchange::{Answer, ClientPresence, Event, MALFORMED, Responder, Statement, WaitingClient};
-use crate::frontends::rpc::codec::{self, Malformed, MessageScanner};
+use crate::frontends::rpc::codec::{self, Malformed};
 use crate::frontends::rpc::connections::{ClientConnection, Registration};
+use crate::frontends::rpc::message_buffer::MessageBuffer;
 use crate::frontends::rpc::request::RequestLimits;
 use crate::guards::{Guards, Refusal, Step};
 use crate::memory::{Holder, MemoryBudget, MemoryPermit};
@@ -32,10 +33,6 @@
 /// Maximum number of answers that the frontend gives by itself (pongs and refusals) and that the client of a
 /// connection has not received yet; beyond it, nothing more is read from the client.
 const MAX_IMMEDIATE_ANSWERS: usize = 32;
-/// Maximum length of a message. A message longer than `READ_BUFFER_BYTES` is read into memory that all
-/// clients share.
-const MAX_MESSAGE_BYTES: usize = 128 * 1024;
-const READ_BUFFER_BYTES: usize = 2 * 1024;
 /// Time in which a connection's first message, and each message that has begun, must arrive completely.
 const MESSAGE_TIMEOUT: Span = Span::from_micros(1_500_000);
 /// Time without traffic after which an idle connection is closed. Clients close theirs after 4 s.
@@ -216,11 +213,10 @@
 
 impl ReadEnd {
     /// Whether the client may still read answers to its earlier requests, and distinguish them. Threat: a
-    /// request that was accepted would not be answered because the data after it was malformed or never
-    /// arrived completely. The defence costs a descriptor, which the connection holds until these requests
+    /// request that was accepted would not be answered because the data after it was malformed. The defence costs a descriptor, which the connection holds until these requests
     /// are answered.
     fn leaves_answers_owed(&self) -> bool {
-        matches!(self, Self::Malformed | Self::TooLong | Self::TooSlow(_) | Self::NoRoom)
+        matches!(self, Self::Malformed | Self::TooLong | Self::NoRoom)
     }
 }
 
@@ -297,6 +293,38 @@
     }
 }
 
+/// The time in which a message must arrive completely.
+struct MessageTimer {
+    deadline: Moment,
+    /// Monitors the rate; `None` for a connection's first message, which may not have begun.
+    monitor: Option<RateMonitor>,
+}
+
+impl MessageTimer {
+    fn first(now: Moment) -> Self {
+        Self { deadline: now + MESSAGE_TIMEOUT, monitor: None }
+    }
+
+    fn start(now: Moment, min_send_rate: MinRate) -> Self {
+        Self { monitor: Some(RateMonitor::start(now, min_send_rate)), ..Self::first(now) }
+    }
+
+    fn record(&mut self, now: Moment, bytes: usize) {
+        if let Some(monitor) = &mut self.monitor {
+            monitor.record(now, bytes);
+        }
+    }
+
+    fn deadline(&self) -> Moment {
+        self.monitor.map_or(self.deadline, |monitor| self.deadline.min(monitor.deadline()))
+    }
+
+    /// Returns the bytes of the message that have arrived, and their mean rate in bytes per second.
+    fn stats(&self, now: Moment) -> (u64, f64) {
+        self.monitor.map_or((0, 0.0), |monitor| monitor.stats(now))
+    }
+}
+
 struct Reader {
     client: u64,
     holder: Holder,
@@ -323,67 +351,55 @@
     }
 
     async fn read(&self, socket: &Socket) -> Result<(), ReadEnd> {
-        let (mut buffer, mut filled) = (vec![0; READ_BUFFER_BYTES], 0);
-        let mut message_memory: Option<MemoryPermit> = None;
-        let (mut scanner, mut scanned) = (MessageScanner::default(), 0);
-        // Deadline for the current message to be complete; the first message counts as begun from the start.
-        let mut deadline = Some(self.context.clock.now() + MESSAGE_TIMEOUT);
-        let (mut monitor, mut turn) = (None, DeficitCounter::new(self.context.quantum_bytes));
+        let (mut input, mut turn) =
+            (MessageBuffer::default(), DeficitCounter::new(self.context.quantum_bytes));
+        // The first message counts as begun from the start.
+        let mut timer = Some(MessageTimer::first(self.context.clock.now()));
         loop {
-            let (mut start, mut refused) = (0, 0);
-            while let Some(length) =
-                codec::message_length(&buffer[start..filled], &mut scanner, &mut scanned)?
-            {
-                refused += self.process(&buffer[start..start + length]).await?;
-                start += length;
-                (scanner, scanned, deadline, monitor) = (MessageScanner::default(), 0, None, None);
+            let mut refused = 0;
+            while let Some(message) = input.next_message()? {
+                refused += self.process(message).await?;
+                timer = None;
             }
-            if scanner.min_remaining().saturating_add(scanned as u64) > MAX_MESSAGE_BYTES as u64 {
-                self.refuse_too_long(&buffer[start..filled]).await?;
+            if input.is_too_long() {
+                self.refuse_too_long(input.incomplete()).await?;
                 return Err(ReadEnd::TooLong);
             }
-            buffer.copy_within(start..filled, 0);
-            filled -= start;
-            if filled == buffer.len() {
-                // Threat: many clients send long messages at once. Those for which no memory becomes free in
-                // time are closed.
-                let more = with_timeout(
-                    MESSAGE_TIMEOUT,
-                    self.context.message_memory.acquire(self.holder, filled * 2),
-                )
-                .await;
-                message_memory = Some(more.ok_or(ReadEnd::NoRoom)?);
-                buffer.resize(filled * 2, 0);
-            } else if filled == 0 && message_memory.take().is_some() {
-                buffer = vec![0; READ_BUFFER_BYTES];
+            input.discard_returned();
+            if input.is_full() {
+                input.grow(self.acquire_message_memory(input.grown_length()).await?);
             }
-            if filled > 0 && deadline.is_none() {
-                deadline = Some(self.context.clock.now() + MESSAGE_TIMEOUT);
-                monitor = Some(RateMonitor::start(self.context.clock.now(), self.context.min_send_rate));
+            let has_begun = !input.incomplete().is_empty();
+            if has_begun && timer.is_none() {
+                timer = Some(MessageTimer::start(self.context.clock.now(), self.context.min_send_rate));
             }
-            self.connection.has_unprocessed_bytes.set(filled > 0);
+            self.connection.has_unprocessed_bytes.set(has_begun);
             self.connection.recheck_close();
             if !self.delay_read(socket, refused).await {
                 return Ok(());
             }
-            let until = deadline.map(|deadline| {
-                monitor.map_or(deadline, |monitor: RateMonitor| deadline.min(monitor.deadline()))
-            });
-            let count = match self.read_some(socket, &mut buffer[filled..], until).await? {
+            let count = match self.read_some(socket, input.free(), timer.as_ref()).await? {
                 Some(Ok(0)) => return Ok(()),
                 Some(count) => count.map_err(ReadEnd::Broken)?,
-                None => return Err(self.too_slow(monitor)),
+                None => return Err(self.too_slow(timer.as_ref())),
             };
             self.connection.has_unprocessed_bytes.set(true);
-            filled += count;
-            if let Some(monitor) = &mut monitor {
-                monitor.record(self.context.clock.now(), count);
+            input.record_read(count);
+            if let Some(timer) = &mut timer {
+                timer.record(self.context.clock.now(), count);
             }
             yield_after_turn(&mut turn, count).await;
             self.connection.last_activity.set(self.context.clock.now());
         }
     }
 
+    /// Waits for memory for a long message. Threat: many clients send long messages at once. Those for which
+    /// no memory becomes free in time are closed.
+    async fn acquire_message_memory(&self, bytes: usize) -> Result<MemoryPermit, ReadEnd> {
+        let memory = self.context.message_memory.acquire(self.holder, bytes);
+        with_timeout(MESSAGE_TIMEOUT, memory).await.ok_or(ReadEnd::NoRoom)
+    }
+
     /// Delays reading after `refused` more immediate answers if these exceed the credit, and returns whether
     /// the client is still connected.
     async fn delay_read(&self, socket: &Socket, refused: usize) -> bool {
@@ -403,30 +419,35 @@
     }
 
     /// Returns the reason for closing a client that sent a message too slowly, with the measured rate.
-    fn too_slow(&self, monitor: Option<RateMonitor>) -> ReadEnd {
-        let (bytes, rate) = monitor.map_or((0, 0.0), |monitor| monitor.stats(self.context.clock.now()));
+    fn too_slow(&self, timer: Option<&MessageTimer>) -> ReadEnd {
+        let (bytes, rate) = timer.map_or((0, 0.0), |timer| timer.stats(self.context.clock.now()));
         ReadEnd::TooSlow(format!("{bytes} bytes at {rate:.0} a second"))
     }
 
     /// Reads the next bytes. Returns `None` if the rest of a message did not arrive in time. Threat: clients
     /// that vanish, stay idle or stall within a message would hold their descriptors. A client that awaits an
-    /// answer is not closed between messages.
+    /// answer is not closed between messages, and one that writes a message slowly is read on for as long as
+    /// it awaits an answer: whatever it completes meanwhile is a request that has arrived.
     async fn read_some(
-        &self, socket: &Socket, buffer: &mut [u8], deadline: Option<Moment>,
+        &self, socket: &Socket, buffer: &mut [u8], timer: Option<&MessageTimer>,
     ) -> Result<Option<io::Result<usize>>, ReadEnd> {
         let clock = self.context.clock;
         loop {
-            let until = deadline.unwrap_or_else(|| self.connection.last_activity.get() + IDLE_TIMEOUT);
-            let left = until.since(clock.now());
-            // Bytes that are still unread because reads were interrupted arrived in time.
-            let has_bytes = matches!(socket.peek(), PendingInput::Bytes);
-            if left == Span::ZERO && self.connection.has_unprocessed_bytes.get() && !has_bytes {
-                return Ok(None);
-            }
-            if left == Span::ZERO && self.connection.can_close(clock.now()) {
-                return Err(ReadEnd::Idle);
+            let idle_deadline = || self.connection.last_activity.get() + IDLE_TIMEOUT;
+            let mut left = timer.map_or_else(idle_deadline, MessageTimer::deadline).since(clock.now());
+            if left == Span::ZERO && self.connection.has_unprocessed_bytes.get() {
+                // Bytes that are still unread because reads were interrupted arrived in time.
+                let has_bytes = matches!(socket.peek(), PendingInput::Bytes);
+                if !has_bytes && self.connection.open_requests.get() == 0 {
+                    return Ok(None);
+                }
+                left = CLOSE_CHECK_INTERVAL;
+            } else if left == Span::ZERO {
+                if self.connection.can_close(clock.now()) {
+                    return Err(ReadEnd::Idle);
+                }
+                left = IDLE_TIMEOUT;
             }
-            let left = if left == Span::ZERO { IDLE_TIMEOUT } else { left };
             let taken = self.arrivals.receive(async || read_once(&socket.stream, buffer).await);
             if let Some(count) = with_timeout(left, taken).await {
                 return Ok(Some(count));
--- a/crates/router/tests/slow.rs
+++ b/crates/router/tests/slow.rs
@@ -7,6 +7,7 @@
 
 use woadhook_operator::OperatorFile;
 use woadhook_router::stop::OperatorCommand;
+use woadhook_standins::calls::{FirstCall, is_for_job, is_post};
 use woadhook_standins::*;
 
 const ROWS: &str = "a\tb\tc\n";
@@ -55,6 +56,36 @@
     );
 }
 
+/// Guards against no longer reading a client that writes a message slowly while it awaits an answer: that
+/// message and those behind it had arrived and were never answered.
+#[test]
+fn a_request_written_slowly_beside_an_open_one_is_served_and_so_are_those_behind_it() {
+    const REPORT_TIME: Duration = Duration::from_secs(4);
+    let began = FirstCall::default();
+    let engine = StandinServer::start(move |call| {
+        let is_report = is_for_job(call, 1) || call.line.contains("0000000000000001/");
+        began.record(is_report);
+        if is_report && began.at().elapsed() < REPORT_TIME {
+            let pause = Duration::from_millis(if is_post(call) { 0 } else { 200 });
+            return Response::Delayed(pause, Box::new(response(202, &[], "")));
+        }
+        result_page(call, &[ROWS])
+    });
+    let mut client = Client::connect(&RouterThread::start_with_idle_discovery(&[engine.address]));
+    client.send_job(1, "load", 20_000);
+    engine.wait_for_call("POST");
+    // A message may take 1.5 s where no answer is due.
+    let message = Client::encode_job(2, "look", "0000000000000002", 20_000, "select 1 from sales_1.x");
+    for piece in message.chunks(message.len().div_ceil(10)) {
+        client.0.write_all(piece).unwrap();
+        thread::sleep(Duration::from_millis(200));
+    }
+    client.send_job(3, "look", 20_000);
+    let mut answered: Vec<_> = (0..3).map(|_| client.receive()).collect();
+    answered.sort();
+    assert_eq!(answered, [1, 2, 3].map(|number| (number, Ok(ROWS.to_owned()))));
+}
+
 #[test]
 fn hundreds_of_slow_clients_keep_no_normal_client_out() {
     let engine = StandinServer::start(|call| result_page(call, &[ROWS]));
