--- a/crates/router/src/frontends/rpc/connections.rs
+++ b/crates/router/src/frontends/rpc/connections.rs
@@ -39,6 +39,8 @@
     pub open_requests: Cell<usize>,
     /// Whether bytes were read from the connection that are not processed yet.
     pub has_unprocessed_bytes: Cell<bool>,
+    /// Whether the client is not read for now because too many of its requests were refused.
+    pub is_held_back: Cell<bool>,
     close_requested: Cell<bool>,
     closing: Rc<Cell<bool>>,
     close_event: Event,
@@ -49,7 +51,15 @@
     /// in part: such a request would be lost, because clients repeat only requests that were still in transit
     /// when the router closed the connection. Callers check this right before the close, with no await in
     /// between.
+    ///
+    /// A connection that is held back can be closed with unread bytes once all that was read from it is
+    /// answered. Threat: a client that sends refused requests without a pause always has unread bytes and
+    /// would keep its descriptor for as long as it goes on. The defence costs such a client the answers to
+    /// requests that were not read.
     pub fn can_close(&self, now: Moment) -> bool {
+        if self.is_held_back.get() {
+            return self.open_requests.get() == 0;
+        }
         let unread = |socket: Rc<Socket>| matches!(socket.peek(), PendingInput::Bytes);
         let is_arriving =
             self.has_unprocessed_bytes.get() && now.since(self.last_activity.get()) < MAX_ARRIVAL_DELAY;
@@ -103,6 +113,7 @@
             last_activity: Cell::new(now),
             open_requests: Cell::new(0),
             has_unprocessed_bytes: Cell::new(false),
+            is_held_back: Cell::new(false),
             close_requested: Cell::new(false),
             closing: self.0.closing.clone(),
             close_event: Event::new(),
@@ -121,7 +132,8 @@
         self.0.all.borrow().values().for_each(|connection| _ = connection.close_event.notify(usize::MAX));
     }
 
-    /// Asks the connection that has been idle longest, of those that can be closed, to close. Threat:
+    /// Asks the connection that has been idle longest, of those that can be closed, to close. Connections that
+    /// are held back come first. Threat:
     /// connections that are held forever, or opened by the hundreds, would keep ordinary clients out. When
     /// descriptors are short, this defence costs an idle client its connection, and the client has to open a
     /// new one.
@@ -129,7 +141,10 @@
         let connections = self.0.all.borrow();
         let mut candidates: Vec<_> =
             connections.values().filter(|connection| !connection.close_requested.get()).collect();
-        candidates.sort_by_key(|connection| connection.last_activity.get());
+        candidates.sort_by_key(|connection| {
+            let comes_first = connection.is_held_back.get();
+            (!comes_first, connection.last_activity.get())
+        });
         if let Some(connection) = candidates.into_iter().find(|connection| connection.can_close(now)) {
             connection.close_requested.set(true);
             connection.close_event.notify(usize::MAX);
--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -409,12 +409,15 @@
         let credit = (credit + earned).min(REFUSAL_BURST) - refused as f64;
         self.immediate_credit.set((credit, now));
         let until = now + REFUSAL_DELAY.mul_f64(-credit);
+        let is_held_back = &self.connection.is_held_back;
         while refused > 0 && self.context.clock.now() < until {
+            is_held_back.set(true);
             sleep(until.since(self.context.clock.now()).min(CLOSE_CHECK_INTERVAL)).await;
             if socket.is_closed_by_peer() {
                 return false;
             }
         }
+        is_held_back.set(false);
         true
     }
 
