--- a/crates/host/src/instance.rs
+++ b/crates/host/src/instance.rs
@@ -18,7 +18,7 @@
     /// Whether jobs with the same order key run in order, by type.
     ordered: Vec<bool>,
     /// Whether a job must not run more than once, by type.
-    run_once: Vec<bool>,
+    effects: Vec<Effect>,
     /// Whether two dispatches of a job may be in flight at once.
     pub concurrent_dispatches: bool,
     pub tenants: Vec<String>,
@@ -137,7 +137,7 @@
             max_grant_share: number(engine_settings, "maxGrantShare").unwrap_or(1.0),
         };
         let ordered = types.iter().map(|t| t.ordered).collect();
-        let run_once = types.iter().map(|t| t.effect == Effect::RunOnce).collect();
+        let effects = types.iter().map(|t| t.effect).collect();
         let concurrent_dispatches = retry_limits.concurrent_dispatches;
         let router = Router::new(
             now,
@@ -156,7 +156,7 @@
             keys: Interner::default(),
             engines: Interner::default(),
             ordered,
-            run_once,
+            effects,
             concurrent_dispatches,
             types: classes
                 .iter()
@@ -182,7 +182,12 @@
 
     /// Whether jobs of a type must not run more than once.
     pub fn is_run_once(&self, type_id: TypeId) -> bool {
-        self.run_once[type_id.0]
+        self.effects[type_id.0] == Effect::RunOnce
+    }
+
+    /// Whether jobs of a type may run any number of times.
+    pub fn is_restartable(&self, type_id: TypeId) -> bool {
+        self.effects[type_id.0] == Effect::Restartable
     }
 
     /// Passes a load report to the router. `value` returns the report's value for a name, given the name and
--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -29,6 +29,7 @@
 };
 use crate::guards::{EarlierDispatches, Refusal, Step};
 use crate::list_update::ListUpdate;
+use crate::past_runs::PastRuns;
 use crate::starts::{EventTime, StartTime};
 use crate::unsettled_keys::UnsettledKeys;
 
@@ -58,13 +59,25 @@
     responder: Option<Responder>,
     /// How many dispatches were made so far.
     dispatches: usize,
-    /// Whether a dispatch has ended without proof that it never ran.
-    may_have_run: bool,
+    /// The earliest dispatch that has ended without proof that it never ran, of this job or of an earlier one
+    /// with its id.
+    earliest_run: Option<EarlierRun>,
     /// The dispatches in flight by number, each with its engine and the channel that sends changed priorities
     /// to its query. Closing the channel cancels the dispatch. An entry is removed when the dispatch ends.
     in_flight: HashMap<usize, (EngineId, Sender<u8>)>,
 }
 
+impl OpenJob {
+    /// Records a dispatch that may have run. Without the engine's line no repeat counts as safe.
+    fn record_run(&mut self, line: Option<&ListLine>, sent: Moment) {
+        let unknown =
+            EarlierRun { zone: ZoneId::default(), cell: CellId::default(), sent: Moment::default() };
+        let run = line.map_or(unknown, |line| EarlierRun { zone: line.zone, cell: line.cell, sent });
+        let earlier = self.earliest_run.filter(|earlier| earlier.sent <= run.sent);
+        self.earliest_run = earlier.or(Some(run));
+    }
+}
+
 /// A line of the engine list.
 #[derive(Clone, Copy)]
 struct ListLine {
@@ -106,6 +119,8 @@
     jobs_by_request: BTreeMap<(u64, u32), JobId>,
     /// A job is removed when the module returns `Decision::Forget` for it.
     jobs: HashMap<JobId, OpenJob>,
+    /// The ids of jobs that may have run and are not open any more.
+    past_runs: PastRuns,
     /// An engine is removed when the module returns `Decision::Forget` for it.
     engines: HashMap<EngineId, KnownEngine>,
     /// The job of each order key that has a dispatch in flight; removed when the dispatch ends.
@@ -154,6 +169,7 @@
             events,
             jobs_by_request: BTreeMap::new(),
             jobs: HashMap::new(),
+            past_runs: PastRuns::default(),
             engines: HashMap::new(),
             keys_in_flight: HashMap::new(),
             unsettled: UnsettledKeys::default(),
@@ -291,7 +307,10 @@
                     return self.handle_orphan_end(now, job, number, in_doubt);
                 };
                 let (removed, type_id) = (open.in_flight.remove(&number), open.type_id);
-                open.may_have_run |= !outcome.never_ran();
+                let engine = removed.as_ref().and_then(|(engine, _)| self.engines.get(engine));
+                if !outcome.never_ran() {
+                    open.record_run(engine.map(|known| &known.line), now.saturating_sub(took));
+                }
                 if let Some(key) = open.order_key.filter(|_| open.in_flight.is_empty()) {
                     self.keys_in_flight.remove(&key);
                 }
@@ -429,7 +448,8 @@
         let order_key = order_key.and_then(|key| self.instance.intern_key(type_id, &key));
         self.jobs_by_request.insert(request, job);
         let responder = Some(responder);
-        let (dispatches, may_have_run, in_flight) = (0, false, HashMap::new());
+        let earliest_run = self.past_runs.get(&statement.id);
+        let (dispatches, in_flight) = (0, HashMap::new());
         let open = OpenJob {
             client,
             statement,
@@ -438,13 +458,16 @@
             order_key,
             responder,
             dispatches,
-            may_have_run,
+            earliest_run,
             in_flight,
         };
         self.jobs.insert(job, open);
         let (router, expires) = (&mut self.instance.router, deadline.since(now));
         log::debug!(event = "job_taken", job = self.instance.jobs.name(job.0), of = self.instance.types[type_id.0]; "job taken");
         router.job_arrived(now, job, type_id, tenant, group, order_key, stated_work, memory, expires);
+        if let Some(run) = earliest_run {
+            router.job_ran_before(job, run);
+        }
     }
 
     /// Takes the right to answer a job; `None` if it was answered before.
@@ -639,7 +662,8 @@
                 });
             }
             Decision::Forget(Forgotten::Job(job)) => {
-                self.jobs.remove(&job);
+                let open = self.jobs.remove(&job);
+                open.into_iter().for_each(|open| self.remember_run(&open));
                 self.instance.jobs.release(job.0);
             }
             Decision::Forget(Forgotten::Key(key)) => self.instance.keys.release(key.0),
@@ -695,7 +719,7 @@
         let Some(open) = self.jobs.get(&job) else { return EarlierDispatches::default() };
         EarlierDispatches {
             run_once: self.instance.is_run_once(open.type_id),
-            may_have_run: open.may_have_run,
+            may_have_run: open.earliest_run.is_some(),
             another_in_flight: !self.instance.concurrent_dispatches && !open.in_flight.is_empty(),
             key_in_flight: open
                 .order_key
@@ -725,6 +749,12 @@
         self.instance.router.dispatch_ended(now, job, number, Outcome::NotIssued, Span::ZERO, None, false);
     }
 
+    /// Remembers the id of a job that may have run, unless a repeat does no harm.
+    fn remember_run(&mut self, open: &OpenJob) {
+        let run = open.earliest_run.filter(|_| !self.instance.is_restartable(open.type_id));
+        run.into_iter().for_each(|run| self.past_runs.record(&open.statement.id, run));
+    }
+
     /// Records that a query of the key may still run after its dispatch has ended.
     fn mark_in_doubt(&mut self, key: KeyId) {
         self.unsettled.add(key);
@@ -764,7 +794,11 @@
         let Ok(new) = Instance::start(now, self.seed, &self.settings) else { return };
         let old = std::mem::replace(&mut self.instance, new);
         (self.instance.jobs, self.instance.keys, self.instance.engines) = (old.jobs, old.keys, old.engines);
-        for (job, open) in std::mem::take(&mut self.jobs) {
+        for (job, mut open) in std::mem::take(&mut self.jobs) {
+            if !open.in_flight.is_empty() {
+                open.record_run(None, now);
+            }
+            self.remember_run(&open);
             self.keep_orphans(job, &open);
         }
         self.keys_in_flight.clear();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -34,6 +34,7 @@
 mod list_update;
 pub mod log_queue;
 pub mod memory;
+mod past_runs;
 mod pool;
 pub mod signals;
 pub mod sockets;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -107,6 +107,15 @@
     pub age: Span,
 }
 
+/// A dispatch that may have run, of an earlier job with the same id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EarlierRun {
+    /// The zone and the cell of its engine.
+    pub zone: ZoneId,
+    pub cell: CellId,
+    pub sent: Moment,
+}
+
 /// How a dispatch or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -207,7 +216,8 @@
     TimeOver,
     /// The job has reached the maximum number of dispatches.
     TriesSpent,
-    /// An earlier dispatch may have run, and the job must not run again.
+    /// An earlier dispatch, of this job or of another one with its id, may have run, and the job must not run
+    /// again.
     MayHaveRun,
     /// An answer would come after the SLA time, and a late answer of its type earns too little.
     TooLateToEarn,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -243,6 +243,15 @@
         self.jobs.insert(job, record);
     }
 
+    /// An earlier job with the id of this one may have run: this job counts as one that was dispatched by then.
+    /// The host tells it right after `job_arrived`.
+    pub fn job_ran_before(&mut self, job: JobId, run: EarlierRun) {
+        self.record_change();
+        if let Some(record) = self.jobs.get_mut(&job) {
+            record.earlier_run = Some(run);
+        }
+    }
+
     /// The client has left, or the job has ended in another way; it gets no further dispatch or answer.
     pub fn job_closed(&mut self, job: JobId) {
         self.record_change();
--- a/src/records.rs
+++ b/src/records.rs
@@ -95,6 +95,8 @@
     pub(crate) closed: bool,
     /// Whether a dispatch was not sent because the client may have withdrawn the job.
     pub(crate) client_unheard: bool,
+    /// The earliest dispatch that may have run of an earlier job with the same id.
+    pub(crate) earlier_run: Option<EarlierRun>,
     pub(crate) dispatches: Vec<Dispatch>,
 }
 
@@ -104,9 +106,11 @@
         self.dispatches.iter().filter(|d| d.outcome.is_none()).count()
     }
 
-    /// The dispatches that may have run or may still run.
-    pub(crate) fn may_have_run(&self) -> impl Iterator<Item = &Dispatch> {
-        self.dispatches.iter().filter(|d| d.outcome.is_none_or(|o| !o.never_ran()))
+    /// The dispatches that may have run or may still run, of this job or of an earlier one with its id.
+    pub(crate) fn may_have_run(&self) -> impl Iterator<Item = EarlierRun> {
+        let own = self.dispatches.iter().filter(|d| d.outcome.is_none_or(|o| !o.never_ran()));
+        let own = own.map(|d| EarlierRun { zone: d.zone, cell: d.cell, sent: d.sent });
+        self.earlier_run.into_iter().chain(own)
     }
 }
 
--- a/tests/scenarios/main.rs
+++ b/tests/scenarios/main.rs
@@ -1132,3 +1132,25 @@
         assert!(host.now.since(arrived) <= ms(answered_after), "{:?}", host.now.since(arrived));
     }
 }
+
+/// Guards against running a job twice that comes again with the id of one that may have run.
+#[test]
+fn job_that_ran_under_the_same_id_before_is_dispatched_only_where_a_repeat_is_safe() {
+    let keyed = |scope| Effect::Keyed { scope, window: ms(500) };
+    let cases = [
+        (Effect::RunOnce, 0, 0),
+        (Effect::Restartable, 0, 1),
+        (keyed(Scope::All), 0, 1),
+        (keyed(Scope::All), 600, 0),
+        (keyed(Scope::Cell), 0, 0),
+    ];
+    for (effect, age, dispatches) in cases {
+        let mut host = Host::new(|start| start.types[LOAD.0].effect = effect);
+        let sent = host.now.saturating_sub(ms(age));
+        let job = host.job(LOAD, 1);
+        let other_cell = CellId(7);
+        host.router.job_ran_before(job, EarlierRun { zone: ZoneId(0), cell: other_cell, sent });
+        host.pull();
+        assert_eq!(host.engines_of(job).len(), dispatches, "{effect:?} {age}");
+    }
+}
