--- a/crates/router/tests/scenarios/main.rs
+++ b/crates/router/tests/scenarios/main.rs
@@ -751,14 +751,15 @@
     // There are thirteen descriptors for clients.
     let router = RouterThread::start_with_config(&router_config(&[engine.address], bulletin.address, 41));
     let mut clients: Vec<_> = (0..13).map(|_| Client::connect(&router)).collect();
-    for (number, client) in clients.iter_mut().enumerate() {
-        client.send_job(1, "load", 20_000);
+    // Each job has an id of its own, as a run-once id that comes again is not served.
+    for (number, client) in (1..).zip(&mut clients) {
+        client.send_job(number, "load", 20_000);
         assert!(client.receive().1.is_ok(), "{number}");
-        client.send_job(2, "nothing", 20_000);
+        client.send_job(number + 1, "nothing", 20_000);
         assert!(client.receive().1.is_err(), "{number}");
     }
     let mut new = Client::connect(&router);
-    new.send_job(1, "load", 20_000);
+    new.send_job(100, "load", 20_000);
     assert!(new.receive().1.is_ok());
     clients[0].0.set_nonblocking(false).unwrap();
     assert!(clients[0].is_closed());
