What a client sends after something malformed is discarded, not left unread

Cause: since a job is not sent while its client is unheard, and a client is not read any more once it has sent something malformed. Before, the rest of its bytes filled the socket until its answers.

Change: while answers are owed, what arrives is read and discarded, 16 KiB each 2 ms, and the close behind it is seen.

Evidence: the new test failed on (rejected) and passes.

--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -47,6 +47,9 @@
 const MAX_UNPROCESSED_TIME: Span = Span::from_micros(80_000);
 /// Interval at which a client that is not being read is checked for a close.
 const CLOSE_CHECK_INTERVAL: Span = Span::from_micros(50_000);
+/// What is discarded at a time of a client that is not understood any more, and the pause after it.
+const DISCARD_CHUNK_BYTES: usize = 16 * 1024;
+const DISCARD_PAUSE: Span = Span::from_micros(2_000);
 /// How long a connection that the router closes waits for the client's close. Data written longer ago than
 /// this is assumed to have arrived, which can't be known for certain.
 const CLOSE_TIMEOUT: Span = Span::from_micros(100_000);
@@ -340,10 +343,18 @@
 }
 
 impl Reader {
-    /// Waits until all requests are answered, or the client has closed its side.
+    /// Waits until all requests are answered, or the client has closed its side. Threat: the close stands
+    /// behind bytes that nobody reads, and the client's jobs are dispatched. So what the client sends is
+    /// discarded, at a limited rate, as it may be endless.
     async fn wait_until_answered(&self, socket: &Socket) {
-        while self.connection.open_requests.get() > 0 && !socket.is_closed_by_peer() {
-            sleep(CLOSE_CHECK_INTERVAL).await;
+        let mut discarded = vec![0; DISCARD_CHUNK_BYTES];
+        while self.connection.open_requests.get() > 0 {
+            let read = self.arrivals.receive(async || read_once(&socket.stream, &mut discarded).await);
+            match with_timeout(CLOSE_CHECK_INTERVAL, read).await {
+                Some(Ok(1..)) => sleep(DISCARD_PAUSE).await,
+                Some(_) => return,
+                None => {}
+            }
         }
     }
 
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -513,6 +513,23 @@
     }
 }
 
+/// Guards against giving up a waiting job because its client sent something malformed after it, and against
+/// leaving what comes behind that unread.
+#[test]
+fn a_waiting_job_is_served_although_its_client_sent_something_malformed_after_it() {
+    for garbage_bytes in [1, 100_000] {
+        let engine = StandinServer::start(|call| result_page(call, &[ROWS]));
+        let (router, events) = router_with_waiting_loads(&engine);
+        let mut client = Client::connect(&router);
+        client.0.set_write_timeout(Some(TEST_TIMEOUT)).unwrap();
+        client.send_job(1, "load", 60_000);
+        client.0.write_all(&vec![0xc1; garbage_bytes]).unwrap();
+        thread::sleep(MAX_DISPATCH_DELAY * 2);
+        events.add(2, vec![in_zone_b(&engine)]);
+        assert_eq!(client.receive(), (1, Ok(ROWS.to_owned())), "{garbage_bytes}");
+    }
+}
+
 #[test]
 fn a_connection_attempt_is_repeated_within_its_time_out() {
     let (gate, other) = (BlockedListener::bind(), StandinServer::start(|call| result_page(call, &[ROWS])));
