Tests of failing calls give each job an id of its own

Cause: clients of one test sent the same run-once ids, which the protocol forbids; since the later ones fail.

Change: each job gets a number of its own; the assertions are as they were.

--- a/crates/router/tests/failing_calls.rs
+++ b/crates/router/tests/failing_calls.rs
@@ -3,6 +3,7 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -34,12 +35,19 @@
     Some((process, preload))
 }
 
+/// Returns a number for a job that no other job of this file has, so that no run-once id comes again.
+fn next_number() -> u32 {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
 /// Checks that each request on one connection is served.
 fn assert_serves_all(router: &RouterProcess, description: &str) {
     let stream = TcpStream::connect(router.address).unwrap();
     stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
     let mut client = Client(stream);
-    for number in 1..=REQUESTS {
+    for _ in 0..REQUESTS {
+        let number = next_number();
         client.send_job(number, "load", 20_000);
         assert_eq!(client.receive(), (number, Ok(ROWS.to_owned())), "{description}");
     }
@@ -72,14 +80,17 @@
     let engine = StandinServer::start(|call| result_page(call, &[ROWS]));
     let Some((mut router, preload)) = router("interrupted-accept", &engine) else { return };
     let mut open_client = client(&router);
-    open_client.send_job(1, "load", WAIT_MS);
-    assert_eq!(open_client.receive(), (1, Ok(ROWS.to_owned())));
+    let number = next_number();
+    open_client.send_job(number, "load", WAIT_MS);
+    assert_eq!(open_client.receive(), (number, Ok(ROWS.to_owned())));
     preload.fail(SystemCall::Accept, 1, Errno::INTR);
     let began = Instant::now();
     let mut late_client = client(&router);
-    late_client.send_job(1, "load", TEST_TIMEOUT.as_millis() as u32);
+    let late_number = next_number();
+    late_client.send_job(late_number, "load", TEST_TIMEOUT.as_millis() as u32);
     wait_until("accept is interrupted", || preload.failure_count(SystemCall::Accept) > 0);
-    for number in 2.. {
+    loop {
+        let number = next_number();
         open_client.send_job(number, "load", WAIT_MS);
         assert_eq!(open_client.receive(), (number, Ok(ROWS.to_owned())), "over an open connection");
         if began.elapsed() > FAULT_TIME {
@@ -91,7 +102,11 @@
     router.signal(Signal::TERM);
     wait_until("the shutdown is handled", || router.log_text().contains("stopping"));
     preload.clear();
-    assert_eq!(late_client.receive(), (1, Ok(ROWS.to_owned())), "the client that connected meanwhile");
+    assert_eq!(
+        late_client.receive(),
+        (late_number, Ok(ROWS.to_owned())),
+        "the client that connected meanwhile"
+    );
     assert!(router.wait().success());
 }
 
@@ -163,12 +178,13 @@
         preload.fail(SystemCall::Accept, 1, error);
         let mut client = client(&router);
         let began = Instant::now();
-        client.send_job(1, "load", WAIT_MS);
+        let number = next_number();
+        client.send_job(number, "load", WAIT_MS);
         wait_until("connections are aborted", || {
             preload.failure_count(SystemCall::Accept) >= ABORTED_CONNECTIONS
         });
         preload.clear();
-        assert_eq!(client.receive(), (1, Ok(ROWS.to_owned())), "{error:?}");
+        assert_eq!(client.receive(), (number, Ok(ROWS.to_owned())), "{error:?}");
         let took = began.elapsed();
         assert!(took < Duration::from_millis(WAIT_MS.into()), "{error:?}: {took:?}");
     }
@@ -185,10 +201,11 @@
         let before = preload.failure_count(SystemCall::Accept);
         preload.fail(SystemCall::Accept, 1, error);
         let mut client = client(&router);
-        client.send_job(1, "load", WAIT_MS);
+        let number = next_number();
+        client.send_job(number, "load", WAIT_MS);
         wait_until("accept fails", || preload.failure_count(SystemCall::Accept) > before);
         preload.clear();
-        assert_eq!(client.receive(), (1, Ok(ROWS.to_owned())), "{error:?}");
+        assert_eq!(client.receive(), (number, Ok(ROWS.to_owned())), "{error:?}");
     }
 }
 
