--- a/crates/router/src/decide.rs
+++ b/crates/router/src/decide.rs
@@ -569,8 +569,12 @@
         let from_line = || line.start.map(|start| now.saturating_sub(event_time.min_age(start, now)));
         let latest_start = known.map_or_else(from_line, |known| known.latest_start);
         self.announce_line(now, engine, line, latest_start);
-        if let Some(known) = self.engines.get_mut(&engine).filter(|known| known.line.address == line.address)
-        {
+        // Threat: an engine that was started anew keeps its name and address, and connections to its earlier
+        // process, which drains, would carry new jobs. A new handle has none of these connections; what is in
+        // flight keeps the old one. It costs new connections to an engine whose line states another start.
+        let is_same_process =
+            |known: &&mut KnownEngine| (known.line.address, known.line.start) == (line.address, line.start);
+        if let Some(known) = self.engines.get_mut(&engine).filter(is_same_process) {
             return known.update(line, latest_start);
         }
         self.serial += 1;
