--- a/crates/router/src/backends/sql/give_up.rs
+++ b/crates/router/src/backends/sql/give_up.rs
@@ -56,6 +56,18 @@
             }
             sleep(if is_refused { SETTLE_INTERVAL } else { RETRY_PAUSE }).await;
         }
+        self.wait_for_replaced_process().await;
+    }
+
+    /// Waits for the query's expiry if another process may have answered for the one that has the query, and
+    /// another dispatch of the job may follow. Threat: an engine that drains closes its port and continues to
+    /// run its queries, and a process that takes over the port confirms the end of a query that it never had.
+    /// Another dispatch of the job would run beside it. The defence costs a delay: at an engine that drains,
+    /// is gone or was replaced, such a job waits for the expiry.
+    pub async fn wait_for_replaced_process(&self) {
+        if !self.engine.is_live.get() && self.may_be_repeated() {
+            self.engine.context.clock.sleep_until(self.expiry()).await;
+        }
     }
 
     /// Whether the query's end is to be learned over the connection that carried its POST, so that this
--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -155,7 +155,12 @@
             // job fail if the engine itself declined it over a later connection. `TurnedAway` is the outcome
             // of a declined query.
             503 | 504 if self.on_post_connection.get() => Err(Outcome::TurnedAway),
-            _ => Err(Outcome::Error),
+            _ => {
+                if !self.on_post_connection.get() {
+                    self.wait_for_replaced_process().await;
+                }
+                Err(Outcome::Error)
+            }
         }
     }
 
