--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -37,8 +37,8 @@
 const MESSAGE_TIMEOUT: Span = Span::from_micros(1_500_000);
 /// Time without traffic after which an idle connection is closed. Clients close theirs after 4 s.
 const IDLE_TIMEOUT: Span = Span::from_micros(5_000_000);
-/// Delay before a client is read again, for each ping and each refused request beyond `REFUSAL_BURST` of
-/// them. The burst is large because whatever follows hundreds of requests that were sent at once, such as a
+/// Delay before a client is read again, for each ping, refused request and notification without effect
+/// beyond `REFUSAL_BURST` of them. The burst is large because whatever follows hundreds of requests that were sent at once, such as a
 /// cancellation or the close, has to be read soon.
 const REFUSAL_DELAY: Span = Span::from_micros(2_000);
 const REFUSAL_BURST: f64 = 512.0;
@@ -490,7 +490,8 @@
         }
     }
 
-    /// Processes one complete message, and returns how many answers were given at once.
+    /// Processes one complete message, and returns how many answers were given at once. A notification
+    /// without effect counts as one: it costs the router as much.
     async fn process(&self, mut message: &[u8]) -> Result<usize, ReadEnd> {
         let (arrived, message) = (self.arrivals.request_start(), &mut message);
         let parts = codec::read_array_len(message)?;
@@ -518,19 +519,22 @@
                 Ok(1)
             }
             (codec::NOTIFICATION, 3) => {
-                if codec::read_str(message)? == "abort" && codec::read_array_len(message)? > 0 {
-                    let number = codec::read_u32(message)?;
-                    if let Some(statement) = self.open_jobs.borrow().get(&number) {
-                        statement.client.withdraw();
-                    }
-                    let _ = self.context.events.send(Event::Withdrawn { client: self.client, number }).await;
-                }
-                Ok(0)
+                let is_abort = codec::read_str(message)? == "abort" && codec::read_array_len(message)? > 0;
+                let has_effect = is_abort && self.withdraw(codec::read_u32(message)?).await;
+                Ok(usize::from(!has_effect))
             }
             _ => Err(ReadEnd::Malformed),
         }
     }
 
+    /// Withdraws the job with this request number, and returns whether it awaits an answer.
+    async fn withdraw(&self, number: u32) -> bool {
+        let Some(statement) = self.open_jobs.borrow().get(&number).cloned() else { return false };
+        statement.client.withdraw();
+        let _ = self.context.events.send(Event::Withdrawn { client: self.client, number }).await;
+        true
+    }
+
     /// Returns the responder for an answer that is given at once. It waits while the client receives no
     /// answers, which slows the client down.
     async fn immediate_responder(&self, number: u32) -> Responder {
--- a/crates/router/tests/floods.rs
+++ b/crates/router/tests/floods.rs
@@ -104,3 +104,20 @@
     assert_eq!(later.receive().0, 99);
     assert!(sent.elapsed() < WAIT + ANSWER_SLACK, "answered after {:?}", sent.elapsed());
 }
+
+/// Guards against a client that keeps the router busy with messages that get no answer, such as withdrawals of
+/// unknown requests: others would wait for their turns.
+#[test]
+fn a_client_that_withdraws_unknown_requests_without_a_pause_is_read_slowly() {
+    const WITHDRAWALS: usize = 1_500;
+    /// These are read at once, and then one in 2 ms.
+    const AT_ONCE: usize = 512;
+    let engine = StandinServer::start(|call| result_page(call, &[ROWS]));
+    let router = RouterThread::start_with_idle_discovery(&[engine.address]);
+    let mut client = Client::connect(&router);
+    let began = Instant::now();
+    (0..WITHDRAWALS).for_each(|_| client.send_abort(7));
+    assert!(client.ping(0));
+    let expected = Duration::from_millis(2) * (WITHDRAWALS - AT_ONCE) as u32;
+    assert!(began.elapsed() >= expected / 2, "read within {:?}", began.elapsed());
+}
