Split the frontend's reader: end of reading, time of a message, pace of refusals

Change: ReadEnd, MessageTimer and the pace of refusals stand in modules of their own; the code is as it was.

--- a/crates/router/src/frontends/rpc/front.rs
+++ b/crates/router/src/frontends/rpc/front.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::fmt;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
@@ -13,7 +12,7 @@
 use async_lock::{Semaphore, SemaphoreGuardArc};
 use futures_lite::{FutureExt, future};
 use woadhook::{Moment, Span};
-use woadhook_flow_control::min_rate::{MinRate, RateMonitor};
+use woadhook_flow_control::min_rate::MinRate;
 use woadhook_flow_control::round_robin::DeficitCounter;
 
 use crate::arrivals::{ArrivalTimes, LoopTicks};
@@ -22,6 +21,9 @@
 use crate::frontends::rpc::codec::{self, Malformed};
 use crate::frontends::rpc::connections::{ClientConnection, Registration};
 use crate::frontends::rpc::message_buffer::{MessageBuffer, Received};
+use crate::frontends::rpc::message_timer::MessageTimer;
+use crate::frontends::rpc::read_end::ReadEnd;
+use crate::frontends::rpc::refusal_pace::RefusalPace;
 use crate::frontends::rpc::request::RequestLimits;
 use crate::guards::{Guards, Refusal, Step};
 use crate::memory::{Holder, MemoryBudget};
@@ -33,15 +35,8 @@
 /// Maximum number of answers that the frontend gives by itself (pongs and refusals) and that the client of a
 /// connection has not received yet; beyond it, nothing more is read from the client.
 const MAX_IMMEDIATE_ANSWERS: usize = 32;
-/// Time in which a connection's first message, and each message that has begun, must arrive completely.
-const MESSAGE_TIMEOUT: Span = Span::from_micros(1_500_000);
 /// Time without traffic after which an idle connection is closed. Clients close theirs after 4 s.
 const IDLE_TIMEOUT: Span = Span::from_micros(5_000_000);
-/// Delay before a client is read again, for each ping, refused request and notification without effect
-/// beyond `REFUSAL_BURST` of them. The burst is large because whatever follows hundreds of requests that were sent at once, such as a
-/// cancellation or the close, has to be read soon.
-const REFUSAL_DELAY: Span = Span::from_micros(2_000);
-const REFUSAL_BURST: f64 = 512.0;
 /// How long a withdrawal or the close may be unprocessed before the client's jobs are no longer dispatched.
 /// The protocol allows a dispatch up to 100 ms after its client has left.
 const MAX_UNPROCESSED_TIME: Span = Span::from_micros(80_000);
@@ -149,7 +144,7 @@
         connection: reader_connection,
         last_number: Cell::new(0),
         arrivals: Rc::new(ArrivalTimes::new(arrived, clock, context.loop_ticks.clone())),
-        immediate_credit: Cell::new((REFUSAL_BURST, clock.now())),
+        refusal_pace: RefusalPace::new(clock.now()),
         open_jobs,
         is_gone,
         context,
@@ -193,54 +188,6 @@
     }
 }
 
-/// Why reading from a client ended.
-#[derive(Debug)]
-enum ReadEnd {
-    /// The client closed its side.
-    Left,
-    /// The connection broke.
-    Broken(io::Error),
-    /// The client sent something that is not a message.
-    Malformed,
-    /// A request number was not greater than the one before, so that answers could be confused.
-    NumberNotNew,
-    /// A message exceeds the maximum length.
-    TooLong,
-    /// A message arrived too slowly. The text states the measured rate.
-    TooSlow(String),
-    /// The connection was idle for too long.
-    Idle,
-}
-
-impl ReadEnd {
-    /// Whether the client may still read answers to its earlier requests, and distinguish them. Threat: a
-    /// request that was accepted would not be answered because the data after it was malformed. The defence costs a descriptor, which the connection holds until these requests
-    /// are answered.
-    fn leaves_answers_owed(&self) -> bool {
-        matches!(self, Self::Malformed | Self::TooLong)
-    }
-}
-
-impl From<Malformed> for ReadEnd {
-    fn from(_: Malformed) -> Self {
-        Self::Malformed
-    }
-}
-
-impl fmt::Display for ReadEnd {
-    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Left => out.write_str("closed the connection"),
-            Self::Broken(error) => write!(out, "connection broke: {error}"),
-            Self::Malformed => out.write_str("sent a malformed message"),
-            Self::NumberNotNew => out.write_str("used a request number that did not rise"),
-            Self::TooLong => out.write_str("sent a message that is too long"),
-            Self::TooSlow(figures) => write!(out, "sent a message too slowly: {figures}"),
-            Self::Idle => out.write_str("was idle"),
-        }
-    }
-}
-
 /// Notifies the dispatcher when a connection ends, however it ends.
 struct ClientGoneNotifier {
     client: u64,
@@ -293,38 +240,6 @@
     }
 }
 
-/// The time in which a message must arrive completely.
-struct MessageTimer {
-    deadline: Moment,
-    /// Monitors the rate; `None` for a connection's first message, which may not have begun.
-    monitor: Option<RateMonitor>,
-}
-
-impl MessageTimer {
-    fn first(now: Moment) -> Self {
-        Self { deadline: now + MESSAGE_TIMEOUT, monitor: None }
-    }
-
-    fn start(now: Moment, min_send_rate: MinRate) -> Self {
-        Self { monitor: Some(RateMonitor::start(now, min_send_rate)), ..Self::first(now) }
-    }
-
-    fn record(&mut self, now: Moment, bytes: usize) {
-        if let Some(monitor) = &mut self.monitor {
-            monitor.record(now, bytes);
-        }
-    }
-
-    fn deadline(&self) -> Moment {
-        self.monitor.map_or(self.deadline, |monitor| self.deadline.min(monitor.deadline()))
-    }
-
-    /// Returns the bytes of the message that have arrived, and their mean rate in bytes per second.
-    fn stats(&self, now: Moment) -> (u64, f64) {
-        self.monitor.map_or((0, 0.0), |monitor| monitor.stats(now))
-    }
-}
-
 struct Reader {
     client: u64,
     holder: Holder,
@@ -335,8 +250,7 @@
     /// Number of the last request. Numbers must increase, so that no two answers can be confused.
     last_number: Cell<u32>,
     arrivals: Rc<ArrivalTimes>,
-    /// How many immediate answers may be given before reading is delayed, and when that was computed.
-    immediate_credit: Cell<(f64, Moment)>,
+    refusal_pace: RefusalPace,
     open_jobs: OpenJobs,
     is_gone: Rc<Cell<bool>>,
     context: FrontendContext,
@@ -428,12 +342,7 @@
     /// Delays reading after `refused` more immediate answers if these exceed the credit, and returns whether
     /// the client is still connected.
     async fn delay_read(&self, socket: &Socket, refused: usize) -> bool {
-        let (credit, since) = self.immediate_credit.get();
-        let now = self.context.clock.now();
-        let earned = now.since(since).secs() / REFUSAL_DELAY.secs();
-        let credit = (credit + earned).min(REFUSAL_BURST) - refused as f64;
-        self.immediate_credit.set((credit, now));
-        let until = now + REFUSAL_DELAY.mul_f64(-credit);
+        let until = self.refusal_pace.record(self.context.clock.now(), refused);
         let is_held_back = &self.connection.is_held_back;
         while refused > 0 && self.context.clock.now() < until {
             is_held_back.set(true);
