--- a/crates/router/src/backends/sql/query.rs
+++ b/crates/router/src/backends/sql/query.rs
@@ -34,6 +34,9 @@
 /// thousands of jobs may wait for the same resource.
 const MIN_CONNECT_PAUSE: Span = Span::from_micros(5_000);
 const MAX_CONNECT_PAUSE: Span = Span::from_micros(40_000);
+/// An engine answers a poll without news after 250 ms. If the news of the last answer comes again sooner than
+/// this, it may be a second copy of that answer.
+const MIN_REPEATED_NEWS_TIME: Span = Span::from_micros(200_000);
 /// Interval at which a client that is unheard is checked again, and the number of these checks after which its
 /// job is not sent. They are counted because a busy thread may make them late.
 const PRESENCE_CHECK_INTERVAL: Span = Span::from_micros(10_000);
@@ -138,10 +141,18 @@
                 self.delete_over(&mut connection).await;
                 return Err(Outcome::Cancelled);
             }
-            if let Some((name, value)) = answer.progress {
-                self.forward_progress(&name, value).await;
+            if let Some((name, value)) = &answer.progress {
+                self.forward_progress(name, *value).await;
             }
+            let (last_answer, last_news) = (self.last_answer.get(), answer.progress);
             (answer, connection) = self.request_page(0, Some(connection)).await?;
+            // Threat: an answer comes twice, the copy counts as the answer to the next call, and each further
+            // call gets the answer to the one before. The next job on the connection would get this one's
+            // result. The defence costs a connection for each job at an engine that tells the same again soon.
+            let is_repeated = answer.status == 202 && answer.progress == last_news;
+            if is_repeated && self.now().since(last_answer) < MIN_REPEATED_NEWS_TIME {
+                connection.may_owe_answer = true;
+            }
         }
         self.record_end(answer.status);
         if self.give_up_requested.get() {
--- a/crates/router/src/frontends/rpc/read_end.rs
+++ b/crates/router/src/frontends/rpc/read_end.rs
@@ -26,8 +26,8 @@
 
 impl ReadEnd {
     /// Whether the client may still read answers to its earlier requests, and distinguish them. Threat: a
-    /// request that was accepted would not be answered because the data after it was malformed. The defence costs a descriptor, which the connection holds until these requests
-    /// are answered.
+    /// request that was accepted would not be answered because the data after it was malformed. The defence
+    /// costs a descriptor, which the connection holds until these requests are answered.
     pub fn leaves_answers_owed(&self) -> bool {
         matches!(self, Self::Malformed | Self::TooLong)
     }
--- a/crates/router/src/http.rs
+++ b/crates/router/src/http.rs
@@ -73,6 +73,9 @@
     buffer: Vec<u8>,
     /// Whether no call is under way and the peer will take another.
     pub reusable: bool,
+    /// Whether a second copy of an answer may have been taken for the answer to the next call, so that the
+    /// peer still owes one. All answers concern the calls of one query.
+    pub may_owe_answer: bool,
     pub idle_since: Moment,
     /// When the connection came up.
     pub opened_at: Moment,
@@ -105,6 +108,7 @@
             clock,
             buffer: Vec::new(),
             reusable: true,
+            may_owe_answer: false,
             idle_since: Moment::default(),
             opened_at: clock.now(),
             is_call_open: false,
--- a/crates/router/src/pool.rs
+++ b/crates/router/src/pool.rs
@@ -37,8 +37,8 @@
     waiting: Cell<usize>,
 }
 
-/// A connection in use. It returns to the pool if it is dropped between calls, and closes if it is dropped
-/// during one.
+/// A connection in use. It returns to the pool if it is dropped between calls and its peer owes no answer, and
+/// closes otherwise.
 pub struct PooledConnection {
     pool: Rc<ConnectionPool>,
     engine: u64,
@@ -154,7 +154,9 @@
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        let keeps = |connection: &Connection| connection.reusable && self.pool.waiting.get() == 0;
+        let keeps = |connection: &Connection| {
+            connection.reusable && !connection.may_owe_answer && self.pool.waiting.get() == 0
+        };
         if let Some(mut connection) = self.connection.take().filter(keeps) {
             connection.idle_since = self.pool.clock.now();
             self.pool.idle.borrow_mut().push_back((self.engine, connection));
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -244,6 +244,34 @@
     assert_eq!(client.receive(), (2, Ok("2\t2\t2\n".to_owned())));
 }
 
+/// Guards against serving a job with the result of another one: a second copy of an answer without a result is
+/// taken for the answer to the next call, so that an answer is still owed when the query ends.
+#[test]
+fn a_second_copy_of_an_answer_to_a_poll_lets_no_result_reach_another_job() {
+    let mut first_connection = None;
+    let mut polls = 0;
+    let engine = StandinServer::start(move |call| {
+        let is_first_job = is_for_job(call, 1) || call.line.starts_with("GET /v2/q/0000000000000001/");
+        if is_post(call) && is_first_job {
+            first_connection = Some(call.connection);
+            return response(202, &["X-Result: pct", "X-Num: 0.1"], "");
+        }
+        polls += usize::from(is_first_job);
+        match (is_first_job, polls) {
+            // The copy of the answer to the POST. From now on each answer is that to the call before.
+            (true, 1) => response(202, &["X-Result: pct", "X-Num: 0.1"], ""),
+            (false, _) if Some(call.connection) != first_connection => result_page(call, &["2\t2\t2\n"]),
+            _ => result_page(call, &["1\t1\t1\n"]),
+        }
+    });
+    let mut client = Client::connect(&RouterThread::start_with_idle_discovery(&[engine.address]));
+    client.send_job(1, "load", 20_000);
+    assert_eq!(client.receive(), (1, Ok("1\t1\t1\n".to_owned())));
+    thread::sleep(MIN_IDLE_TIME * 2);
+    client.send_job(2, "load", 20_000);
+    assert_eq!(client.receive(), (2, Ok("2\t2\t2\n".to_owned())));
+}
+
 /// Counts the complete answers in all bytes until the end of the connection; there must be nothing else.
 fn count_complete_answers(mut bytes: &[u8]) -> usize {
     let mut complete = 0;
