--- a/src/logic.rs
+++ b/src/logic.rs
@@ -243,8 +243,8 @@
         self.jobs.insert(job, record);
     }
 
-    /// An earlier job with the id of this one may have run: this job counts as one that was dispatched by then.
-    /// The host tells it right after `job_arrived`.
+    /// An earlier job with the id of this one may have run: this job counts as one that was dispatched by
+    /// then. The host tells it right after `job_arrived`.
     pub fn job_ran_before(&mut self, job: JobId, run: EarlierRun) {
         self.record_change();
         if let Some(record) = self.jobs.get_mut(&job) {
